Set down the workspace, the core types and the parts of the call path

Cause: nothing existed. Ruled out: a unary gRPC call per message between nodes. Conclusion: one open bidirectional stream per direction and pair of nodes.

--- /dev/null
+++ b/packages/basilhill/src/basilhill/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions, records, settings and document of basilhill."""
--- /dev/null
+++ b/packages/basilhill/src/basilhill/calls.py
@@ -0,0 +1,82 @@
+"""Calls, their context and their priority."""
+
+from enum import IntEnum
+from hashlib import blake2b
+
+from attrs import field, frozen
+
+from basilhill.tokens import IdempotencyToken
+from basilhill.verdicts import Header
+
+COHORTS = 128
+
+
+class PriorityClass(IntEnum):
+    """Order kinds of customer action; overload refuses the lowest first."""
+
+    BROWSE = 0
+    STANDARD = 1
+    TRANSACTION = 2
+
+
+MAX_PRIORITY = len(PriorityClass) * COHORTS - 1
+
+
+@frozen
+class CallRequest:
+    """Hold the request for a backend server."""
+
+    service: str
+    method: str
+    path: str
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+@frozen
+class ParentReference:
+    """Name the running call within which a backend server makes a call."""
+
+    node: str
+    incarnation: str
+    parent_call: str
+
+
+@frozen
+class Arrival:
+    """Hold what a caller said about its call besides the request."""
+
+    customer: str
+    token: IdempotencyToken | None = None
+    attempt: int = 0
+    timeout_ms: int | None = None
+    parent: ParentReference | None = None
+    call_number: int | None = None
+
+
+@frozen
+class CallContext:
+    """Describe the customer action that a call belongs to, from hop to hop."""
+
+    action_id: str
+    action: str
+    priority_class: PriorityClass
+    deadline_ms: int = field(metadata={"unit": "ms on the clock of this process"})
+    customer: str = ""
+    depth: int = 0
+    retry_allotment: int = 0
+
+    @property
+    def cohort(self) -> int:
+        """Return the cohort, the same at every hop of an action."""
+        return cohort_of(self.action_id)
+
+    @property
+    def priority(self) -> int:
+        """Return the priority that admission levels are compared with."""
+        return self.priority_class * COHORTS + self.cohort
+
+
+def cohort_of(action_id: str) -> int:
+    """Return the cohort of an action, 0 to COHORTS - 1."""
+    return int.from_bytes(blake2b(action_id.encode(), digest_size=4).digest()) % COHORTS
--- /dev/null
+++ b/packages/basilhill/src/basilhill/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that change state and return a verdict or nothing."""
--- /dev/null
+++ b/packages/basilhill/src/basilhill/commands/budgets.py
@@ -0,0 +1,40 @@
+"""Change retry budgets."""
+
+from basilhill.budgets import CustomerBucket, CustomerBuckets, RetryBudget
+
+
+def spend_retry(budget: RetryBudget) -> bool:
+    """Spend one retry; return whether the budget had one."""
+    if budget.balance < 1:
+        return False
+    budget.spent += 1
+    return True
+
+
+def lend_retries(budget: RetryBudget, amount: int) -> None:
+    """Set retries aside for an internal call."""
+    budget.lent += amount
+
+
+def repay_retries(budget: RetryBudget, amount: int, spent: int) -> None:
+    """Take back what an internal call did not spend of its loan."""
+    budget.lent -= amount
+    budget.spent += min(spent, amount)
+
+
+def take_permit(buckets: CustomerBuckets, customer: str, now_ms: int) -> bool:
+    """Take one repeat permit of a customer; return whether there was one."""
+    bucket = buckets.buckets.pop(customer, None)
+    if bucket is None:
+        bucket = CustomerBucket(buckets.burst, now_ms)
+    refill = (now_ms - bucket.refilled_ms) * buckets.rate_per_s / 1000
+    bucket.permits = min(buckets.burst, bucket.permits + refill)
+    bucket.refilled_ms = now_ms
+    buckets.buckets[customer] = bucket
+    if len(buckets.buckets) > buckets.capacity:
+        # The bucket used least recently comes first and is the fullest.
+        del buckets.buckets[next(iter(buckets.buckets))]
+    if bucket.permits < 1:
+        return False
+    bucket.permits -= 1
+    return True
--- /dev/null
+++ b/packages/basilhill/src/basilhill/executions.py
@@ -0,0 +1,37 @@
+"""Records of non-idempotent calls, kept by coordinators and by executors."""
+
+from enum import Enum
+
+from attrs import define, field
+
+from basilhill.verdicts import Outcome
+
+
+class ExecutionState(Enum):
+    """Tell how far a non-idempotent call has come."""
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNCERTAIN = "uncertain"
+    REJECTED = "rejected"
+
+
+@define
+class ExecutionRecord:
+    """Keep the state of one execution key."""
+
+    key: str
+    state: ExecutionState
+    expires_ms: int
+    outcome: Outcome | None = None
+
+
+@define
+class ExecutionTable:
+    """Keep the records of one node, oldest first, bounded in number and in answer bytes."""
+
+    capacity: int
+    answer_bytes_limit: int
+    lifetime_ms: int
+    records: dict[str, ExecutionRecord] = field(factory=dict)
+    answer_bytes: int = 0
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that read state and change nothing."""
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/budgets.py
@@ -0,0 +1,13 @@
+"""Read retry budgets."""
+
+from basilhill.budgets import RetryBudget
+
+
+def lendable_retries(budget: RetryBudget) -> int:
+    """Return how many retries the next internal call may get."""
+    return (budget.balance + 1) // 2
+
+
+def may_retry(budget: RetryBudget) -> bool:
+    """Tell whether one more retry is within the budget."""
+    return budget.balance > 0
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/tokens.py
@@ -0,0 +1,33 @@
+"""Build and verify idempotency tokens."""
+
+import hmac
+
+from basilhill.tokens import IdempotencyToken, TokenIssuer, TokenStatus
+
+SIGNATURE_BYTES = 16
+
+
+def current_token(issuer: TokenIssuer, now_ms: int) -> IdempotencyToken:
+    """Return the token of the issuer's current sequence number."""
+    signature = sign(issuer, issuer.sequence, now_ms)
+    return IdempotencyToken(issuer.node, issuer.incarnation, issuer.sequence, now_ms, signature)
+
+
+def token_status(issuer: TokenIssuer, token: IdempotencyToken, now_ms: int) -> TokenStatus:
+    """Tell what this node may do with a token."""
+    if token.node != issuer.node:
+        return TokenStatus.OTHER_COORDINATOR
+    if token.incarnation != issuer.incarnation:
+        return TokenStatus.ENDED_INCARNATION
+    expected = sign(issuer, token.sequence, token.issued_ms)
+    if not hmac.compare_digest(expected, token.signature):
+        return TokenStatus.INVALID
+    if now_ms >= token.issued_ms + issuer.lifetime_ms:
+        return TokenStatus.EXPIRED
+    return TokenStatus.VALID
+
+
+def sign(issuer: TokenIssuer, sequence: int, issued_ms: int) -> bytes:
+    """Return the signature over the fields of a token."""
+    message = f"{issuer.node}/{issuer.incarnation}/{sequence}/{issued_ms}".encode()
+    return hmac.digest(issuer.secret, message, "sha256")[:SIGNATURE_BYTES]
--- /dev/null
+++ b/packages/basilhill/src/basilhill/settings.py
@@ -0,0 +1,105 @@
+"""Settings of a node and the one table of their defaults."""
+
+from typing import Any
+
+import cattrs
+from attrs import field, frozen
+from cattrs import transform_error
+from expression import Error, Ok, Result
+
+DEFAULTS: dict[str, Any] = {
+    "front_port": 7400,
+    "peer_port": 7401,
+    "administration_address": "127.0.0.1",
+    "administration_port": 7402,
+    "administration_token": "",
+    "backend_port": 7403,
+    "health_path": "/health",
+    "token_lifetime_ms": 600_000,
+    "execution_capacity": 200_000,
+    "answer_bytes_limit": 8_000_000,
+    "customer_rate_per_s": 20.0,
+    "customer_burst": 40,
+    "customer_capacity": 10_000,
+    "queue_limit": 200,
+    "queue_ms": 200,
+    "level_interval_ms": 100,
+    "level_lifetime_ms": 1_000,
+    "subset_size": 20,
+    "ramp_ms": 10_000,
+    "suspect_ttl_ms": 60_000,
+    "heartbeat_ms": 500,
+    "lease_ms": 2_000,
+    "pause_ms": 1_000,
+    "reconnect_ms": 200,
+    "idle_peer_ms": 60_000,
+    "peer_outbox_limit": 1_000,
+    "configuration_readers": 3,
+    "tree_fanout": 8,
+    "digest_ms": 1_000,
+    "platform_poll_ms": 2_000,
+    "body_limit": 1_000_000,
+    "grace_ms": 50,
+    "shutdown_ms": 30_000,
+    "disabled_mechanisms": (),
+}
+
+
+@frozen
+class NodeSettings:
+    """Hold the settings of one node; names ending in _ms are milliseconds."""
+
+    address: str
+    data_centre: str
+    service: str
+    platform_url: str
+    front_port: int
+    peer_port: int
+    administration_address: str
+    administration_port: int
+    administration_token: str = field(repr=False)
+    backend_port: int
+    health_path: str
+    token_lifetime_ms: int
+    execution_capacity: int
+    answer_bytes_limit: int
+    customer_rate_per_s: float
+    customer_burst: int
+    customer_capacity: int
+    queue_limit: int
+    queue_ms: int
+    level_interval_ms: int
+    level_lifetime_ms: int
+    subset_size: int
+    ramp_ms: int
+    suspect_ttl_ms: int
+    heartbeat_ms: int
+    lease_ms: int
+    pause_ms: int
+    reconnect_ms: int
+    idle_peer_ms: int
+    peer_outbox_limit: int
+    configuration_readers: int
+    tree_fanout: int
+    digest_ms: int
+    platform_poll_ms: int
+    body_limit: int
+    grace_ms: int
+    shutdown_ms: int
+    disabled_mechanisms: tuple[str, ...]
+
+    @property
+    def node(self) -> str:
+        """Return the node id, the address that peers dial."""
+        return f"{self.address}:{self.peer_port}"
+
+
+CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
+
+def normalise_settings(given: dict[str, Any]) -> Result[NodeSettings, tuple[str, ...]]:
+    """Return settings completed from the defaults, or all that is wrong with them."""
+    try:
+        return Ok(CONVERTER.structure({**DEFAULTS, **given}, NodeSettings))
+    except cattrs.BaseValidationError as error:
+        return Error(tuple(transform_error(error)))
--- /dev/null
+++ b/packages/basilhill/src/basilhill/tokens.py
@@ -0,0 +1,42 @@
+"""Idempotency tokens."""
+
+from enum import Enum
+
+from attrs import define, frozen
+
+
+@frozen
+class IdempotencyToken:
+    """Grant one run of a non-idempotent call, coordinated by the node that issued it."""
+
+    node: str
+    incarnation: str
+    sequence: int
+    issued_ms: int
+    signature: bytes
+
+    @property
+    def key(self) -> str:
+        """Return the execution key that all copies of the call share."""
+        return f"{self.node}/{self.incarnation}/{self.sequence}"
+
+
+class TokenStatus(Enum):
+    """Tell what a node may do with a token."""
+
+    VALID = "valid"
+    EXPIRED = "expired"
+    INVALID = "invalid"
+    OTHER_COORDINATOR = "other-coordinator"
+    ENDED_INCARNATION = "ended-incarnation"
+
+
+@define
+class TokenIssuer:
+    """Hold what a node needs to issue and verify its own tokens."""
+
+    node: str
+    incarnation: str
+    secret: bytes
+    lifetime_ms: int
+    sequence: int = 0
--- /dev/null
+++ b/packages/basilhill/src/basilhill/verdicts.py
@@ -0,0 +1,101 @@
+"""Verdicts, answers and refusals."""
+
+from enum import Enum
+
+from attrs import field, frozen
+from expression import Result
+
+
+class Verdict(Enum):
+    """Say whether a request may have run."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    MAY_HAVE_RUN = "may-have-run"
+
+
+class Reason(Enum):
+    """Name the cause of a refusal."""
+
+    CANCELLED = "cancelled"
+    CONNECTION_LOST = "connection-lost"
+    COORDINATOR_GONE = "coordinator-gone"
+    CUSTOMER_LIMIT = "customer-limit"
+    DEADLINE = "deadline"
+    LEAVING = "leaving"
+    MALFORMED = "malformed"
+    NO_SERVER = "no-server"
+    OVERLOADED = "overloaded"
+    PARENT_GONE = "parent-gone"
+    REJECTED = "rejected"
+    SUSPECT = "suspect"
+    TABLE_FULL = "table-full"
+    TOKEN_EXPIRED = "token-expired"
+    TOKEN_INVALID = "token-invalid"
+    TOKEN_REQUIRED = "token-required"
+    TOO_LARGE = "too-large"
+    TRUNCATED = "truncated"
+    UNKNOWN_CALL = "unknown-call"
+    UNREACHABLE = "unreachable"
+
+
+@frozen
+class Header:
+    """Hold one header of a request or an answer."""
+
+    name: str
+    value: str
+
+
+@frozen
+class Answer:
+    """Hold the complete answer of a backend server."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+    body: bytes = b""
+
+
+@frozen
+class Refusal:
+    """Tell why a request got no answer, and whether it may have run."""
+
+    verdict: Verdict
+    reason: Reason
+    text: str
+    retry_after_ms: int = 0
+
+
+Outcome = Result[Answer, Refusal]
+
+
+@frozen
+class ServiceLevel:
+    """Report the admission level of a service."""
+
+    service: str
+    level: int
+
+
+@frozen
+class CallReply:
+    """Carry an outcome between nodes, with the retries spent and the levels seen on the way."""
+
+    outcome: Outcome
+    retries_spent: int = 0
+    levels: tuple[ServiceLevel, ...] = field(default=())
+
+
+def not_run(reason: Reason, text: str, retry_after_ms: int = 0) -> Refusal:
+    """Return a refusal of a request that did not run and never will."""
+    return Refusal(Verdict.NOT_RUN, reason, text, retry_after_ms)
+
+
+def may_have_run(reason: Reason, text: str) -> Refusal:
+    """Return a refusal of a request that may have run."""
+    return Refusal(Verdict.MAY_HAVE_RUN, reason, text)
+
+
+def verdict_of(outcome: Outcome) -> Verdict:
+    """Return the verdict of an outcome."""
+    return Verdict.ANSWERED if outcome.is_ok() else outcome.error.verdict
--- /dev/null
+++ b/packages/basilhill_cli/src/basilhill_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command of basilhill."""
--- /dev/null
+++ b/packages/basilhill_cli/src/basilhill_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that change something outside this process."""
--- /dev/null
+++ b/packages/basilhill_cli/src/basilhill_cli/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that read and change nothing."""
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, backend servers and callers."""
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: a process beside every backend server."""
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/encoding.py
@@ -0,0 +1,133 @@
+"""Records as protobuf messages and back."""
+
+from basilhill.calls import CallContext, CallRequest, PriorityClass
+from basilhill.fleet import Heartbeat, VmState
+from basilhill.verdicts import (
+    Answer,
+    CallReply,
+    Header,
+    Outcome,
+    Reason,
+    Refusal,
+    ServiceLevel,
+    Verdict,
+)
+from expression import Error, Ok
+
+from basilhill_node.wire import peer_pb2 as wire
+
+VERDICTS = (Verdict.ANSWERED, Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
+VM_STATES = (VmState.LIVE, VmState.LEAVING)
+
+
+def encode_context(context: CallContext, now_ms: int) -> wire.Context:
+    """Encode a context with its remaining time."""
+    return wire.Context(
+        action_id=context.action_id,
+        action=context.action,
+        priority_class=context.priority_class,
+        depth=context.depth,
+        remaining_ms=context.deadline_ms - now_ms,
+        retry_allotment=context.retry_allotment,
+        customer=context.customer,
+    )
+
+
+def decode_context(message: wire.Context, now_ms: int) -> CallContext:
+    """Decode a context onto this process's clock."""
+    return CallContext(
+        message.action_id,
+        message.action,
+        PriorityClass(message.priority_class),
+        now_ms + message.remaining_ms,
+        message.customer,
+        message.depth,
+        message.retry_allotment,
+    )
+
+
+def encode_request(request: CallRequest) -> wire.Request:
+    """Encode a request."""
+    return wire.Request(
+        service=request.service,
+        method=request.method,
+        path=request.path,
+        headers=encode_headers(request.headers),
+        body=request.body,
+    )
+
+
+def decode_request(message: wire.Request) -> CallRequest:
+    """Decode a request."""
+    headers = decode_headers(message.headers)
+    return CallRequest(message.service, message.method, message.path, headers, message.body)
+
+
+def encode_headers(headers: tuple[Header, ...]) -> list[wire.Header]:
+    """Encode headers."""
+    return [wire.Header(name=header.name, value=header.value) for header in headers]
+
+
+def decode_headers(messages) -> tuple[Header, ...]:
+    """Decode headers."""
+    return tuple(Header(message.name, message.value) for message in messages)
+
+
+def encode_levels(levels: tuple[ServiceLevel, ...]) -> list[wire.Level]:
+    """Encode admission levels."""
+    return [wire.Level(service=level.service, level=level.level) for level in levels]
+
+
+def decode_levels(messages) -> tuple[ServiceLevel, ...]:
+    """Decode admission levels."""
+    return tuple(ServiceLevel(message.service, message.level) for message in messages)
+
+
+def encode_reply(call_id: int, reply: CallReply) -> wire.Reply:
+    """Encode a reply to a call."""
+    message = wire.Reply(
+        call_id=call_id, retries_spent=reply.retries_spent, levels=encode_levels(reply.levels)
+    )
+    if reply.outcome.is_ok():
+        answer = reply.outcome.ok
+        message.status = answer.status
+        message.headers.extend(encode_headers(answer.headers))
+        message.body = answer.body
+        return message
+    refusal = reply.outcome.error
+    message.verdict = VERDICTS.index(refusal.verdict)
+    message.reason = refusal.reason.value
+    message.text = refusal.text
+    message.retry_after_ms = refusal.retry_after_ms
+    return message
+
+
+def decode_reply(message: wire.Reply) -> CallReply:
+    """Decode a reply to a call."""
+    return CallReply(decode_outcome(message), message.retries_spent, decode_levels(message.levels))
+
+
+def decode_outcome(message: wire.Reply) -> Outcome:
+    """Decode the outcome in a reply."""
+    verdict = VERDICTS[message.verdict]
+    if verdict is Verdict.ANSWERED:
+        return Ok(Answer(message.status, decode_headers(message.headers), message.body))
+    reason = Reason(message.reason)
+    return Error(Refusal(verdict, reason, message.text, message.retry_after_ms))
+
+
+def encode_heartbeat(heartbeat: Heartbeat) -> wire.Heartbeat:
+    """Encode a heartbeat."""
+    return wire.Heartbeat(
+        state=VM_STATES.index(heartbeat.state),
+        level=heartbeat.level,
+        in_flight=heartbeat.in_flight,
+        limit=heartbeat.limit,
+        digest=heartbeat.digest,
+    )
+
+
+def decode_heartbeat(message: wire.Heartbeat) -> Heartbeat:
+    """Decode a heartbeat."""
+    state = VM_STATES[message.state]
+    return Heartbeat(state, message.level, message.in_flight, message.limit, message.digest)
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/headers.py
@@ -0,0 +1,113 @@
+"""Records as HTTP headers and back."""
+
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from collections.abc import Mapping
+
+from basilhill.calls import Arrival, ParentReference
+from basilhill.tokens import IdempotencyToken
+from basilhill.verdicts import Header, Reason, Refusal, not_run
+from expression import Error, Ok, Result
+
+TOKEN = "basilhill-token"
+ATTEMPT = "basilhill-attempt"
+TIMEOUT = "basilhill-timeout-ms"
+CUSTOMER = "basilhill-customer"
+CONTEXT = "basilhill-context"
+CALL_NUMBER = "basilhill-call-number"
+VERDICT = "basilhill-verdict"
+REASON = "basilhill-reason"
+ACTION = "basilhill-action"
+RETRIES = "basilhill-retries"
+
+TOKEN_TEXT_LIMIT = 300
+MAX_NUMBER = 10_000_000
+
+# Headers of one connection, which RFC 9110 forbids to forward, and those that the HTTP
+# libraries set themselves.
+CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def forwarded_headers(headers: Mapping[str, str]) -> tuple[Header, ...]:
+    """Return the headers that a node passes on."""
+    return tuple(
+        Header(name, value)
+        for name, value in headers.items()
+        if name.lower() not in CONNECTION_HEADERS and not name.lower().startswith("basilhill-")
+    )
+
+
+def token_text(token: IdempotencyToken) -> str:
+    """Return a token as header text."""
+    fields = f"{token.node}/{token.incarnation}/{token.sequence}/{token.issued_ms}"
+    return urlsafe_b64encode(fields.encode() + b"/" + token.signature.hex().encode()).decode()
+
+
+def parse_token(text: str) -> Result[IdempotencyToken, Refusal]:
+    """Return the token that a header text holds."""
+    try:
+        if len(text) > TOKEN_TEXT_LIMIT:
+            raise ValueError
+        fields = urlsafe_b64decode(text.encode()).decode()
+        node, incarnation, sequence, issued_ms, signature = fields.split("/")
+        host, port = node.rsplit(":", 1)
+        if not host or not 0 < int(port) < 65_536:
+            raise ValueError
+        return Ok(
+            IdempotencyToken(
+                node, incarnation, int(sequence), int(issued_ms), bytes.fromhex(signature)
+            )
+        )
+    except ValueError:
+        return Error(not_run(Reason.MALFORMED, f"{TOKEN} is not a token"))
+
+
+def reference_text(reference: ParentReference) -> str:
+    """Return a parent reference as header text."""
+    return f"{reference.node}/{reference.incarnation}/{reference.parent_call}"
+
+
+def parse_reference(text: str) -> Result[ParentReference, Refusal]:
+    """Return the parent reference that a header text holds."""
+    parts = text.split("/")
+    if len(parts) != 3 or not all(parts):
+        return Error(not_run(Reason.MALFORMED, f"{CONTEXT} is not a context"))
+    return Ok(ParentReference(*parts))
+
+
+def parse_number(headers: Mapping[str, str], name: str) -> Result[int | None, Refusal]:
+    """Return the natural number in a header, or None without the header."""
+    text = headers.get(name)
+    if text is None:
+        return Ok(None)
+    if not (text.isascii() and text.isdigit()) or int(text[:9]) > MAX_NUMBER or len(text) > 9:
+        return Error(not_run(Reason.MALFORMED, f"{name} is not a number up to {MAX_NUMBER}"))
+    return Ok(int(text))
+
+
+def parse_arrival(headers: Mapping[str, str], peer: str) -> Result[Arrival, Refusal]:
+    """Return what the headers of a call say besides the request."""
+    numbers = [parse_number(headers, name) for name in (ATTEMPT, TIMEOUT, CALL_NUMBER)]
+    token_header, context_header = headers.get(TOKEN), headers.get(CONTEXT)
+    token = parse_token(token_header) if token_header is not None else Ok(None)
+    parent = parse_reference(context_header) if context_header is not None else Ok(None)
+    for parsed in (*numbers, token, parent):
+        if parsed.is_error():
+            return Error(parsed.error)
+    attempt, timeout_ms, call_number = (parsed.ok for parsed in numbers)
+    customer = headers.get(CUSTOMER, peer)[:128]
+    return Ok(Arrival(customer, token.ok, attempt or 0, timeout_ms, parent.ok, call_number))
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -0,0 +1,81 @@
+"""One node: its parts, wired together and run."""
+
+import asyncio
+import signal
+
+from basilhill.clocks import Clock, MonotonicClock
+from basilhill.commands.admission import adjust_level
+from basilhill.settings import NodeSettings
+from grpclib.server import Server
+from sanic import Sanic
+
+from basilhill_node.administration import build_administration
+from basilhill_node.backend_servers import HttpBackendServer
+from basilhill_node.commands.leave_fleet import finish_calls, start_leaving
+from basilhill_node.commands.read_platform import follow_document, follow_fleet
+from basilhill_node.front import build_front
+from basilhill_node.network import DirectNetwork, Network
+from basilhill_node.peer_server import PeerService
+from basilhill_node.peers import PeerClients
+from basilhill_node.platform import HttpPlatformClient
+from basilhill_node.state import NodeState, new_state
+
+
+async def run_node(
+    settings: NodeSettings, clock: Clock | None = None, network: Network | None = None
+) -> None:
+    """Run a node until it is told to leave."""
+    node = new_state(
+        settings, clock or MonotonicClock(), network or DirectNetwork(), HttpBackendServer(settings)
+    )
+    node.peers = PeerClients(node)
+    service = PeerService(node)
+    peer_server = Server([service])
+    await peer_server.start(settings.address, settings.peer_port)
+    front = await serve_http(build_front(node), settings.address, settings.front_port)
+    administration = await serve_http(
+        build_administration(node), settings.administration_address, settings.administration_port
+    )
+    platform = HttpPlatformClient(settings)
+    background = [
+        node.spawn(follow_document(node, platform)),
+        node.spawn(follow_fleet(node, platform)),
+        node.spawn(service.send_heartbeats()),
+        node.spawn(adjust_levels(node)),
+    ]
+    node.log.record("node", "", f"serving {settings.service} at {settings.node}")
+    await wait_for_signal()
+    start_leaving(node)
+    await service.send_to_all(service.heartbeat_frame())
+    await finish_calls(node)
+    for task in background:
+        task.cancel()
+    front.close()
+    administration.close()
+    peer_server.close()
+    await platform.close()
+    await node.backend.close()
+
+
+async def serve_http(app: Sanic, address: str, port: int):
+    """Serve an application in this event loop; return its server."""
+    server = await app.create_server(address, port, return_asyncio_server=True, access_log=False)
+    await server.startup()
+    await server.start_serving()
+    return server
+
+
+async def adjust_levels(node: NodeState) -> None:
+    """Move the admission level at fixed intervals until cancelled."""
+    while True:
+        await asyncio.sleep(node.settings.level_interval_ms / 1000)
+        adjust_level(node.admission)
+
+
+async def wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT."""
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -0,0 +1,235 @@
+"""Outgoing streams to other nodes, one task for each peer."""
+
+import asyncio
+
+from attrs import define, field
+from basilhill.calls import CallContext, CallRequest
+from basilhill.commands.fleet import record_heartbeat
+from basilhill.tokens import IdempotencyToken
+from basilhill.verdicts import CallReply, Reason, may_have_run, not_run
+from expression import Error
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from basilhill_node import encoding
+from basilhill_node.headers import token_text
+from basilhill_node.state import NodeState
+from basilhill_node.wire import peer_pb2 as wire
+from basilhill_node.wire.peer_grpc import PeerStub
+
+STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+
+
+@define(eq=False)
+class FrameSender:
+    """Send frames over one stream; frames that are ready together go as one message."""
+
+    stream: object
+    frames: list[wire.Frame] = field(factory=list)
+    lock: asyncio.Lock = field(factory=asyncio.Lock)
+
+    async def send(self, frame: wire.Frame) -> None:
+        """Send a frame, alone or with others that wait."""
+        self.frames.append(frame)
+        async with self.lock:
+            if self.frames:
+                batch, self.frames = self.frames, []
+                await self.stream.send_message(wire.Batch(frames=batch))
+
+    def unsent_calls(self) -> set[int]:
+        """Return the ids of calls whose frames never left."""
+        return {getattr(frame, frame.WhichOneof("body")).call_id for frame in self.frames}
+
+
+@define(eq=False)
+class PeerClient:
+    """Hold the stream to one peer and the calls that wait for its replies."""
+
+    node: NodeState
+    peer: str
+    sender: FrameSender | None = None
+    connected: asyncio.Event = field(factory=asyncio.Event)
+    pending: dict[int, asyncio.Future] = field(factory=dict)
+    next_call_id: int = 0
+    used_ms: int = 0
+
+    async def run(self) -> None:
+        """Keep the stream open until cancelled."""
+        while True:
+            await self.hold_stream()
+            await asyncio.sleep(self.node.settings.reconnect_ms / 1000)
+
+    async def hold_stream(self) -> None:
+        """Open the stream and handle its frames until it breaks."""
+        host, port = self.peer.rsplit(":", 1)
+        channel = Channel(host, int(port))
+        try:
+            if not self.node.network.reachable(self.peer):
+                raise ConnectionRefusedError(self.peer)
+            async with PeerStub(channel).Exchange.open() as stream:
+                sender = FrameSender(stream)
+                await sender.send(hello_frame(self.node))
+                self.sender = sender
+                self.connected.set()
+                async for batch in stream:
+                    await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                    for frame in batch.frames:
+                        self.receive(frame)
+        except STREAM_ERRORS as error:
+            self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
+        finally:
+            self.fail_pending()
+            channel.close()
+
+    def receive(self, frame: wire.Frame) -> None:
+        """Handle one frame from the peer."""
+        kind = frame.WhichOneof("body")
+        if kind == "reply":
+            waiter = self.pending.get(frame.reply.call_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(encoding.decode_reply(frame.reply))
+        elif kind == "hello":
+            self.node.fleet.incarnations[self.peer] = frame.hello.incarnation
+        elif kind == "heartbeat":
+            record_heartbeat(
+                self.node.routing,
+                self.peer,
+                encoding.decode_heartbeat(frame.heartbeat),
+                self.node.clock.now_ms(),
+                self.node.settings.lease_ms,
+            )
+
+    def fail_pending(self) -> None:
+        """End the calls that got no reply, by whether their frames had left."""
+        self.connected.clear()
+        unsent = self.sender.unsent_calls() if self.sender else set(self.pending)
+        self.sender = None
+        for call_id, waiter in self.pending.items():
+            if waiter.done():
+                continue
+            if call_id in unsent:
+                outcome = Error(not_run(Reason.UNREACHABLE, f"{self.peer} is not reachable"))
+            else:
+                outcome = Error(may_have_run(Reason.CONNECTION_LOST, f"{self.peer} went away"))
+            waiter.set_result(CallReply(outcome))
+
+    async def call(self, frame: wire.Frame, call_id: int, timeout_ms: int) -> CallReply:
+        """Send a frame and wait for the reply with its call id."""
+        self.used_ms = self.node.clock.now_ms()
+        waiter = asyncio.get_running_loop().create_future()
+        self.pending[call_id] = waiter
+        replied = False
+        try:
+            async with asyncio.timeout((timeout_ms + self.node.settings.grace_ms) / 1000):
+                if not self.connected.is_set():
+                    async with asyncio.timeout(self.node.settings.reconnect_ms / 1000):
+                        await self.connected.wait()
+                await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                sender = self.sender
+                if sender is None:
+                    return unreachable(self.peer)
+                await sender.send(frame)
+                reply = await waiter
+                replied = True
+                return reply
+        except TimeoutError:
+            if self.sender is None:
+                return unreachable(self.peer)
+            return CallReply(Error(may_have_run(Reason.DEADLINE, f"{self.peer} did not reply")))
+        except STREAM_ERRORS:
+            return CallReply(Error(may_have_run(Reason.CONNECTION_LOST, f"{self.peer} went away")))
+        finally:
+            del self.pending[call_id]
+            if not replied and self.sender is not None:
+                self.node.spawn(self.cancel(call_id))
+
+    async def cancel(self, call_id: int) -> None:
+        """Tell the peer that nobody waits for a call any more."""
+        sender = self.sender
+        if sender is not None:
+            try:
+                await sender.send(wire.Frame(cancel=wire.Cancel(call_id=call_id)))
+            except STREAM_ERRORS:
+                return
+
+    def new_call_id(self) -> int:
+        """Return the id of the next call on this stream."""
+        self.next_call_id += 1
+        return self.next_call_id
+
+    async def execute(
+        self, context: CallContext, key: str | None, request: CallRequest
+    ) -> CallReply:
+        """Run a call on the backend server beside the peer."""
+        call_id = self.new_call_id()
+        now_ms = self.node.clock.now_ms()
+        execute = wire.Execute(
+            call_id=call_id,
+            context=encoding.encode_context(context, now_ms),
+            key=key or "",
+            request=encoding.encode_request(request),
+        )
+        return await self.call(wire.Frame(execute=execute), call_id, context.deadline_ms - now_ms)
+
+    async def coordinate(
+        self, token: IdempotencyToken, attempt: int, context: CallContext, request: CallRequest
+    ) -> CallReply:
+        """Let the peer decide about a copy of a call whose token it issued."""
+        call_id = self.new_call_id()
+        now_ms = self.node.clock.now_ms()
+        coordinate = wire.Coordinate(
+            call_id=call_id,
+            token=token_text(token),
+            attempt=attempt,
+            context=encoding.encode_context(context, now_ms),
+            request=encoding.encode_request(request),
+        )
+        frame = wire.Frame(coordinate=coordinate)
+        return await self.call(frame, call_id, context.deadline_ms - now_ms)
+
+    async def revoke(self, key: str, timeout_ms: int) -> CallReply:
+        """Ask the peer to reject a key that has not started, or for its outcome."""
+        call_id = self.new_call_id()
+        frame = wire.Frame(revoke=wire.Revoke(call_id=call_id, key=key))
+        return await self.call(frame, call_id, timeout_ms)
+
+
+def unreachable(peer: str) -> CallReply:
+    """Return the reply to a call that never left this node."""
+    return CallReply(Error(not_run(Reason.UNREACHABLE, f"{peer} is not reachable")))
+
+
+def hello_frame(node: NodeState) -> wire.Frame:
+    """Return the frame that opens a stream."""
+    settings = node.settings
+    hello = wire.Hello(
+        node=settings.node,
+        incarnation=node.incarnation,
+        data_centre=settings.data_centre,
+        service=settings.service,
+    )
+    return wire.Frame(hello=hello)
+
+
+@define(eq=False)
+class PeerClients:
+    """Hold a client for each peer, opened on demand."""
+
+    node: NodeState
+    clients: dict[str, PeerClient] = field(factory=dict)
+    tasks: dict[str, asyncio.Task] = field(factory=dict)
+
+    def channel(self, node: str) -> PeerClient:
+        """Return the client of a peer, opened on demand."""
+        client = self.clients.get(node)
+        if client is None:
+            client = self.clients[node] = PeerClient(self.node, node)
+            self.tasks[node] = self.node.spawn(client.run())
+        return client
+
+    def close(self, node: str) -> None:
+        """Close the stream to a peer."""
+        self.clients.pop(node, None)
+        task = self.tasks.pop(node, None)
+        if task is not None:
+            task.cancel()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/state.py
@@ -0,0 +1,161 @@
+"""State of one node."""
+
+import asyncio
+import secrets
+from collections.abc import Coroutine, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any, Protocol
+
+from attrs import define, field
+from basilhill.admission import AdmissionState
+from basilhill.budgets import CustomerBuckets, RetryBudget
+from basilhill.calls import CallContext, CallRequest
+from basilhill.clocks import Clock
+from basilhill.documents import CallPolicy, Document, RefusedSection, Section
+from basilhill.executions import ExecutionTable
+from basilhill.fleet import FleetView
+from basilhill.loads import RoutingTable
+from basilhill.settings import NodeSettings
+from basilhill.suspects import SuspectTable
+from basilhill.tokens import IdempotencyToken, TokenIssuer
+from basilhill.verdicts import CallReply
+
+from basilhill_node.backend_servers import BackendServer
+from basilhill_node.logs import DecisionLog
+from basilhill_node.metrics import Metrics
+from basilhill_node.network import Network
+
+UNKNOWN_SLOTS = 10
+
+
+class PeerChannel(Protocol):
+    """Call one other node."""
+
+    async def execute(
+        self, context: CallContext, key: str | None, request: CallRequest
+    ) -> CallReply:
+        """Run a call on the backend server beside the peer."""
+        ...
+
+    async def coordinate(
+        self, token: IdempotencyToken, attempt: int, context: CallContext, request: CallRequest
+    ) -> CallReply:
+        """Let the coordinator of a token decide about a copy of its call."""
+        ...
+
+    async def revoke(self, key: str, timeout_ms: int) -> CallReply:
+        """Ask an executor to reject a key that has not started, or for its outcome."""
+        ...
+
+
+class PeerPool(Protocol):
+    """Hold the channels to other nodes."""
+
+    def channel(self, node: str) -> PeerChannel:
+        """Return the channel to a node, opened on demand."""
+        ...
+
+
+@define
+class ParentCall:
+    """Hold a call that runs on the backend server, for its internal calls."""
+
+    context: CallContext
+    policy: CallPolicy
+    budget: RetryBudget
+    internal: set[asyncio.Task] = field(factory=set)
+
+
+@define(eq=False)
+class NodeState:
+    """Hold everything that one node knows; all of it is lost when its incarnation ends."""
+
+    settings: NodeSettings
+    clock: Clock
+    network: Network
+    backend: BackendServer
+    incarnation: str
+    issuer: TokenIssuer
+    coordinated: ExecutionTable
+    executed: ExecutionTable
+    customers: CustomerBuckets
+    admission: AdmissionState
+    routing: RoutingTable
+    fleet: FleetView
+    suspects: SuspectTable
+    log: DecisionLog
+    metrics: Metrics = field(factory=Metrics)
+    random: Random = field(factory=Random)
+    document: Document = field(factory=Document)
+    sections: dict[str, Section] = field(factory=dict)
+    refused: dict[str, RefusedSection] = field(factory=dict)
+    parents: dict[str, ParentCall] = field(factory=dict)
+    slot_waiters: dict[str, asyncio.Future] = field(factory=dict)
+    coordinated_tasks: dict[str, asyncio.Task] = field(factory=dict)
+    peers: PeerPool | None = None
+    leaving: bool = False
+    open_calls: int = 0
+    idle: asyncio.Event = field(factory=asyncio.Event)
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Run a coroutine as a task that the node keeps until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    @contextmanager
+    def open_call(self) -> Iterator[None]:
+        """Count a call as in flight; a leaving node waits for it."""
+        self.open_calls += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.open_calls -= 1
+            if self.open_calls == 0:
+                self.idle.set()
+
+    def disabled(self, mechanism: str) -> bool:
+        """Tell whether a test switched a mechanism off."""
+        return mechanism in self.settings.disabled_mechanisms
+
+
+def new_state(
+    settings: NodeSettings, clock: Clock, network: Network, backend: BackendServer
+) -> NodeState:
+    """Return the state of a node that has just started."""
+    incarnation = secrets.token_hex(6)
+    state = NodeState(
+        settings,
+        clock,
+        network,
+        backend,
+        incarnation,
+        TokenIssuer(
+            settings.node, incarnation, secrets.token_bytes(32), settings.token_lifetime_ms
+        ),
+        new_execution_table(settings),
+        new_execution_table(settings),
+        CustomerBuckets(
+            settings.customer_rate_per_s, settings.customer_burst, settings.customer_capacity
+        ),
+        AdmissionState(
+            UNKNOWN_SLOTS, settings.queue_limit, settings.queue_ms, float(UNKNOWN_SLOTS)
+        ),
+        RoutingTable(settings.data_centre),
+        FleetView(),
+        SuspectTable(settings.suspect_ttl_ms),
+        DecisionLog(clock),
+    )
+    state.idle.set()
+    return state
+
+
+def new_execution_table(settings: NodeSettings) -> ExecutionTable:
+    """Return an empty table with the limits of the settings."""
+    return ExecutionTable(
+        settings.execution_capacity, settings.answer_bytes_limit, settings.token_lifetime_ms
+    )
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages between nodes."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,27 @@
+"""Run the tests, leaving out and printing exactly the tests that KNOWN-RED.txt lists."""
+
+import subprocess
+import sys
+from pathlib import Path
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red_tests() -> list[str]:
+    """Return the test ids of the entries in KNOWN-RED.txt."""
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    return [line.removeprefix("test:").strip() for line in lines if line.startswith("test:")]
+
+
+def main() -> int:
+    """Run pytest and return its exit status."""
+    known = known_red_tests()
+    for test in known:
+        print(f"known red, passed over: {test}", flush=True)
+    arguments = [f"--deselect={test}" for test in known]
+    command = [sys.executable, "-m", "pytest", "-q", *arguments, *sys.argv[1:]]
+    return subprocess.run(command, cwd=KNOWN_RED.parent, check=False).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
