Serve customer actions end to end as separate processes

Cause: the parts of the call path had never run together. Sanic rewrites its protocol class once per process, so a second application in the same process failed at start; it now runs without that rewrite. Ruled out: a second process for the administration API, which the VMs have no slot for.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,11 @@
 MODE ?= basilhill
 SEED ?= 1
 
+# The sources of this checkout go before installed packages, also in processes that tests start.
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(PACKAGES:%=$(CURDIR)/%/src))
+
 .PHONY: setup demo test measure lint format generate
 
 setup: $(VENV)/.ready
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
@@ -0,0 +1,206 @@
+"""Stand-in for a backend server."""
+
+import asyncio
+import os
+import sys
+from pathlib import Path
+
+import aiohttp
+import orjson
+import uvloop
+from aiohttp import web
+from attrs import define, field
+
+from basilhill_fakes.history import Event, EventKind, HistoryWriter, now_ms
+from basilhill_fakes.topology import BACKEND_PORT, FRONT_PORT
+from basilhill_fakes.workloads import WORKLOADS, FakeCall, Workload, find_fake_call
+
+CONTEXT = "Basilhill-Context"
+TIMEOUT = "Basilhill-Timeout-Ms"
+CALL_NUMBER = "Basilhill-Call-Number"
+DIRECT_TRIES = 3
+DEFAULT_TIMEOUT_MS = 3000
+
+
+@define(eq=False)
+class BackendState:
+    """Hold what a backend server is and the faults to bring about."""
+
+    address: str
+    service: str
+    workload: Workload
+    history: HistoryWriter
+    session: aiohttp.ClientSession
+    peers: dict[str, list[str]] = field(factory=dict)
+    direct: bool = False
+    in_flight: int = 0
+    slow_factor: float = 1.0
+    draining: bool = False
+    lying_health: bool = False
+    crash_order: str = ""
+    truncate_order: str = ""
+    slots: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(1))
+
+
+def build_backend(state: BackendState) -> web.Application:
+    """Return the application that serves calls and tests."""
+    app = web.Application()
+
+    async def health(_request: web.Request) -> web.Response:
+        if state.lying_health:
+            return web.json_response({"state": "live", "in_flight": 0})
+        drained = "draining" if state.draining else "live"
+        return web.json_response({"state": drained, "in_flight": state.in_flight})
+
+    async def put_faults(request: web.Request) -> web.Response:
+        for name, value in (await request.json()).items():
+            setattr(state, name, value)
+        return web.Response()
+
+    async def counters(_request: web.Request) -> web.Response:
+        return web.json_response({"in_flight": state.in_flight})
+
+    app.router.add_get("/health", health)
+    app.router.add_put("/test/faults", put_faults)
+    app.router.add_get("/test/counters", counters)
+    for name, call in state.workload.services[state.service].calls.items():
+        app.router.add_route(call.method, call.path, handler_of(state, name, call))
+    return app
+
+
+def handler_of(state: BackendState, name: str, call: FakeCall):
+    """Return the handler of one call."""
+
+    async def handle(request: web.Request) -> web.Response:
+        order = request.headers.get("X-Order", "")
+        if order and order == state.crash_order:
+            write(state, EventKind.RUN_STARTED, name, order, call)
+            os._exit(1)
+        async with state.slots:
+            state.in_flight += 1
+            write(state, EventKind.RUN_STARTED, name, order, call)
+            status = 0
+            try:
+                await asyncio.sleep(call.service_ms * state.slow_factor / 1000)
+                status = await run_internal_calls(state, request, order, call)
+                return await respond(state, request, order, status)
+            finally:
+                state.in_flight -= 1
+                write(state, EventKind.RUN_ENDED, name, order, call, status)
+
+    return handle
+
+
+def write(
+    state: BackendState,
+    kind: EventKind,
+    name: str,
+    order: str,
+    call: FakeCall,
+    status: int = 0,
+) -> None:
+    """Record an event of a run."""
+    full_name = f"{state.service}.{name}"
+    event = Event(now_ms(), kind, state.address, full_name, order, call.idempotent, status=status)
+    state.history.write(event)
+
+
+async def respond(
+    state: BackendState, request: web.Request, order: str, status: int
+) -> web.StreamResponse:
+    """Answer with the order, whole unless a truncated answer was asked for."""
+    body = orjson.dumps({"order": order, "service": state.service, "filler": "x" * 500})
+    if order and order == state.truncate_order:
+        response = web.StreamResponse(headers={"Content-Length": str(len(body))})
+        await response.prepare(request)
+        await response.write(body[:100])
+        request.transport.close()
+        return response
+    return web.Response(body=body, status=status, content_type="application/json")
+
+
+async def run_internal_calls(
+    state: BackendState, request: web.Request, order: str, call: FakeCall
+) -> int:
+    """Make the internal calls of a call; return the status of the answer."""
+    for number, full_name in enumerate(call.calls):
+        inner = find_fake_call(state.workload, full_name)
+        service = full_name.split(".")[0]
+        if state.direct:
+            status = await call_directly(state, request, order, service, inner)
+        else:
+            status = await call_through_node(state, request, order, service, inner, number)
+        if status != 200:
+            return 503
+    return 200
+
+
+async def call_through_node(
+    state: BackendState,
+    request: web.Request,
+    order: str,
+    service: str,
+    inner: FakeCall,
+    number: int,
+) -> int:
+    """Make an internal call through the node beside this server."""
+    headers = {
+        "X-Order": order,
+        CONTEXT: request.headers.get(CONTEXT, ""),
+        CALL_NUMBER: str(number),
+    }
+    url = f"http://{state.address}:{FRONT_PORT}/{service}{inner.path}"
+    return await send(state, inner.method, url, headers, remaining_ms(request))
+
+
+async def call_directly(
+    state: BackendState, request: web.Request, order: str, service: str, inner: FakeCall
+) -> int:
+    """Make an internal call straight at a server, with the usual client retries."""
+    status = 0
+    for attempt in range(DIRECT_TRIES):
+        servers = state.peers[service]
+        address = servers[(hash(order) + attempt) % len(servers)]
+        url = f"http://{address}:{BACKEND_PORT}{inner.path}"
+        headers = {"X-Order": order}
+        status = await send(state, inner.method, url, headers, remaining_ms(request))
+        if status == 200:
+            return status
+    return status
+
+
+def remaining_ms(request: web.Request) -> int:
+    """Return the time that the caller left for this call, in milliseconds."""
+    return int(request.headers.get(TIMEOUT, DEFAULT_TIMEOUT_MS))
+
+
+async def send(
+    state: BackendState, method: str, url: str, headers: dict[str, str], timeout_ms: int
+) -> int:
+    """Send a request; return its status, 0 without an answer."""
+    try:
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        async with state.session.request(method, url, headers=headers, timeout=timeout) as answer:
+            await answer.read()
+            return answer.status
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        return 0
+
+
+async def serve(options: dict) -> None:
+    """Serve until cancelled."""
+    history = HistoryWriter(Path(options["history"]))
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    workload = WORKLOADS[options["workload"]]
+    state = BackendState(options["address"], options["service"], workload, history, session)
+    state.peers = options["peers"]
+    state.direct = options["direct"]
+    state.slots = asyncio.Semaphore(workload.services[state.service].slots)
+    runner = web.AppRunner(build_backend(state), access_log=None, handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, state.address, BACKEND_PORT).start()
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(orjson.loads(sys.argv[1])))
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/history.py
@@ -0,0 +1,70 @@
+"""Events of a concurrent run, written as lines of JSON."""
+
+import time
+from enum import Enum
+from pathlib import Path
+
+import cattrs
+import orjson
+from attrs import frozen
+
+
+class EventKind(Enum):
+    """Name what happened."""
+
+    CALL_SENT = "call-sent"
+    ANSWER_RECEIVED = "answer-received"
+    RUN_STARTED = "run-started"
+    RUN_ENDED = "run-ended"
+    NOTE = "note"
+
+
+@frozen
+class Event:
+    """Hold one event; times are of the machine's monotonic clock, which all processes share."""
+
+    time_ms: float
+    kind: EventKind
+    place: str
+    call: str = ""
+    order: str = ""
+    idempotent: bool = True
+    attempt: int = 0
+    status: int = 0
+    verdict: str = ""
+    reason: str = ""
+    retries: int = 0
+    body_order: str = ""
+    whole: bool = True
+    note: str = ""
+
+
+CONVERTER = cattrs.Converter()
+STRUCTURE = CONVERTER.get_structure_hook(Event)
+UNSTRUCTURE = CONVERTER.get_unstructure_hook(Event)
+
+
+def now_ms() -> float:
+    """Return the machine's monotonic time in milliseconds."""
+    return time.monotonic_ns() / 1_000_000
+
+
+class HistoryWriter:
+    """Append events to a file, so that they outlive a killed process."""
+
+    def __init__(self, path: Path) -> None:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        self.file = path.open("ab", buffering=0)
+
+    def write(self, event: Event) -> None:
+        """Append one event."""
+        self.file.write(orjson.dumps(UNSTRUCTURE(event)) + b"\n")
+
+
+def read_history(directory: Path) -> list[Event]:
+    """Return the events of all files of a directory in order of time."""
+    events = []
+    for path in sorted(directory.glob("*.jsonl")):
+        for line in path.read_bytes().splitlines():
+            events.append(STRUCTURE(orjson.loads(line), Event))
+    return sorted(events, key=lambda event: event.time_ms)
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/node.py
@@ -0,0 +1,52 @@
+"""A node whose network tests can cut and delay."""
+
+import sys
+
+import orjson
+import uvloop
+from aiohttp import web
+from attrs import define, field
+from basilhill.settings import normalise_settings
+from basilhill_node.logs import start_logging
+from basilhill_node.node import run_node
+
+from basilhill_fakes.topology import CONTROL_PORT
+
+
+@define(eq=False)
+class FakeNetwork:
+    """Cut and delay what a node sends to its peers."""
+
+    cut: set[str] = field(factory=set)
+    delays_ms: dict[str, float] = field(factory=dict)
+
+    def reachable(self, node: str) -> bool:
+        """Tell whether messages to and from a peer pass."""
+        return node not in self.cut
+
+    def delay_ms(self, node: str) -> float:
+        """Return the delay to add one way, in milliseconds."""
+        return self.delays_ms.get(node, 0.0)
+
+
+async def run(options: dict) -> None:
+    """Run a node and the server by which tests steer its network."""
+    settings = normalise_settings(options["settings"]).ok
+    network = FakeNetwork(set(), options["delays_ms"])
+    app = web.Application()
+
+    async def put_cut(request: web.Request) -> web.Response:
+        network.cut = set(await request.json())
+        return web.Response()
+
+    app.router.add_put("/test/cut", put_cut)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, settings.address, CONTROL_PORT).start()
+    await run_node(settings, network=network)
+    await runner.cleanup()
+
+
+if __name__ == "__main__":
+    start_logging()
+    uvloop.run(run(orjson.loads(sys.argv[1])))
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/topology.py
@@ -0,0 +1,79 @@
+"""Addresses of the VMs of a test fleet on loopback."""
+
+import os
+from random import Random
+
+from attrs import frozen
+
+from basilhill_fakes.workloads import Workload
+
+FRONT_PORT = 7400
+PEER_PORT = 7401
+ADMINISTRATION_PORT = 7402
+BACKEND_PORT = 7403
+CONTROL_PORT = 7404
+PLATFORM_PORT = 7500
+DATA_CENTRES = 3
+
+
+@frozen
+class Vm:
+    """Hold the address and the place of one VM."""
+
+    address: str
+    service: str
+    data_centre: str
+
+    @property
+    def node(self) -> str:
+        """Return the node id, the address that peers dial."""
+        return f"{self.address}:{PEER_PORT}"
+
+    @property
+    def front_url(self) -> str:
+        """Return the URL of the node's front."""
+        return f"http://{self.address}:{FRONT_PORT}"
+
+    @property
+    def administration_url(self) -> str:
+        """Return the URL of the node's administration API."""
+        return f"http://{self.address}:{ADMINISTRATION_PORT}"
+
+    @property
+    def backend_url(self) -> str:
+        """Return the URL of the backend server."""
+        return f"http://{self.address}:{BACKEND_PORT}"
+
+    @property
+    def control_url(self) -> str:
+        """Return the URL by which tests steer the node's network."""
+        return f"http://{self.address}:{CONTROL_PORT}"
+
+
+@frozen
+class Topology:
+    """Hold the VMs and the platform of a test fleet."""
+
+    platform_address: str
+    vms: tuple[Vm, ...]
+
+    @property
+    def platform_url(self) -> str:
+        """Return the URL of the platform's stand-in."""
+        return f"http://{self.platform_address}:{PLATFORM_PORT}"
+
+    def servers_of(self, service: str) -> list[Vm]:
+        """Return the VMs of a service."""
+        return [vm for vm in self.vms if vm.service == service]
+
+
+def build_topology(workload: Workload, counts: dict[str, int] | None = None) -> Topology:
+    """Return a fleet on loopback addresses that no other test process uses."""
+    random = Random(os.urandom(8))
+    prefix = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
+    vms = []
+    for service, fake in workload.services.items():
+        for number in range((counts or {}).get(service, fake.servers)):
+            data_centre = f"{workload.city}-{number % DATA_CENTRES + 1}"
+            vms.append(Vm(f"{prefix}.{len(vms) + 2}", service, data_centre))
+    return Topology(f"{prefix}.1", tuple(vms))
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_path.py
@@ -0,0 +1,31 @@
+"""Tests of the whole path with real processes."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from basilhill_fakes.caller import Caller
+from basilhill_fakes.history import HistoryWriter, read_history
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.queries.histories import double_runs, false_refusals, wrong_answers
+from basilhill_fakes.workloads import WORKLOADS
+
+ROOT = Path(__file__).parents[3]
+
+
+@pytest.mark.parametrize("name", sorted(WORKLOADS))
+async def test_actions_complete_through_nodes_once_each(name, tmp_path):
+    workload = WORKLOADS[name]
+    fleet = new_fleet(workload, tmp_path, counts=dict.fromkeys(workload.services, 1))
+    caller = Caller(workload, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"))
+    try:
+        await fleet.start((ROOT / workload.document).read_text())
+        events = await asyncio.gather(
+            *(caller.transact() for _ in range(10)), *(caller.browse() for _ in range(20))
+        )
+    finally:
+        await caller.session.close()
+        await fleet.stop()
+    assert [event.status for event in events] == [200] * 30
+    history = read_history(fleet.history)
+    assert double_runs(history) + false_refusals(history) + wrong_answers(history) == []
--- a/packages/basilhill_node/src/basilhill_node/administration.py
+++ b/packages/basilhill_node/src/basilhill_node/administration.py
@@ -15,6 +15,8 @@
     """Return the application that serves operators."""
     app = Sanic(f"administration-{node.incarnation}", configure_logging=False)
     app.config.ACCESS_LOG = False
+    # Sanic rewrites its protocol class once per process; the front has done so already.
+    app.config.TOUCHUP = False
     expected = f"Bearer {node.settings.administration_token}"
 
     @app.on_request
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,150 @@
+"""Run a whole deployment on loopback, perform customer actions and print a table."""
+
+import argparse
+import asyncio
+import statistics
+import sys
+import time
+from pathlib import Path
+
+import uvloop
+from attrs import define, field
+from basilhill_fakes.caller import CLIENT_DISTANCE_MS, Caller
+from basilhill_fakes.history import HistoryWriter, read_history
+from basilhill_fakes.processes import Fleet, new_fleet
+from basilhill_fakes.queries.histories import double_runs, false_refusals, wrong_answers
+from basilhill_fakes.workloads import WORKLOADS, Workload
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+ROOT = Path(__file__).parent.parent
+TRANSACTIONS = 200
+BROWSES = 1000
+TRANSACTION_CONCURRENCY = 12
+BROWSE_CONCURRENCY = 16
+PROBES = 200
+
+
+@define
+class Tally:
+    """Count what became of one kind of customer action."""
+
+    completed: int = 0
+    refused: int = 0
+    uncertain: int = 0
+    failed: int = 0
+    durations_ms: list[float] = field(factory=list)
+
+
+async def perform_all(tally: Tally, action, count: int, concurrency: int, advance) -> None:
+    """Perform an action a number of times with bounded concurrency."""
+    permits = asyncio.Semaphore(concurrency)
+
+    async def perform_one() -> None:
+        async with permits:
+            started = time.perf_counter()
+            event = await action()
+            if event.status == 200:
+                tally.completed += 1
+                tally.durations_ms.append((time.perf_counter() - started) * 1000)
+            elif event.verdict == "not-run":
+                tally.refused += 1
+            elif event.verdict == "answered":
+                tally.failed += 1
+            else:
+                tally.uncertain += 1
+            advance()
+
+    await asyncio.gather(*(perform_one() for _ in range(count)))
+
+
+async def added_time(fleet: Fleet, caller: Caller) -> tuple[float, float]:
+    """Return the p50 and p99 that a node adds to a call of its own backend server, in ms."""
+    service, name = fleet.workload.probe.split(".")
+    call = fleet.workload.services[service].calls[name]
+    vm = fleet.topology.servers_of(service)[0]
+    samples = {"direct": [], "node": []}
+    for _ in range(PROBES):
+        for name, base in (
+            ("direct", vm.backend_url),
+            ("node", f"{vm.front_url}/{service}"),
+        ):
+            started = time.perf_counter()
+            await caller.exchange(call.method, base + call.path, {})
+            samples[name].append((time.perf_counter() - started) * 1000)
+    quantiles = {name: statistics.quantiles(values, n=100) for name, values in samples.items()}
+    return tuple(quantiles["node"][i] - quantiles["direct"][i] for i in (49, 98))
+
+
+def print_table(workload: Workload, tallies: dict[str, Tally], console: Console) -> None:
+    """Print what became of the customer actions."""
+    table = Table(title=f"{workload.name}: customer actions")
+    for column in ("action", "completed", "not run", "may have run", "failed", "p50 ms", "p99 ms"):
+        table.add_column(column, justify="left" if column == "action" else "right")
+    for name, tally in tallies.items():
+        cuts = statistics.quantiles(tally.durations_ms or [0.0, 0.0], n=100)
+        counts = (tally.completed, tally.refused, tally.uncertain, tally.failed)
+        table.add_row(name, *map(str, counts), f"{cuts[49]:.1f}", f"{cuts[98]:.1f}")
+    console.print(table)
+
+
+async def run(workload: Workload) -> int:
+    """Run the demonstration; return the exit status."""
+    console = Console()
+    directory = ROOT / "run" / f"demo-{workload.name}-{int(time.time())}"
+    fleet = new_fleet(workload, directory, distances=True)
+    caller = Caller(
+        workload,
+        fleet.topology,
+        HistoryWriter(fleet.history / "caller.jsonl"),
+        distance_ms=CLIENT_DISTANCE_MS,
+    )
+    tallies = {workload.transaction: Tally(), workload.browse: Tally()}
+    try:
+        console.print(f"starting {len(fleet.topology.vms)} nodes and backend servers")
+        await fleet.start((ROOT / workload.document).read_text())
+        with Progress(console=console) as progress:
+            task = progress.add_task("customer actions", total=TRANSACTIONS + BROWSES)
+            await asyncio.gather(
+                perform_all(
+                    tallies[workload.transaction],
+                    caller.transact,
+                    TRANSACTIONS,
+                    TRANSACTION_CONCURRENCY,
+                    lambda: progress.advance(task),
+                ),
+                perform_all(
+                    tallies[workload.browse],
+                    caller.browse,
+                    BROWSES,
+                    BROWSE_CONCURRENCY,
+                    lambda: progress.advance(task),
+                ),
+            )
+        caller.distance_ms = 0.0
+        added_p50, added_p99 = await added_time(fleet, caller)
+    finally:
+        await caller.session.close()
+        await fleet.stop()
+    print_table(workload, tallies, console)
+    console.print(f"added per call by the node: p50 {added_p50:.2f} ms, p99 {added_p99:.2f} ms")
+    console.print(f"logs: {directory.relative_to(ROOT)}")
+    events = read_history(fleet.history)
+    violations = [*double_runs(events), *false_refusals(events), *wrong_answers(events)]
+    for violation in violations:
+        console.print(f"broken promise: {violation.check}: {violation.text}")
+    completed = all(tally.completed for tally in tallies.values())
+    return 0 if completed and not violations else 1
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--workload", choices=sorted(WORKLOADS), default="degustari")
+    arguments = parser.parse_args()
+    sys.exit(uvloop.run(run(WORKLOADS[arguments.workload])))
+
+
+if __name__ == "__main__":
+    main()
