Judge histories in full and measure a storm

The checker matches every run to the token round of the copy that caused it, so that a run under a token that was told "not run" is found even when a later token was answered. Callers send the round in X-Token-Round, hold tokens of earlier answers, and send a second copy through another node when an answer takes long. tools/measure.py runs a scenario and prints one JSON object.

--- a/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
@@ -3,13 +3,14 @@
 import asyncio
 import os
 import sys
+import zlib
 from pathlib import Path
 
 import aiohttp
 import orjson
 import uvloop
 from aiohttp import web
-from attrs import define, field
+from attrs import define, field, frozen
 
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, now_ms
 from basilhill_fakes.topology import BACKEND_PORT, FRONT_PORT
@@ -18,6 +19,8 @@
 CONTEXT = "Basilhill-Context"
 TIMEOUT = "Basilhill-Timeout-Ms"
 CALL_NUMBER = "Basilhill-Call-Number"
+ORDER = "X-Order"
+ROUND = "X-Token-Round"
 DIRECT_TRIES = 3
 DEFAULT_TIMEOUT_MS = 3000
 
@@ -39,6 +42,8 @@
     lying_health: bool = False
     crash_order: str = ""
     truncate_order: str = ""
+    queue_limit: int | None = None
+    waiting: int = 0
     slots: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(1))
 
 
@@ -68,112 +73,125 @@
     return app
 
 
+@frozen
+class Run:
+    """Hold what a backend server knows of one request."""
+
+    name: str
+    call: FakeCall
+    request: web.Request
+    order: str
+    round: int
+
+    def headers(self) -> dict[str, str]:
+        """Return the headers by which histories match internal calls to the caller's request."""
+        return {ORDER: self.order, ROUND: str(self.round)}
+
+    def remaining_ms(self) -> int:
+        """Return the time that the caller left for this call, in milliseconds."""
+        return int(self.request.headers.get(TIMEOUT, DEFAULT_TIMEOUT_MS))
+
+
 def handler_of(state: BackendState, name: str, call: FakeCall):
     """Return the handler of one call."""
 
-    async def handle(request: web.Request) -> web.Response:
-        order = request.headers.get("X-Order", "")
-        if order and order == state.crash_order:
-            write(state, EventKind.RUN_STARTED, name, order, call)
+    async def handle(request: web.Request) -> web.StreamResponse:
+        headers = request.headers
+        run = Run(name, call, request, headers.get(ORDER, ""), int(headers.get(ROUND, "0")))
+        if run.order and run.order == state.crash_order:
+            write(state, EventKind.RUN_STARTED, run)
             os._exit(1)
-        async with state.slots:
-            state.in_flight += 1
-            write(state, EventKind.RUN_STARTED, name, order, call)
-            status = 0
-            try:
-                await asyncio.sleep(call.service_ms * state.slow_factor / 1000)
-                status = await run_internal_calls(state, request, order, call)
-                return await respond(state, request, order, status)
-            finally:
-                state.in_flight -= 1
-                write(state, EventKind.RUN_ENDED, name, order, call, status)
+        if state.queue_limit is not None and state.waiting >= state.queue_limit:
+            return web.Response(status=503)
+        state.waiting += 1
+        try:
+            await state.slots.acquire()
+        finally:
+            state.waiting -= 1
+        try:
+            return await occupy_slot(state, run)
+        finally:
+            state.slots.release()
 
     return handle
 
 
-def write(
-    state: BackendState,
-    kind: EventKind,
-    name: str,
-    order: str,
-    call: FakeCall,
-    status: int = 0,
-) -> None:
+async def occupy_slot(state: BackendState, run: Run) -> web.StreamResponse:
+    """Run a call with its internal calls and answer it."""
+    state.in_flight += 1
+    write(state, EventKind.RUN_STARTED, run)
+    started_ms, status = now_ms(), 0
+    try:
+        await asyncio.sleep(run.call.service_ms * state.slow_factor / 1000)
+        status = await run_internal_calls(state, run)
+        return await respond(state, run, status)
+    finally:
+        state.in_flight -= 1
+        duration_ms = now_ms() - started_ms
+        write(state, EventKind.RUN_ENDED, run, status=status, duration_ms=duration_ms)
+
+
+def write(state: BackendState, kind: EventKind, run: Run, **fields) -> None:
     """Record an event of a run."""
-    full_name = f"{state.service}.{name}"
-    event = Event(now_ms(), kind, state.address, full_name, order, call.idempotent, status=status)
+    name = f"{state.service}.{run.name}"
+    idempotent = run.call.idempotent
+    event = Event(
+        now_ms(), kind, state.address, name, run.order, idempotent, round=run.round, **fields
+    )
     state.history.write(event)
 
 
-async def respond(
-    state: BackendState, request: web.Request, order: str, status: int
-) -> web.StreamResponse:
+async def respond(state: BackendState, run: Run, status: int) -> web.StreamResponse:
     """Answer with the order, whole unless a truncated answer was asked for."""
-    body = orjson.dumps({"order": order, "service": state.service, "filler": "x" * 500})
-    if order and order == state.truncate_order:
+    answer = {"order": run.order, "round": run.round, "call": f"{state.service}.{run.name}"}
+    body = orjson.dumps({**answer, "filler": "x" * 500})
+    if run.order and run.order == state.truncate_order:
         response = web.StreamResponse(headers={"Content-Length": str(len(body))})
-        await response.prepare(request)
+        await response.prepare(run.request)
         await response.write(body[:100])
-        request.transport.close()
+        run.request.transport.close()
         return response
     return web.Response(body=body, status=status, content_type="application/json")
 
 
-async def run_internal_calls(
-    state: BackendState, request: web.Request, order: str, call: FakeCall
-) -> int:
+async def run_internal_calls(state: BackendState, run: Run) -> int:
     """Make the internal calls of a call; return the status of the answer."""
-    for number, full_name in enumerate(call.calls):
+    for number, full_name in enumerate(run.call.calls):
         inner = find_fake_call(state.workload, full_name)
         service = full_name.split(".")[0]
         if state.direct:
-            status = await call_directly(state, request, order, service, inner)
+            status = await call_directly(state, run, service, inner)
         else:
-            status = await call_through_node(state, request, order, service, inner, number)
+            status = await call_through_node(state, run, service, inner, number)
         if status != 200:
             return 503
     return 200
 
 
 async def call_through_node(
-    state: BackendState,
-    request: web.Request,
-    order: str,
-    service: str,
-    inner: FakeCall,
-    number: int,
+    state: BackendState, run: Run, service: str, inner: FakeCall, number: int
 ) -> int:
     """Make an internal call through the node beside this server."""
-    headers = {
-        "X-Order": order,
-        CONTEXT: request.headers.get(CONTEXT, ""),
-        CALL_NUMBER: str(number),
-    }
+    context = run.request.headers.get(CONTEXT, "")
+    headers = {**run.headers(), CONTEXT: context, CALL_NUMBER: str(number)}
     url = f"http://{state.address}:{FRONT_PORT}/{service}{inner.path}"
-    return await send(state, inner.method, url, headers, remaining_ms(request))
+    return await send(state, inner.method, url, headers, run.remaining_ms())
 
 
-async def call_directly(
-    state: BackendState, request: web.Request, order: str, service: str, inner: FakeCall
-) -> int:
+async def call_directly(state: BackendState, run: Run, service: str, inner: FakeCall) -> int:
     """Make an internal call straight at a server, with the usual client retries."""
     status = 0
+    servers = state.peers[service]
+    first = zlib.crc32(run.order.encode())
     for attempt in range(DIRECT_TRIES):
-        servers = state.peers[service]
-        address = servers[(hash(order) + attempt) % len(servers)]
+        address = servers[(first + attempt) % len(servers)]
         url = f"http://{address}:{BACKEND_PORT}{inner.path}"
-        headers = {"X-Order": order}
-        status = await send(state, inner.method, url, headers, remaining_ms(request))
+        status = await send(state, inner.method, url, run.headers(), run.remaining_ms())
         if status == 200:
             return status
     return status
 
 
-def remaining_ms(request: web.Request) -> int:
-    """Return the time that the caller left for this call, in milliseconds."""
-    return int(request.headers.get(TIMEOUT, DEFAULT_TIMEOUT_MS))
-
-
 async def send(
     state: BackendState, method: str, url: str, headers: dict[str, str], timeout_ms: int
 ) -> int:
@@ -195,6 +213,7 @@
     state = BackendState(options["address"], options["service"], workload, history, session)
     state.peers = options["peers"]
     state.direct = options["direct"]
+    state.queue_limit = options["queue_limit"]
     state.slots = asyncio.Semaphore(workload.services[state.service].slots)
     runner = web.AppRunner(build_backend(state), access_log=None, handler_cancellation=True)
     await runner.setup()
--- a/packages/basilhill_fakes/src/basilhill_fakes/caller.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/caller.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import uuid
+from collections import defaultdict, deque
 from random import Random
 
 import aiohttp
 import orjson
-from attrs import define, field
+from attrs import define, evolve, field, frozen
 
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, now_ms
 from basilhill_fakes.topology import Topology, Vm
@@ -14,11 +15,39 @@
 
 TOKEN = "Basilhill-Token"
 CLIENT_DISTANCE_MS = 1.0
+# Half of the shortest time for which a test configures tokens to be valid.
+TOKEN_AGE_MS = 30_000
+TOKENS_KEPT = 500
+
+
+@frozen
+class HeldToken:
+    """Hold a token that an answer carried."""
+
+    text: str
+    received_ms: float
+
+
+@frozen
+class Copy:
+    """Describe one copy of a call that a caller sends."""
+
+    full_name: str
+    call: FakeCall
+    order: str
+    round: int = 0
+    attempt: int = 0
+    token: str = ""
+    vm: Vm | None = None
 
 
 @define(eq=False)
 class Caller:
-    """Perform customer actions and record what each caller sees."""
+    """Perform customer actions and record what each caller sees.
+
+    With a patience, a caller that has waited so long sends another copy of the same token
+    through another node and takes the first answer.
+    """
 
     workload: Workload
     topology: Topology
@@ -28,11 +57,16 @@
     tries: int = 4
     timeout_ms: int = 3000
     backoff_ms: int = 50
+    patience_ms: int | None = None
+    place: str = "caller"
     random: Random = field(factory=Random)
     session: aiohttp.ClientSession = field(
         factory=lambda: aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
     )
-    token: str = ""
+    tokens: dict[str, deque[HeldToken]] = field(
+        factory=lambda: defaultdict(lambda: deque(maxlen=TOKENS_KEPT))
+    )
+    copies: set[asyncio.Task] = field(factory=set)
 
     async def transact(self) -> Event:
         """Perform one transaction of the workload."""
@@ -45,55 +79,85 @@
     async def perform(self, full_name: str, order: str = "") -> Event:
         """Send a call until it is answered or the tries are spent; return the last event."""
         call = find_fake_call(self.workload, full_name)
-        order = order or uuid.uuid4().hex
-        token, attempt = "", 0
-        event = None
+        copy = self.with_token(Copy(full_name, call, order or uuid.uuid4().hex))
         tries = 0
-        while tries < self.tries:
-            event, fresh = await self.send(full_name, call, order, token, attempt)
-            if event.status == 428:
-                token, attempt = fresh, 0
-                continue
-            tries += 1
-            if event.status == 200 or event.verdict == "answered":
+        while True:
+            event, fresh = await self.send_patiently(copy)
+            tries += event.status != 428 or copy.token != ""
+            if event.status == 200 or tries >= self.tries:
                 return event
-            if event.verdict == "not-run":
-                token, attempt = fresh, 0
-            else:
-                attempt += 1
-            await asyncio.sleep(self.backoff_ms * self.random.uniform(0.5, 1.5) / 1000)
-        return event
-
-    def pick_server(self, service: str) -> Vm:
-        """Return a random server of a service."""
-        return self.random.choice(self.topology.servers_of(service))
-
-    async def send(
-        self, full_name: str, call: FakeCall, order: str, token: str, attempt: int
-    ) -> tuple[Event, str]:
+            copy = self.next_copy(copy, event, fresh)
+            if event.status != 428:
+                await asyncio.sleep(self.backoff_ms * self.random.uniform(0.5, 1.5) / 1000)
+
+    def next_copy(self, copy: Copy, event: Event, fresh: str) -> Copy:
+        """Return the copy to send after one that was not answered with success."""
+        if self.direct and not copy.call.idempotent:
+            return evolve(copy, attempt=event.attempt + 1)
+        if not copy.call.idempotent and event.verdict not in ("not-run", "answered"):
+            return evolve(copy, attempt=event.attempt + 1, vm=None)
+        attempt = 0 if not copy.call.idempotent else event.attempt + 1
+        return evolve(copy, round=copy.round + 1, attempt=attempt, token=fresh, vm=None)
+
+    def with_token(self, copy: Copy) -> Copy:
+        """Return a first copy with a token that an earlier answer of its node carried."""
+        vm = self.pick_server(copy.full_name)
+        held = self.tokens[vm.address]
+        while held and not copy.call.idempotent and not self.direct:
+            token = held.popleft()
+            if now_ms() - token.received_ms < TOKEN_AGE_MS:
+                return evolve(copy, token=token.text, vm=vm)
+        return evolve(copy, vm=vm)
+
+    def pick_server(self, full_name: str) -> Vm:
+        """Return a random server of the service of a call."""
+        return self.random.choice(self.topology.servers_of(full_name.split(".")[0]))
+
+    async def send_patiently(self, copy: Copy) -> tuple[Event, str]:
+        """Send a copy, and another one when the answer takes long; return the first answer."""
+        if self.patience_ms is None or copy.call.idempotent:
+            return await self.send(copy)
+        first = self.start_copy(copy)
+        done, _ = await asyncio.wait({first}, timeout=self.patience_ms / 1000)
+        if done:
+            return first.result()
+        second = self.start_copy(evolve(copy, attempt=copy.attempt + 1, vm=None))
+        done, pending = await asyncio.wait({first, second}, return_when=asyncio.FIRST_COMPLETED)
+        earlier = done.pop().result()
+        if earlier[0].status == 200 or not pending:
+            return earlier
+        later = await pending.pop()
+        return max(earlier, later, key=answer_rank)
+
+    def start_copy(self, copy: Copy) -> asyncio.Task:
+        """Send a copy as a task of its own."""
+        task = asyncio.get_running_loop().create_task(self.send(copy))
+        self.copies.add(task)
+        task.add_done_callback(self.copies.discard)
+        return task
+
+    async def send(self, copy: Copy) -> tuple[Event, str]:
         """Send one copy of a call; return what came back and the fresh token."""
-        service = full_name.split(".")[0]
-        vm = self.pick_server(service)
+        service = copy.full_name.split(".")[0]
+        vm = copy.vm or self.pick_server(copy.full_name)
         base = vm.backend_url if self.direct else f"{vm.front_url}/{service}"
-        headers = {"X-Order": order, "Basilhill-Timeout-Ms": str(self.timeout_ms)}
-        if token:
-            headers |= {TOKEN: token, "Basilhill-Attempt": str(attempt)}
-        self.write(EventKind.CALL_SENT, full_name, order, call, attempt=attempt)
-        status, answer_headers, body = await self.exchange(call.method, base + call.path, headers)
-        verdict = answer_headers.get("Basilhill-Verdict", "answered" if status else "")
-        event = self.write(
-            EventKind.ANSWER_RECEIVED,
-            full_name,
-            order,
-            call,
-            attempt=attempt,
-            status=status,
-            verdict=verdict,
-            reason=answer_headers.get("Basilhill-Reason", ""),
-            retries=int(answer_headers.get("Basilhill-Retries", "0")),
-            body_order=body_order(body) if verdict == "answered" else "",
-        )
-        return event, answer_headers.get(TOKEN, "")
+        headers = {
+            "X-Order": copy.order,
+            "X-Token-Round": str(copy.round),
+            "Basilhill-Customer": copy.order,
+            "Basilhill-Timeout-Ms": str(self.timeout_ms),
+            "Basilhill-Attempt": str(copy.attempt),
+        }
+        if copy.token:
+            headers[TOKEN] = copy.token
+        self.write(EventKind.CALL_SENT, copy)
+        url = base + copy.call.path
+        status, answer_headers, body = await self.exchange(copy.call.method, url, headers)
+        event = self.write_answer(copy, status, answer_headers, body)
+        fresh = answer_headers.get(TOKEN, "")
+        if event.status == 200 and fresh:
+            self.tokens[vm.address].append(HeldToken(fresh, now_ms()))
+        return event, fresh
 
     async def exchange(
         self, method: str, url: str, headers: dict[str, str]
@@ -111,16 +175,48 @@
         except (aiohttp.ClientError, OSError, TimeoutError):
             return 0, {}, b""
 
-    def write(self, kind: EventKind, full_name: str, order: str, call: FakeCall, **fields) -> Event:
+    def write_answer(self, copy: Copy, status: int, headers, body: bytes) -> Event:
+        """Record and return what came back for a copy."""
+        verdict = headers.get("Basilhill-Verdict", "answered" if status else "")
+        order, round_ = body_marks(body, copy.full_name) if verdict == "answered" else ("", 0)
+        return self.write(
+            EventKind.ANSWER_RECEIVED,
+            copy,
+            status=status,
+            verdict=verdict,
+            reason=headers.get("Basilhill-Reason", ""),
+            retries=int(headers.get("Basilhill-Retries", "0")),
+            body_order=order,
+            body_round=round_,
+        )
+
+    def write(self, kind: EventKind, copy: Copy, **fields) -> Event:
         """Record and return an event of this caller."""
-        event = Event(now_ms(), kind, "caller", full_name, order, call.idempotent, **fields)
+        event = Event(
+            now_ms(),
+            kind,
+            self.place,
+            copy.full_name,
+            copy.order,
+            copy.call.idempotent,
+            copy.round,
+            copy.attempt,
+            **fields,
+        )
         self.history.write(event)
         return event
 
 
-def body_order(body: bytes) -> str:
-    """Return the order that an answer is for, empty when the answer is not whole."""
+def answer_rank(answer: tuple[Event, str]) -> tuple[bool, bool, int]:
+    """Rank the answers to two copies of a token: a refusal as not run holds for both."""
+    event = answer[0]
+    return event.status == 200, event.verdict == "not-run", event.attempt
+
+
+def body_marks(body: bytes, full_name: str) -> tuple[str, int]:
+    """Return the order and round that an answer is for, empty for another call or in parts."""
     try:
-        return orjson.loads(body)["order"]
+        answer = orjson.loads(body)
+        return (answer["order"], answer["round"]) if answer["call"] == full_name else ("", 0)
     except (orjson.JSONDecodeError, KeyError, TypeError):
-        return ""
+        return "", 0
--- a/packages/basilhill_fakes/src/basilhill_fakes/history.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/history.py
@@ -7,6 +7,7 @@
 import cattrs
 import orjson
 from attrs import frozen
+from cattrs.gen import make_dict_unstructure_fn
 
 
 class EventKind(Enum):
@@ -16,12 +17,18 @@
     ANSWER_RECEIVED = "answer-received"
     RUN_STARTED = "run-started"
     RUN_ENDED = "run-ended"
-    NOTE = "note"
+    LEAVING = "leaving"
+    RETURNED = "returned"
+    SECTIONS = "sections"
 
 
 @frozen
 class Event:
-    """Hold one event; times are of the machine's monotonic clock, which all processes share."""
+    """Hold one event; times are of the machine's monotonic clock, which all processes share.
+
+    The round counts the requests that a caller makes for one order: a new token starts a new
+    round of a non-idempotent call, and every copy of an idempotent call is a round of its own.
+    """
 
     time_ms: float
     kind: EventKind
@@ -29,19 +36,21 @@
     call: str = ""
     order: str = ""
     idempotent: bool = True
+    round: int = 0
     attempt: int = 0
     status: int = 0
     verdict: str = ""
     reason: str = ""
     retries: int = 0
     body_order: str = ""
-    whole: bool = True
+    body_round: int = 0
+    duration_ms: float = 0.0
     note: str = ""
 
 
 CONVERTER = cattrs.Converter()
 STRUCTURE = CONVERTER.get_structure_hook(Event)
-UNSTRUCTURE = CONVERTER.get_unstructure_hook(Event)
+UNSTRUCTURE = make_dict_unstructure_fn(Event, CONVERTER, _cattrs_omit_if_default=True)
 
 
 def now_ms() -> float:
--- a/packages/basilhill_fakes/src/basilhill_fakes/processes.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/processes.py
@@ -1,6 +1,7 @@
 """Start, steer and stop the processes of a test fleet."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -15,6 +16,7 @@
 READY_S = 40.0
 READY_POLL_S = 0.1
 STOP_S = 35.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 BETWEEN_DATA_CENTRES_MS = 1.5
 
 
@@ -26,6 +28,7 @@
     directory: Path
     topology: Topology
     direct: bool = False
+    queue_limit: int | None = None
     distances: bool = False
     settings: dict = field(factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(factory=dict)
@@ -76,6 +79,7 @@
             "workload": self.workload.name,
             "history": str(self.history / f"backend-{vm.address}.jsonl"),
             "direct": self.direct,
+            "queue_limit": self.queue_limit,
             "peers": {
                 service: [other.address for other in self.topology.servers_of(service)]
                 for service in self.workload.services
@@ -144,6 +148,11 @@
         """Send a signal to a process that this fleet started."""
         self.processes[name].send_signal(number)
 
+    def cpu_s(self) -> dict[str, float]:
+        """Return the processor time that each running process has used, in seconds."""
+        running = {n: p.pid for n, p in self.processes.items() if p.returncode is None}
+        return {name: process_cpu_s(pid) for name, pid in running.items()}
+
     async def wait_ended(self, name: str) -> int:
         """Wait until a process has ended; return its exit status."""
         async with asyncio.timeout(STOP_S):
@@ -161,6 +170,12 @@
             await self.session.close()
 
 
+def process_cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
 def new_fleet(workload: Workload, directory: Path, **options) -> Fleet:
     """Return a fleet that has not started."""
     counts = options.pop("counts", None)
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/fleets.py
@@ -0,0 +1,50 @@
+"""Judge what a concurrent run did to servers and to the configuration."""
+
+from collections.abc import Iterable
+
+import orjson
+
+from basilhill_fakes.history import Event, EventKind
+from basilhill_fakes.queries.histories import Violation
+
+LEAVE_LIMIT_MS = 3_000
+
+
+def late_work_ms(events: Iterable[Event]) -> dict[str, float]:
+    """Return by leaving server how long after its leave began the last call started there."""
+    left: dict[str, float] = {}
+    late: dict[str, float] = {}
+    for event in events:
+        if event.kind is EventKind.LEAVING:
+            left.setdefault(event.place, event.time_ms)
+            late.setdefault(event.place, 0.0)
+        elif event.kind is EventKind.RETURNED:
+            left.pop(event.place, None)
+        elif event.kind is EventKind.RUN_STARTED and event.place in left:
+            late[event.place] = event.time_ms - left[event.place]
+    return late
+
+
+def late_work(events: Iterable[Event]) -> list[Violation]:
+    """Return the servers where a call started more than 3 s after they began to leave."""
+    return [
+        Violation("late-work", f"a call started at {place} {late:.0f} ms after it began to leave")
+        for place, late in late_work_ms(events).items()
+        if late > LEAVE_LIMIT_MS
+    ]
+
+
+def fallen_versions(events: Iterable[Event]) -> list[Violation]:
+    """Return the sections whose version fell on a node; a restart excuses no older version."""
+    highest: dict[tuple[str, str], int] = {}
+    violations = []
+    for event in events:
+        if event.kind is not EventKind.SECTIONS:
+            continue
+        for team, revision in orjson.loads(event.note).items():
+            before = highest.get((event.place, team), 0)
+            highest[event.place, team] = max(before, revision)
+            if revision < before:
+                text = f"section {team} fell from {before} to {revision} on {event.place}"
+                violations.append(Violation("fallen-version", text))
+    return violations
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/goodput.py
@@ -0,0 +1,123 @@
+"""Work out what a run completed and what backend server time it wasted."""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Iterable
+
+from basilhill_fakes.history import Event, EventKind
+from basilhill_fakes.workloads import Workload, find_fake_call
+
+WINDOW_MS = 500
+STEP_MS = 100
+RECOVERED_SHARE = 0.95
+
+
+def slot_time_ms(workload: Workload, full_name: str, slow_factor: float = 1.0) -> float:
+    """Return how long a call holds a slot of the bottleneck's servers, with internal calls."""
+    call = find_fake_call(workload, full_name)
+    inner = sum(slot_time_ms(workload, name) for name in call.calls)
+    return call.service_ms * slow_factor + inner
+
+
+def bottleneck_slots(workload: Workload) -> int:
+    """Return the slots of all servers of the bottleneck."""
+    service = workload.services[workload.bottleneck]
+    return service.servers * service.slots
+
+
+def bottleneck_rate_per_s(workload: Workload, slow_factor: float = 1.0) -> float:
+    """Return the most transactions per second that the bottleneck completes without browsing."""
+    name = f"{workload.bottleneck}.{workload.bottleneck_call}"
+    return bottleneck_slots(workload) * 1000 / slot_time_ms(workload, name, slow_factor)
+
+
+def mixed_rate_per_s(workload: Workload) -> float:
+    """Return the pairs of one transaction and one browse per second that fill the bottleneck."""
+    name = f"{workload.bottleneck}.{workload.bottleneck_call}"
+    browse = find_fake_call(workload, workload.browse)
+    reached = [call for call in browse.calls if call.split(".")[0] == workload.bottleneck]
+    pair_ms = slot_time_ms(workload, name) + sum(slot_time_ms(workload, c) for c in reached)
+    return bottleneck_slots(workload) * 1000 / pair_ms
+
+
+def completions_ms(events: Iterable[Event], call: str = "") -> list[float]:
+    """Return when whole actions completed, each order once; events are in order of time."""
+    seen: set[str] = set()
+    times = []
+    for event in events:
+        if is_completion(event) and call in ("", event.call) and event.order not in seen:
+            seen.add(event.order)
+            times.append(event.time_ms)
+    return times
+
+
+def is_completion(event: Event) -> bool:
+    """Tell whether an event is the whole answer to a caller's own request."""
+    return (
+        event.kind is EventKind.ANSWER_RECEIVED
+        and event.status == 200
+        and event.body_order == event.order
+    )
+
+
+def rate_per_s(times_ms: list[float], start_ms: float, end_ms: float) -> float:
+    """Return the events per second within a span of sorted times."""
+    count = bisect_left(times_ms, end_ms) - bisect_left(times_ms, start_ms)
+    return count * 1000 / (end_ms - start_ms)
+
+
+def recovery_ms(
+    times_ms: list[float], before_per_s: float, start_ms: float, end_ms: float
+) -> float | None:
+    """Return how long after the trigger's end goodput takes to stay at 95% of that before.
+
+    Measured in sliding windows of 500 ms every 100 ms: the start of the first window from which
+    on every window up to the end reaches 95%. None when the last window does not reach it.
+    """
+    recovered = None
+    window_ms = end_ms - WINDOW_MS
+    while window_ms >= start_ms:
+        rate = rate_per_s(times_ms, window_ms, window_ms + WINDOW_MS)
+        if rate < RECOVERED_SHARE * before_per_s:
+            break
+        recovered = window_ms - start_ms
+        window_ms -= STEP_MS
+    return recovered
+
+
+def wasted_ratio(events: Iterable[Event], start_ms: float, end_ms: float) -> float:
+    """Return the share of backend server time, within a span, that helped no action.
+
+    Server time is the time for which runs hold slots, of all services together. One run of each
+    call of an answered request is useful; runs of requests that failed and repeated runs of the
+    same call are wasted.
+    """
+    answered: set[tuple[str, int]] = set()
+    ended = []
+    for event in events:
+        if is_completion(event):
+            answered.add((event.order, event.round))
+        elif event.kind is EventKind.RUN_ENDED and start_ms <= event.time_ms < end_ms:
+            ended.append(event)
+    useful: dict[tuple[str, str, int], float] = {}
+    for event in ended:
+        if event.status == 200 and (event.order, event.round) in answered:
+            useful[event.call, event.order, event.round] = event.duration_ms
+    total_ms = sum(event.duration_ms for event in ended)
+    return 1 - sum(useful.values()) / total_ms if total_ms else 0.0
+
+
+def goodput_series(events: list[Event], start_ms: float, duration_s: float) -> list[dict]:
+    """Return per second the actions completed and the copies refused as not run."""
+    completed = Counter(int((t - start_ms) // 1000) for t in completions_ms(events))
+    refused = Counter(
+        int((event.time_ms - start_ms) // 1000)
+        for event in events
+        if event.kind is EventKind.ANSWER_RECEIVED
+        and (event.verdict == "not-run" or event.status == 503)
+        and event.reason != "token-required"
+    )
+    return [
+        {"second": second, "completed": completed[second], "refused": refused[second]}
+        for second in range(int(duration_s))
+    ]
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/judgement.py
@@ -0,0 +1,78 @@
+"""Judge the whole history of a run."""
+
+from attrs import frozen
+from basilhill.documents import Section
+from basilhill.queries.documents import parse_section, split_sections
+
+from basilhill_fakes.history import Event
+from basilhill_fakes.queries.fleets import fallen_versions, late_work
+from basilhill_fakes.queries.histories import (
+    Violation,
+    double_runs,
+    excess_retries,
+    false_refusals,
+    retries_by_request,
+    wrong_answers,
+)
+from basilhill_fakes.queries.refusals import class_inversions
+from basilhill_fakes.workloads import Workload
+
+
+@frozen
+class Judgement:
+    """Hold the violations of each check."""
+
+    double_runs: list[Violation]
+    false_refusals: list[Violation]
+    wrong_answers: list[Violation]
+    class_inversions: list[Violation]
+    excess_retries: list[Violation]
+    late_work: list[Violation]
+    fallen_versions: list[Violation]
+    retries_per_action_max: int
+
+    def violations(self) -> list[Violation]:
+        """Return the violations of all checks."""
+        return [
+            *self.double_runs,
+            *self.false_refusals,
+            *self.wrong_answers,
+            *self.excess_retries,
+            *self.late_work,
+            *self.fallen_versions,
+            *self.class_inversions,
+        ]
+
+    def fields(self) -> dict[str, int]:
+        """Return the counts that measurements report."""
+        return {
+            "double_runs": len(self.double_runs),
+            "false_refusals": len(self.false_refusals),
+            "wrong_answers": len(self.wrong_answers),
+            "class_inversions": len(self.class_inversions),
+            "excess_retries": len(self.excess_retries),
+            "late_work": len(self.late_work),
+            "fallen_versions": len(self.fallen_versions),
+            "retries_per_action_max": self.retries_per_action_max,
+        }
+
+
+def judge(events: list[Event], workload: Workload, document: str) -> Judgement:
+    """Return what every check finds; events are in order of time."""
+    return Judgement(
+        double_runs(events),
+        false_refusals(events),
+        wrong_answers(events),
+        class_inversions(events, workload),
+        excess_retries(events, allowed_retries(split_sections(document, 1))),
+        late_work(events),
+        fallen_versions(events),
+        max(retries_by_request(events).values(), default=0),
+    )
+
+
+def allowed_retries(sections: tuple[Section, ...]) -> dict[str, int]:
+    """Return by entry call the retries that a document gives to its actions."""
+    policies = (parse_section(section).ok for section in sections)
+    actions = (action for policy in policies for action in policy.actions.values())
+    return {action.entry: action.retries for action in actions}
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/catalogue.py
@@ -0,0 +1,6 @@
+"""All scenarios by name."""
+
+from basilhill_fakes.scenarios import Scenario
+from basilhill_fakes.scenarios.storm import Storm
+
+SCENARIOS: dict[str, Scenario] = {scenario.name: scenario for scenario in (Storm(),)}
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,64 @@
+"""Run one scenario on loopback and print its measures; the last line is one JSON object."""
+
+import argparse
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import orjson
+import uvloop
+from basilhill_fakes.measurements import MODES, new_measurement
+from basilhill_fakes.scenarios.catalogue import SCENARIOS
+from basilhill_fakes.workloads import WORKLOADS
+from rich.console import Console
+
+ROOT = Path(__file__).parent.parent
+
+
+def revision() -> str:
+    """Return the git revision of this checkout, marked when it has changes."""
+    command = ["git", "describe", "--always", "--dirty", "--abbrev=12", "--exclude=*"]
+    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=False)
+    return done.stdout.strip() or "unknown"
+
+
+async def run(arguments: argparse.Namespace) -> dict:
+    """Run the scenario; return its result."""
+    names = f"{arguments.scenario}-{arguments.workload}-{arguments.mode}-{arguments.seed}"
+    directory = ROOT / "run" / f"{names}-{int(time.time())}"
+    console = Console(force_terminal=None)
+    workload = WORKLOADS[arguments.workload]
+    measurement = new_measurement(
+        workload, arguments.mode, arguments.seed, ROOT, directory, console
+    )
+    measurement.say(f"{names}: seed {arguments.seed}")
+    started = time.monotonic()
+    fields = await SCENARIOS[arguments.scenario].run(measurement)
+    result = {
+        "scenario": arguments.scenario,
+        "workload": arguments.workload,
+        "mode": arguments.mode,
+        "seed": arguments.seed,
+        "revision": revision(),
+        "run_s": round(time.monotonic() - started, 1),
+        **fields,
+    }
+    (directory / "result.json").write_bytes(orjson.dumps(result, option=orjson.OPT_INDENT_2))
+    measurement.say(f"result: {(directory / 'result.json').relative_to(ROOT)}")
+    return result
+
+
+def main() -> None:
+    """Run the program."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--scenario", choices=sorted(SCENARIOS), default="storm")
+    parser.add_argument("--workload", choices=sorted(WORKLOADS), default="degustari")
+    parser.add_argument("--mode", choices=MODES, default="basilhill")
+    parser.add_argument("--seed", type=int, default=1)
+    result = uvloop.run(run(parser.parse_args()))
+    sys.stdout.write(orjson.dumps(result).decode() + "\n")
+
+
+if __name__ == "__main__":
+    main()
