--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_histories.py
@@ -0,0 +1,140 @@
+"""Each check finds a history that breaks its promise and passes one that keeps it."""
+
+from basilhill_fakes.history import Event, EventKind
+from basilhill_fakes.queries.fleets import fallen_versions, late_work, late_work_ms
+from basilhill_fakes.queries.histories import (
+    double_runs,
+    excess_retries,
+    false_refusals,
+    wrong_answers,
+)
+from basilhill_fakes.queries.refusals import class_inversions
+from basilhill_fakes.workloads import DEGUSTARI
+
+BOOK = "reservations.book"
+BROWSE = "calendar.slots"
+
+
+def started(time_ms, call=BOOK, order="o1", round_=0, place="server", idempotent=False):
+    kind = EventKind.RUN_STARTED
+    return Event(time_ms, kind, place, call, order, idempotent, round=round_)
+
+
+def answer(time_ms, call=BOOK, order="o1", round_=0, **fields):
+    kind, idempotent = EventKind.ANSWER_RECEIVED, call == BROWSE
+    return Event(time_ms, kind, "caller", call, order, idempotent, round=round_, **fields)
+
+
+def refusal(time_ms, reason="overloaded", **fields):
+    return answer(time_ms, status=503, verdict="not-run", reason=reason, **fields)
+
+
+def success(time_ms, order="o1", round_=0, body_order=None, body_round=None, **fields):
+    return answer(
+        time_ms,
+        order=order,
+        round_=round_,
+        status=200,
+        verdict="answered",
+        body_order=order if body_order is None else body_order,
+        body_round=round_ if body_round is None else body_round,
+        **fields,
+    )
+
+
+def test_a_second_run_under_one_token_is_a_double_run():
+    assert len(double_runs([started(1), started(2, place="other")])) == 1
+
+
+def test_runs_of_other_tokens_calls_and_idempotent_calls_are_no_double_runs():
+    events = [
+        started(1),
+        started(2, round_=1),
+        started(3, call="calendar.hold"),
+        started(4, call=BROWSE, order="o2", idempotent=True),
+        started(5, call=BROWSE, order="o2", idempotent=True),
+    ]
+    assert double_runs(events) == []
+
+
+def test_a_run_under_a_refused_token_is_found_although_a_later_token_was_answered():
+    events = [refusal(1), started(2, round_=0), started(3, round_=1), success(4, round_=1)]
+    assert [violation.check for violation in false_refusals(events)] == ["false-refusal"]
+
+
+def test_a_run_before_the_refusal_of_another_copy_is_found():
+    assert len(false_refusals([started(1), refusal(2, attempt=1), success(3)])) == 1
+
+
+def test_a_refused_token_and_an_answer_under_a_new_one_keep_the_promise():
+    assert false_refusals([refusal(1), started(2, round_=1), success(3, round_=1)]) == []
+
+
+def test_answers_of_other_requests_or_in_parts_are_wrong():
+    events = [
+        success(1, body_order="o2"),
+        success(2, body_order=""),
+        success(3, round_=1, body_round=0),
+    ]
+    assert len(wrong_answers(events)) == 3
+
+
+def test_an_answer_to_its_own_request_is_right():
+    assert wrong_answers([success(1), success(2, round_=1), refusal(3)]) == []
+
+
+def test_reported_retries_beyond_the_document_are_excess():
+    assert len(excess_retries([success(1, retries=5)], {BOOK: 4})) == 1
+
+
+def test_retries_that_only_backend_servers_saw_are_excess():
+    runs = [started(n, call="flavours.list", idempotent=True) for n in range(4)]
+    assert len(excess_retries([*runs, success(9)], {BOOK: 2})) == 1
+
+
+def test_retries_within_the_document_are_allowed_for_each_token():
+    runs = [started(n, call="flavours.list", idempotent=True) for n in range(3)]
+    later = [started(10 + n, call="flavours.list", round_=1) for n in range(3)]
+    assert excess_retries([*runs, *later, success(20, retries=2)], {BOOK: 2}) == []
+
+
+def test_a_transaction_refused_while_browsing_is_served_is_an_inversion():
+    events = [success(1000 + n, call=BROWSE, order=f"b{n}") for n in range(3)]
+    assert len(class_inversions([*events, refusal(1400)], DEGUSTARI)) == 1
+
+
+def test_a_transaction_refused_while_browsing_is_refused_too_is_no_inversion():
+    events = [refusal(1000, call=BROWSE, order="b1"), success(1001, call=BROWSE, order="b2")]
+    other_reason = refusal(5000, reason="leaving")
+    assert class_inversions([*events, refusal(1400), other_reason], DEGUSTARI) == []
+
+
+def test_work_that_starts_later_than_3_s_after_leaving_began_is_found():
+    leaving = Event(1000, EventKind.LEAVING, "server")
+    assert len(late_work([leaving, started(4500)])) == 1
+    assert late_work_ms([leaving, started(4500)]) == {"server": 3500}
+
+
+def test_work_soon_after_leaving_or_at_another_server_is_allowed():
+    leaving = Event(1000, EventKind.LEAVING, "server")
+    assert late_work([leaving, started(2000), started(9000, place="other")]) == []
+    returned = Event(5000, EventKind.RETURNED, "server")
+    assert late_work([leaving, started(2000), returned, started(9000)]) == []
+
+
+def test_a_version_that_falls_on_a_node_is_found():
+    seen = [Event(n, EventKind.SECTIONS, "a", note=note) for n, note in enumerate(VERSIONS)]
+    assert len(fallen_versions(seen)) == 1
+
+
+VERSIONS = ('{"calendar": 3}', '{"calendar": 4, "bookings": 2}', '{"calendar": 3, "bookings": 2}')
+
+
+def test_versions_that_rise_or_differ_between_nodes_are_allowed():
+    seen = [
+        Event(1, EventKind.SECTIONS, "a", note='{"calendar": 4}'),
+        Event(2, EventKind.SECTIONS, "b", note='{"calendar": 3}'),
+        Event(3, EventKind.SECTIONS, "a", note="{}"),
+        Event(4, EventKind.SECTIONS, "a", note='{"calendar": 4}'),
+    ]
+    assert fallen_versions(seen) == []
