Check documents as a whole and report every problem with its line

The check stopped at a section's first kind of problem and named no line, and splitting went by lines that start with [team., which lost quoted names, [team] tables, inline forms and text outside a team. Statements are now found by a small scanner (tomllib gives no lines); a text that belongs to no team becomes a section that is refused.

Line numbers are kept beside a section's text and not in it: padding the text with blank lines was ruled out because every edit above would change, and push, every section below.

--- a/packages/basilhill/src/basilhill/documents.py
+++ b/packages/basilhill/src/basilhill/documents.py
@@ -1,5 +1,7 @@
 """The operators' document: sections of teams, their services, calls and actions."""
 
+from enum import Enum
+
 from attrs import field, frozen
 
 from basilhill.calls import PriorityClass
@@ -47,6 +49,14 @@
     retries: int
 
 
+@frozen
+class LineOrigin:
+    """Tell where a run of a section's lines stands in the whole document."""
+
+    section_line: int
+    document_line: int
+
+
 @frozen
 class Section:
     """Hold the section of one team as read at a revision of the document."""
@@ -54,6 +64,8 @@
     team: str
     revision: int
     text: str
+    # Left out of comparisons and messages: lines move with every edit of a team above.
+    origins: tuple[LineOrigin, ...] = field(default=(), eq=False, repr=False)
 
 
 @frozen
@@ -66,6 +78,13 @@
     actions: dict[str, ActionPolicy]
 
 
+class Severity(Enum):
+    """Tell whether a problem refuses a section."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
 @frozen
 class Problem:
     """Describe a fault of a section and how to correct it."""
@@ -75,11 +94,14 @@
     line: int
     text: str
     correction: str = ""
+    severity: Severity = Severity.ERROR
 
     def __str__(self) -> str:
         """Return the problem as one line."""
+        place = f"line {self.line}: " if self.line else ""
+        key = f"{self.key}: " if self.key else ""
         correction = f"; {self.correction}" if self.correction else ""
-        return f"line {self.line}: team {self.team}: {self.key}: {self.text}{correction}"
+        return f"{place}team {self.team or '(none)'}: {key}{self.text}{correction}"
 
 
 @frozen
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/document_lines.py
@@ -0,0 +1,151 @@
+"""Find the statements of a TOML text and the lines on which its keys stand."""
+
+import re
+import tomllib
+from collections.abc import Iterator
+
+from attrs import frozen
+
+KeyPath = tuple[str, ...]
+
+# A line that opens a table of a team always ends the value before it, so that an unclosed string
+# or array of one team cannot take in the sections of the teams below it.
+TEAM_HEADER = re.compile(r"""\s*\[\s*(team|"team"|'team')\s*[.\]]""")
+# Most lines are a bare key with a value that ends on the line.
+SIMPLE_STATEMENT = re.compile(
+    r"""\s*([A-Za-z0-9_\-]+(?:\.[A-Za-z0-9_\-]+)*)\s*=\s*(?:"[^"\\]*"|'[^']*'|[\w.+:\-]+|\[[^\[\]"'#{}]*\]"""
+    r"""|\[\s*(?:"[^"\\]*"\s*,?\s*)*\])\s*(?:\#.*)?"""
+)
+BARE_KEY = re.compile(r"[\w\-]+(?:\.[\w\-]+)*", re.ASCII)
+TABLE_HEADER = re.compile(r"""\[((?:[^"'\[\]\#]|"(?:[^"\\]|\\.)*"|'[^']*')*)\]\s*(?:\#.*)?""")
+QUOTED_PART = re.compile(r"""[^"'=]+|"(?:[^"\\]|\\.)*"|'[^']*'""")
+TOKEN = re.compile(r'"""|\'\'\'|"(?:[^"\\]|\\.)*"|\'[^\']*\'|\#.*|[\[\]{}]')
+STRING_END = {'"""': re.compile(r'(?:[^"\\]|\\.|"(?!""))*"{3,5}'), "'''": re.compile(r".*?'{3,5}")}
+
+
+@frozen
+class Statement:
+    """Hold a table header or a key with its value, and its lines, counted from 1."""
+
+    first: int
+    last: int
+    text: str
+    is_header: bool
+    path: KeyPath | None
+
+
+@frozen
+class OpenValue:
+    """Tell in what a value goes on in its next line."""
+
+    quote: str = ""
+    depth: int = 0
+
+
+def statements(text: str) -> Iterator[Statement]:
+    """Yield the statements of a text; comments and blank lines belong to none."""
+    lines = text.split("\n")
+    index = 0
+    while index < len(lines):
+        line = lines[index].strip()
+        if not line or line.startswith("#"):
+            index += 1
+            continue
+        simple = SIMPLE_STATEMENT.fullmatch(line)
+        if simple:
+            path = tuple(simple.group(1).split("."))
+            yield Statement(index + 1, index + 1, lines[index], False, path)
+            index += 1
+            continue
+        last = last_line(lines, index)
+        is_header = line.startswith("[")
+        path = header_path(line) if is_header else key_path(line)
+        whole = "\n".join(lines[index : last + 1])
+        yield Statement(index + 1, last + 1, whole, is_header, path)
+        index = last + 1
+
+
+def last_line(lines: list[str], index: int) -> int:
+    """Return the index of the line on which a statement ends."""
+    if TEAM_HEADER.match(lines[index]):
+        return index
+    left = scan_line(lines[index], OpenValue())
+    while (left.quote or left.depth > 0) and index + 1 < len(lines):
+        if TEAM_HEADER.match(lines[index + 1]):
+            break
+        index += 1
+        left = scan_line(lines[index], left)
+    return index
+
+
+def scan_line(line: str, left: OpenValue) -> OpenValue:
+    """Return what is still open at the end of a line."""
+    quote, depth, position = left.quote, left.depth, 0
+    while position < len(line):
+        found = (STRING_END[quote].match if quote else TOKEN.search)(line, position)
+        if found is None:
+            break
+        position = found.end()
+        token = found.group()
+        if quote:
+            quote = ""
+        elif token in STRING_END:
+            quote = token
+        elif token in "[{":
+            depth += 1
+        elif token in "]}":
+            depth -= 1
+    return OpenValue(quote, depth)
+
+
+def header_path(line: str) -> KeyPath | None:
+    """Return the path of a table header, None for an array of tables or a malformed header."""
+    header = TABLE_HEADER.fullmatch(line)
+    return None if header is None else dotted_path(header.group(1))
+
+
+def key_path(line: str) -> KeyPath | None:
+    """Return the path of the key at the start of a statement, None if it is malformed."""
+    end = 0
+    while found := QUOTED_PART.match(line, end):
+        end = found.end()
+    return dotted_path(line[:end])
+
+
+def dotted_path(text: str) -> KeyPath | None:
+    """Return the parts of a dotted key, None if it is malformed."""
+    text = text.strip()
+    if BARE_KEY.fullmatch(text):
+        return tuple(text.split("."))
+    try:
+        value = tomllib.loads(f"{text} = 0")
+    except tomllib.TOMLDecodeError:
+        return None
+    path = []
+    while isinstance(value, dict) and len(value) == 1:
+        key, value = next(iter(value.items()))
+        path.append(key)
+    return tuple(path)
+
+
+def key_lines(text: str) -> dict[KeyPath, int]:
+    """Return the line of each table header and key of a text."""
+    lines: dict[KeyPath, int] = {}
+    header: KeyPath = ()
+    for statement in statements(text):
+        if statement.path is None:
+            continue
+        if statement.is_header:
+            header = statement.path
+        path = header if statement.is_header else header + statement.path
+        lines.setdefault(path, statement.first)
+    return lines
+
+
+def line_of(lines: dict[KeyPath, int], path: KeyPath) -> int:
+    """Return the line of a key, or of the nearest table around it; 0 if there is none."""
+    for length in range(len(path), 0, -1):
+        if path[:length] in lines:
+            return lines[path[:length]]
+    below = [line for known, line in lines.items() if known[: len(path)] == path]
+    return min(below, default=0)
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/parsing.py
@@ -0,0 +1,248 @@
+"""Parse the sections of teams."""
+
+import re
+import tomllib
+from collections.abc import Iterator
+from typing import Any
+
+import cattrs
+from attrs import field, frozen
+from cattrs import AttributeValidationNote, IterableValidationNote
+from cattrs.errors import ForbiddenExtraKeysError
+from expression import Error, Ok, Result
+
+from basilhill.calls import PriorityClass
+from basilhill.documents import (
+    ActionPolicy,
+    CallPolicy,
+    LineOrigin,
+    Problem,
+    Section,
+    SectionPolicy,
+    ServicePolicy,
+)
+from basilhill.queries.checking import Fault, correction_of, unknown_key_correction, value_faults
+from basilhill.queries.document_lines import KeyPath, key_lines, line_of, statements
+
+SYNTAX_LINE = re.compile(r" \(at line (\d+), column \d+\)| \(at end of document\)")
+
+
+@frozen
+class CallTable:
+    """Mirror a call table of the TOML document."""
+
+    method: str
+    path: str
+    idempotent: bool
+    timeout_ms: int
+    usual_ms: int = 20
+    calls: tuple[str, ...] = ()
+
+
+@frozen
+class ServiceTable:
+    """Mirror a service table of the TOML document."""
+
+    slots: int
+    connections: int
+    call: dict[str, CallTable] = field(factory=dict)
+
+
+@frozen
+class ActionTable:
+    """Mirror an action table of the TOML document."""
+
+    entry: str
+    class_: str
+    timeout_ms: int
+    retries: int = 0
+
+
+@frozen
+class TeamTable:
+    """Mirror the table of one team."""
+
+    contact: str = ""
+    service: dict[str, ServiceTable] = field(factory=dict)
+    action: dict[str, ActionTable] = field(factory=dict)
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that rejects unknown keys and wrong types."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in (int, str, bool):
+        converter.register_structure_hook(kind, structure_exactly)
+    converter.register_structure_hook_func(lambda kind: kind == tuple[str, ...], structure_names)
+    rename = cattrs.gen.override(rename="class")
+    hook = cattrs.gen.make_dict_structure_fn(ActionTable, converter, class_=rename)
+    converter.register_structure_hook(ActionTable, hook)
+    return converter
+
+
+def structure_exactly(value: Any, kind: type) -> Any:
+    """Return the value if it has exactly the type asked for."""
+    if type(value) is not kind:
+        raise ValueError(f"expected {kind.__name__}, found {type(value).__name__}")
+    return value
+
+
+def structure_names(value: Any, _kind: type) -> tuple[str, ...]:
+    """Return a list of names as a tuple."""
+    if type(value) is not list or not all(type(item) is str for item in value):
+        raise ValueError("expected a list of names in quotes")
+    return tuple(value)
+
+
+CONVERTER = make_converter()
+
+
+def parse_section(section: Section) -> Result[SectionPolicy, tuple[Problem, ...]]:
+    """Return what a section says, or all its problems."""
+    if not section.team:
+        return Error(tuple(unplaced_problems(section)))
+    try:
+        teams = tomllib.loads(section.text).get("team", {})
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        return Error((syntax_problem(section, str(error)),))
+    given = teams.get(section.team, {}) if isinstance(teams, dict) else teams
+    faults = list(value_faults(given))
+    try:
+        table = CONVERTER.structure(given, TeamTable)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+        faults = [*structure_faults(error, (), given), *faults]
+    if faults:
+        return Error(located(section, faults))
+    return Ok(section_policy(section.team, table))
+
+
+def unplaced_problems(section: Section) -> Iterator[Problem]:
+    """Yield a problem for each run of lines that belongs to no team's section."""
+    correction = "write it below [team.NAME], or as [team.NAME.service.…]"
+    lines = section.text.split("\n")
+    for origin in section.origins or (LineOrigin(1, 0),):
+        text = f"{lines[origin.section_line - 1].strip()[:60]!r} belongs to no team's section"
+        yield Problem("", "", origin.document_line, text, correction)
+
+
+def syntax_problem(section: Section, text: str) -> Problem:
+    """Return the problem of a section that is no TOML."""
+    found = SYNTAX_LINE.search(text)
+    line = broken_line(section.text) or int(found.group(1) if found and found.group(1) else 1)
+    correction = "correct the TOML; a value ends at the latest before the next [team header"
+    problem = SYNTAX_LINE.sub("", text)
+    return Problem(section.team, "", document_line(section, line), problem, correction)
+
+
+def broken_line(text: str) -> int:
+    """Return the first line of the first statement that is no TOML by itself, 0 if all are."""
+    for statement in statements(text):
+        try:
+            tomllib.loads(statement.text)
+        except (tomllib.TOMLDecodeError, RecursionError):
+            return statement.first
+    return 0
+
+
+def document_line(section: Section, line: int) -> int:
+    """Return the line of the document for a line of a section, itself when it is not known."""
+    document = line
+    for origin in section.origins:
+        if origin.section_line <= line:
+            document = origin.document_line + line - origin.section_line
+    return document
+
+
+def located(section: Section, faults: list[Fault]) -> tuple[Problem, ...]:
+    """Return faults as problems with their lines, in the order of lines."""
+    lines = key_lines(section.text)
+    problems = (
+        Problem(
+            section.team,
+            ".".join(fault.path),
+            document_line(section, line_of(lines, ("team", section.team, *fault.path))),
+            fault.text,
+            fault.correction,
+            fault.severity,
+        )
+        for fault in faults
+    )
+    return tuple(sorted(problems, key=lambda problem: problem.line))
+
+
+def structure_faults(error: BaseException, path: KeyPath, given: Any) -> Iterator[Fault]:
+    """Yield a fault for each key that is unknown, missing or of a wrong type."""
+    if isinstance(error, ForbiddenExtraKeysError):
+        known = [attribute.name.removesuffix("_") for attribute in error.cl.__attrs_attrs__]
+        for key in sorted(error.extra_fields):
+            yield Fault((*path, key), "unknown key", unknown_key_correction(key, known))
+    elif isinstance(error, cattrs.BaseValidationError):
+        for inner in error.exceptions:
+            yield from structure_faults(inner, path + noted_path(inner), given)
+    elif isinstance(error, KeyError):
+        yield Fault(path, "the key is missing", f"add {path[-1]}")
+    else:
+        value = value_at(given, path)
+        yield Fault(path, type_text(error, value), correction_of(path, value))
+
+
+def noted_path(error: BaseException) -> KeyPath:
+    """Return the part of a path that cattrs noted on an error."""
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, AttributeValidationNote):
+            return (note.name.removesuffix("_"),)
+        if isinstance(note, IterableValidationNote):
+            return (str(note.index),)
+    return ()
+
+
+def type_text(error: BaseException, value: Any) -> str:
+    """Return what is wrong with the type of a value."""
+    if isinstance(error, ValueError):
+        return str(error)
+    return f"expected a table, found {type(value).__name__}"
+
+
+def value_at(given: Any, path: KeyPath) -> Any:
+    """Return the value at a path of nested tables, None where there is none."""
+    for key in path:
+        given = given.get(key) if isinstance(given, dict) else None
+    return given
+
+
+def section_policy(team: str, table: TeamTable) -> SectionPolicy:
+    """Return the policy of a team's table."""
+    services = {
+        name: ServicePolicy(
+            name, team, service.slots, service.connections, call_policies(name, service)
+        )
+        for name, service in table.service.items()
+    }
+    actions = {
+        name: ActionPolicy(
+            name,
+            team,
+            action.entry,
+            PriorityClass[action.class_.upper()],
+            action.timeout_ms,
+            action.retries,
+        )
+        for name, action in table.action.items()
+    }
+    return SectionPolicy(team, table.contact, services, actions)
+
+
+def call_policies(service: str, table: ServiceTable) -> dict[str, CallPolicy]:
+    """Return the call policies of a service table."""
+    return {
+        name: CallPolicy(
+            service,
+            name,
+            call.method,
+            call.path,
+            call.idempotent,
+            call.timeout_ms,
+            call.usual_ms,
+            call.calls,
+        )
+        for name, call in table.call.items()
+    }
--- /dev/null
+++ b/packages/basilhill/tests/test_documents.py
@@ -0,0 +1,175 @@
+"""Tests of the document check and of splitting a document into sections."""
+
+import tomllib
+from pathlib import Path
+
+import pytest
+from basilhill.documents import Severity
+from basilhill.queries.cross_checking import check_document
+from basilhill.queries.documents import build_document, find_call, parse_section, split_sections
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+ROOT = Path(__file__).parents[3]
+
+SOUND = """\
+[team.a]
+contact = "a@example.test"
+
+[team.a.service.front]
+slots = 10
+connections = 20
+
+[team.a.service.front.call.list]
+method = "GET"
+path = "/list"
+idempotent = true
+timeout_ms = 1000
+
+[team.a.service.front.call.buy]
+method = "POST"
+path = "/buy"
+idempotent = false
+timeout_ms = 1000
+calls = ["back.take"]
+
+[team.a.action.buying]
+entry = "front.buy"
+class = "transaction"
+timeout_ms = 1000
+retries = 3
+
+[team.b.service.back]
+slots = 10
+connections = 20
+
+[team.b.service.back.call.take]
+method = "POST"
+path = "/take"
+idempotent = false
+timeout_ms = 900
+"""
+
+THIRD_TEAM = """\
+[team.c.service.front]
+slots = 1
+connections = 1
+[team.c.action.buying]
+entry = "back.take"
+class = "browse"
+timeout_ms = 10
+"""
+
+# Each broken document: what is replaced in the sound one, and the line, key and text reported.
+BROKEN = {
+    "unknown key": ("slots = 10", "slots = 10\ncolour = 1", 6, "colour", "unknown key"),
+    "unit in key": ("timeout_ms = 900", "timeout_s = 1", 35, "timeout_s", "write timeout_ms"),
+    "unit in value": ("timeout_ms = 900", 'timeout_ms = "2s"', 35, "timeout_ms", "= 2000"),
+    "wrong type": ("idempotent = true", 'idempotent = "no"', 11, "idempotent", "true or false"),
+    "missing key": ('path = "/list"\n', "", 8, "path", "missing"),
+    "unknown service": ("back.take", "bank.take", 19, "calls", "unknown service bank"),
+    "unknown call": ("back.take", "back.tke", 19, "calls", "unknown call back.tke"),
+    "cycle": ("timeout_ms = 900", 'timeout_ms = 900\ncalls = ["front.buy"]', 36, "calls", "cycle"),
+    "idempotent caller": ("idempotent = false", "idempotent = true", 19, "calls", "non-idempotent"),
+    "method": ('method = "POST"', 'method = "PUT"', 15, "method", "repeat PUT"),
+    "two owners": ("[team.b.s", THIRD_TEAM + "[team.b.s", 27, "service.front", "owns the service"),
+    "two actions": ("[team.b.s", THIRD_TEAM + "[team.b.s", 30, "action.buying", "owns the action"),
+    "entry": ("front.buy", "front.by", 22, "entry", "unknown call front.by"),
+    "class": ('"transaction"', '"urgent"', 23, "class", "browse, standard, transaction"),
+    "no slots": ("slots = 10", "slots = 0", 5, "slots", "out of range"),
+    "no time": ("timeout_ms = 900", "timeout_ms = 0", 35, "timeout_ms", "out of range"),
+    "retries": ("retries = 3", "retries = 21", 25, "retries", "0 to 20"),
+    "unclosed text": ('"a@example.test"', '"""a', 2, "", "Unterminated"),
+    "unclosed list": ('["back.take"]', '["back.take"', 19, "", "Unclosed array"),
+    "not of a team": ("[team.b.service.back]", "[service.back]", 27, "", "no team's section"),
+    "array of tables": ("[team.b.service.back]", "[[team.b]]", 27, "", "no team's section"),
+    "path": ('"/list"', '"/list/../buy"', 10, "path", "not a plain path"),
+    "service name": ("service.back]", 'service."b/k"]', 27, "service.b/k", "not a name"),
+}
+
+
+@pytest.mark.parametrize("fault", BROKEN)
+def test_broken_document_is_reported_with_its_line_key_and_correction(fault):
+    old, new, line, key, text = BROKEN[fault]
+    checked = check_document(SOUND.replace(old, new, 1))
+    assert checked.refused
+    found = [p for p in checked.problems if p.line == line and p.key.endswith(key)]
+    assert found, [str(problem) for problem in checked.problems]
+    assert any(text in str(problem) for problem in found)
+
+
+def test_calls_with_one_method_and_path_are_reported_as_ambiguous():
+    two_calls = SOUND.replace('method = "GET"', 'method = "POST"').replace('"/list"', '"/buy"')
+    assert "same method and path" in str(check_document(two_calls).problems[0])
+
+
+def test_all_problems_are_reported_at_once():
+    text = SOUND.replace("slots = 10", "slots = 0").replace('"GET"', '"FETCH"')
+    lines = [problem.line for problem in check_document(text).problems]
+    assert lines == [5, 9, 28]
+
+
+def test_longer_inner_timeout_warns_and_does_not_refuse():
+    checked = check_document(SOUND.replace("timeout_ms = 900", "timeout_ms = 2000"))
+    assert [problem.severity for problem in checked.problems] == [Severity.WARNING]
+    assert not checked.refused
+
+
+@pytest.mark.parametrize("name", ["degustari", "webshop"])
+def test_examples_have_no_problems(name):
+    assert check_document((ROOT / f"examples/{name}.toml").read_text()).problems == ()
+
+
+def test_unclosed_text_of_one_team_leaves_the_others_in_force():
+    sections = split_sections(SOUND.replace('"a@example.test"', '"""a'), 1)
+    states = {section.team: parse_section(section).is_ok() for section in sections}
+    assert states == {"a": False, "b": True}
+
+
+def test_edit_of_one_team_changes_no_other_section():
+    before = {s.team: s for s in split_sections(SOUND, 1)}
+    after = {s.team: s for s in split_sections("# note\n\n" + SOUND.replace("10", "11", 1), 1)}
+    assert before["b"] == after["b"]
+    assert before["a"] != after["a"]
+
+
+def test_head_and_queries_follow_the_policy_of_their_path():
+    document = build_document(parse_section(s).ok for s in split_sections(SOUND, 1))
+    assert find_call(document, "front", "HEAD", "/list?page=2").name == "list"
+    assert find_call(document, "front", "GET", "/list/5?x=/buy").name == "list"
+    assert find_call(document, "front", "GET", "/listing") is None
+
+
+FORMS = (
+    '[team."{team}"]\ncontact = "x # no"',
+    "[ team . '{team}' ] # [team.other]\ncontact = '''\n [a]\n# b\n'''",
+    '[team."{team}"]\ncontact = """\\""" [team.z]"""\n',
+    '[team."{team}".service.s]\nslots = 1 # """\nlists = [\n  ["a]"],\n  [{{b = "["}}],\n]',
+    '[team]\n"{team}".contact = "x"',
+    "[team]\n'{team}' = {{ contact = \"x\", service = {{ s = {{ slots = 1 }} }} }}",
+)
+NAMES = st.text(st.sampled_from("ab.# -"), min_size=1, max_size=4)
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.dictionaries(NAMES, st.sampled_from(FORMS), min_size=1, max_size=5))
+def test_sections_together_say_exactly_what_the_document_says(forms):
+    # TOML allows one [team] table, so its forms go below a single header.
+    inner = [f.format(team=t).removeprefix("[team]\n") for t, f in forms.items() if f[5] == "]"]
+    outer = [f.format(team=t) for t, f in forms.items() if f[5] != "]"]
+    text = "\n\n".join((["[team]"] if inner else []) + inner + outer)
+    whole = tomllib.loads(text)["team"]
+    parts = {s.team: tomllib.loads(s.text)["team"][s.team] for s in split_sections(text, 1)}
+    assert parts == whole
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.text(st.sampled_from("[]{}\"'#=.\\\n ateam1"), max_size=60))
+def test_no_text_crashes_the_check_or_is_lost_without_a_problem(text):
+    checked = check_document(text)
+    try:
+        whole = tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return
+    if set(whole) - {"team"}:
+        assert checked.refused
