--- a/packages/basilhill_fakes/src/basilhill_fakes/caller.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 from collections import defaultdict, deque
+from collections.abc import Mapping
 from random import Random
 
 import aiohttp
@@ -18,6 +19,7 @@
 # Half of the shortest time for which a test configures tokens to be valid.
 TOKEN_AGE_MS = 30_000
 TOKENS_KEPT = 500
+NOT_SENT = -1
 
 
 @frozen
@@ -76,44 +78,48 @@
         """Perform one browse of the workload."""
         return await self.perform(self.workload.browse)
 
-    async def perform(self, full_name: str, order: str = "") -> Event:
+    async def perform(self, full_name: str, order: str = "", round_: int = 0) -> Event:
         """Send a call until it is answered or the tries are spent; return the last event."""
         call = find_fake_call(self.workload, full_name)
-        copy = self.with_token(Copy(full_name, call, order or uuid.uuid4().hex))
+        copy = self.with_token(Copy(full_name, call, order or uuid.uuid4().hex, round_))
         tries = 0
         while True:
-            event, fresh = await self.send_patiently(copy)
+            event = await self.send_patiently(copy)
             tries += event.status != 428 or copy.token != ""
             if event.status == 200 or tries >= self.tries:
                 return event
-            copy = self.next_copy(copy, event, fresh)
+            copy = self.next_copy(copy, event)
             if event.status != 428:
                 await asyncio.sleep(self.backoff_ms * self.random.uniform(0.5, 1.5) / 1000)
 
-    def next_copy(self, copy: Copy, event: Event, fresh: str) -> Copy:
+    def next_copy(self, copy: Copy, event: Event) -> Copy:
         """Return the copy to send after one that was not answered with success."""
-        if self.direct and not copy.call.idempotent:
-            return evolve(copy, attempt=event.attempt + 1)
-        if not copy.call.idempotent and event.verdict not in ("not-run", "answered"):
+        if event.status == NOT_SENT:
+            return evolve(copy, attempt=event.attempt, vm=None)
+        if copy.call.idempotent:
+            return evolve(copy, round=copy.round + 1, attempt=event.attempt + 1, vm=None)
+        if self.direct or event.verdict not in ("not-run", "answered"):
             return evolve(copy, attempt=event.attempt + 1, vm=None)
-        attempt = 0 if not copy.call.idempotent else event.attempt + 1
-        return evolve(copy, round=copy.round + 1, attempt=attempt, token=fresh, vm=None)
+        return self.with_token(evolve(copy, round=copy.round + 1, attempt=0, token="", vm=None))
 
     def with_token(self, copy: Copy) -> Copy:
-        """Return a first copy with a token that an earlier answer of its node carried."""
-        vm = self.pick_server(copy.full_name)
-        held = self.tokens[vm.address]
-        while held and not copy.call.idempotent and not self.direct:
-            token = held.popleft()
-            if now_ms() - token.received_ms < TOKEN_AGE_MS:
-                return evolve(copy, token=token.text, vm=vm)
-        return evolve(copy, vm=vm)
+        """Return a first copy of a round with a token that an earlier answer carried, if any."""
+        if copy.call.idempotent or self.direct:
+            return copy
+        servers = self.topology.servers_of(copy.full_name.split(".")[0])
+        for vm in self.random.sample(servers, len(servers)):
+            held = self.tokens[vm.address]
+            while held:
+                token = held.popleft()
+                if now_ms() - token.received_ms < TOKEN_AGE_MS:
+                    return evolve(copy, token=token.text, vm=vm)
+        return copy
 
     def pick_server(self, full_name: str) -> Vm:
         """Return a random server of the service of a call."""
         return self.random.choice(self.topology.servers_of(full_name.split(".")[0]))
 
-    async def send_patiently(self, copy: Copy) -> tuple[Event, str]:
+    async def send_patiently(self, copy: Copy) -> Event:
         """Send a copy, and another one when the answer takes long; return the first answer."""
         if self.patience_ms is None or copy.call.idempotent:
             return await self.send(copy)
@@ -124,7 +130,7 @@
         second = self.start_copy(evolve(copy, attempt=copy.attempt + 1, vm=None))
         done, pending = await asyncio.wait({first, second}, return_when=asyncio.FIRST_COMPLETED)
         earlier = done.pop().result()
-        if earlier[0].status == 200 or not pending:
+        if earlier.status == 200 or not pending:
             return earlier
         later = await pending.pop()
         return max(earlier, later, key=answer_rank)
@@ -136,8 +142,8 @@
         task.add_done_callback(self.copies.discard)
         return task
 
-    async def send(self, copy: Copy) -> tuple[Event, str]:
-        """Send one copy of a call; return what came back and the fresh token."""
+    async def send(self, copy: Copy) -> Event:
+        """Send one copy of a call, keep the fresh token and return what came back."""
         service = copy.full_name.split(".")[0]
         vm = copy.vm or self.pick_server(copy.full_name)
         base = vm.backend_url if self.direct else f"{vm.front_url}/{service}"
@@ -153,16 +159,14 @@
         self.write(EventKind.CALL_SENT, copy)
         url = base + copy.call.path
         status, answer_headers, body = await self.exchange(copy.call.method, url, headers)
-        event = self.write_answer(copy, status, answer_headers, body)
-        fresh = answer_headers.get(TOKEN, "")
-        if event.status == 200 and fresh:
-            self.tokens[vm.address].append(HeldToken(fresh, now_ms()))
-        return event, fresh
+        if TOKEN in answer_headers:
+            self.tokens[vm.address].append(HeldToken(answer_headers[TOKEN], now_ms()))
+        return self.write_answer(copy, status, answer_headers, body)
 
     async def exchange(
         self, method: str, url: str, headers: dict[str, str]
-    ) -> tuple[int, dict[str, str], bytes]:
-        """Send a request; return status 0 without a whole answer."""
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        """Send a request; return status 0 without a whole answer, -1 when nothing was sent."""
         try:
             await asyncio.sleep(self.distance_ms / 1000)
             timeout = aiohttp.ClientTimeout(total=self.timeout_ms / 1000 + 0.5)
@@ -172,12 +176,16 @@
                 body = await response.read()
                 await asyncio.sleep(self.distance_ms / 1000)
                 return response.status, response.headers, body
+        except aiohttp.ClientConnectorError:
+            return NOT_SENT, {}, b""
         except (aiohttp.ClientError, OSError, TimeoutError):
             return 0, {}, b""
 
-    def write_answer(self, copy: Copy, status: int, headers, body: bytes) -> Event:
+    def write_answer(
+        self, copy: Copy, status: int, headers: Mapping[str, str], body: bytes
+    ) -> Event:
         """Record and return what came back for a copy."""
-        verdict = headers.get("Basilhill-Verdict", "answered" if status else "")
+        verdict = headers.get("Basilhill-Verdict", "answered" if status > 0 else "")
         order, round_ = body_marks(body, copy.full_name) if verdict == "answered" else ("", 0)
         return self.write(
             EventKind.ANSWER_RECEIVED,
@@ -207,9 +215,8 @@
         return event
 
 
-def answer_rank(answer: tuple[Event, str]) -> tuple[bool, bool, int]:
+def answer_rank(event: Event) -> tuple[bool, bool, int]:
     """Rank the answers to two copies of a token: a refusal as not run holds for both."""
-    event = answer[0]
     return event.status == 200, event.verdict == "not-run", event.attempt
 
 
