--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/fleets.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/fleets.py
@@ -5,6 +5,7 @@
 import orjson
 
 from basilhill_fakes.history import Event, EventKind
+from basilhill_fakes.queries.goodput import is_completion
 from basilhill_fakes.queries.histories import Violation
 
 LEAVE_LIMIT_MS = 3_000
@@ -48,3 +49,31 @@
                 text = f"section {team} fell from {before} to {revision} on {event.place}"
                 violations.append(Violation("fallen-version", text))
     return violations
+
+
+def cut_off(events: Iterable[Event], start_ms: float, end_ms: float) -> int:
+    """Return the requests that started to run within a span and were never answered whole."""
+    started: set[tuple[str, int]] = set()
+    answered: set[tuple[str, int]] = set()
+    for event in events:
+        if event.kind is EventKind.RUN_STARTED and start_ms <= event.time_ms < end_ms:
+            started.add((event.order, event.round))
+        elif is_completion(event):
+            answered.add((event.order, event.round))
+    return len(started - answered)
+
+
+def crashes_of(events: list[Event], order: str) -> list[str]:
+    """Return the server of each crash: a run of the order that never ended there."""
+    ended = {
+        (event.place, event.round)
+        for event in events
+        if event.kind is EventKind.RUN_ENDED and event.order == order
+    }
+    return [
+        event.place
+        for event in events
+        if event.kind is EventKind.RUN_STARTED
+        and event.order == order
+        and (event.place, event.round) not in ended
+    ]
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/sections.py
@@ -0,0 +1,40 @@
+"""Write changed sections and judge when they are in force."""
+
+import orjson
+
+from basilhill_fakes.history import Event, EventKind
+from basilhill_fakes.sections import Change
+
+INVALID_LINE = "slotz = 1"
+
+
+def changed_text(text: str, team: str, mark: str, valid: bool) -> str:
+    """Return a section with a new contact, and with an unknown key unless it shall be valid."""
+    lines = [line for line in text.splitlines() if line != INVALID_LINE]
+    number = next(i for i, line in enumerate(lines) if line.startswith("contact"))
+    lines[number] = f'contact = "{team}-{mark}@example.test"'
+    if not valid:
+        lines.insert(number + 1, INVALID_LINE)
+    return "\n".join(lines) + "\n"
+
+
+def in_force_ms(events: list[Event], change: Change, nodes: int) -> float | None:
+    """Return how long a change took to be in force on every node, None when it was not."""
+    reached: dict[str, float] = {}
+    for event in events:
+        if event.kind is EventKind.SECTIONS and event.place not in reached:
+            revision = orjson.loads(event.note).get(change.team, 0)
+            if revision >= change.revision:
+                reached[event.place] = event.time_ms
+    return max(reached.values()) - change.published_ms if len(reached) == nodes else None
+
+
+def wrongly_in_force(events: list[Event], changes: list[Change]) -> int:
+    """Return how often a node had a refused version of a section in force."""
+    refused = {(change.team, change.revision) for change in changes if not change.valid}
+    return sum(
+        (team, revision) in refused
+        for event in events
+        if event.kind is EventKind.SECTIONS
+        for team, revision in orjson.loads(event.note).items()
+    )
--- a/packages/basilhill_fakes/src/basilhill_fakes/scenarios/faults.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/faults.py
@@ -1,9 +1,8 @@
 """What the scenarios share that bring faults about under a steady load."""
 
 import asyncio
-from collections.abc import Iterable
 
-from basilhill_fakes.history import Event, EventKind, now_ms
+from basilhill_fakes.history import now_ms
 from basilhill_fakes.load_plans import LoadPhase, LoadPlan
 from basilhill_fakes.measurements import (
     Faults,
@@ -12,9 +11,9 @@
     common_fields,
     run_load,
 )
+from basilhill_fakes.queries.fleets import cut_off
 from basilhill_fakes.queries.goodput import (
     completions_ms,
-    is_completion,
     mixed_rate_per_s,
     rate_per_s,
 )
@@ -55,18 +54,6 @@
     }
 
 
-def cut_off(events: Iterable[Event], start_ms: float, end_ms: float) -> int:
-    """Return the requests that started to run within a span and were never answered whole."""
-    started: set[tuple[str, int]] = set()
-    answered: set[tuple[str, int]] = set()
-    for event in events:
-        if event.kind is EventKind.RUN_STARTED and start_ms <= event.time_ms < end_ms:
-            started.add((event.order, event.round))
-        elif is_completion(event):
-            answered.add((event.order, event.round))
-    return len(started - answered)
-
-
 async def until(start_ms: float, second: float) -> None:
     """Wait until a time after the start of the load, in seconds."""
     await asyncio.sleep(max(0.0, start_ms + second * 1000 - now_ms()) / 1000)
--- a/packages/basilhill_fakes/src/basilhill_fakes/scenarios/platform_down.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/platform_down.py
@@ -6,10 +6,12 @@
 import aiohttp
 from attrs import frozen
 
+from basilhill_fakes.commands.sections import change_section, watch_sections
 from basilhill_fakes.history import now_ms
 from basilhill_fakes.measurements import Measurement
+from basilhill_fakes.queries.sections import in_force_ms
 from basilhill_fakes.scenarios.faults import BEFORE_S, DURING_S, run_faults, until
-from basilhill_fakes.sections import Operators, in_force_ms, watch_sections
+from basilhill_fakes.sections import Operators, operators_of
 
 CHANGE_S = 2.0
 RESTART_S = BEFORE_S + 2.0
@@ -25,7 +27,7 @@
 
     async def run(self, measurement: Measurement) -> dict:
         """Run once; return the fields to report."""
-        operators = Operators.of(measurement)
+        operators = operators_of(measurement.document)
         ready: list[float] = []
 
         async def take_platform_down(measurement: Measurement, start_ms: float) -> None:
@@ -55,7 +57,7 @@
     vm = measurement.random.choice(fleet.topology.vms)
     faults_url = f"{fleet.topology.platform_url}/test/faults"
     await until(start_ms, CHANGE_S)
-    await operators.change(team, "change")
+    await change_section(operators, fleet, team, "change")
     await until(start_ms, BEFORE_S)
     measurement.say("the platform is down")
     await fleet.put(faults_url, {"down": True})
@@ -75,5 +77,5 @@
     await fleet.put(faults_url, {"down": False, "stale_revision": 1})
     await until(start_ms, BEFORE_S + DURING_S)
     await fleet.put(faults_url, {"stale_revision": 0})
-    await operators.change(team, "change-after")
+    await change_section(operators, fleet, team, "change-after")
     await until(start_ms, BEFORE_S + DURING_S + 6.0)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,8 +11,9 @@
 from attrs import define, field
 from basilhill_fakes.caller import CLIENT_DISTANCE_MS, Caller
 from basilhill_fakes.history import HistoryWriter, read_history
+from basilhill_fakes.pacing import PathSamples, pace
 from basilhill_fakes.processes import Fleet, new_fleet
-from basilhill_fakes.queries.histories import double_runs, false_refusals, wrong_answers
+from basilhill_fakes.queries.judgement import judge
 from basilhill_fakes.workloads import WORKLOADS, Workload
 from rich.console import Console
 from rich.progress import Progress
@@ -23,7 +24,8 @@
 BROWSES = 1000
 TRANSACTION_CONCURRENCY = 12
 BROWSE_CONCURRENCY = 16
-PROBES = 200
+PROBES_PER_S = 50
+PROBES_S = 4.0
 
 
 @define
@@ -62,19 +64,12 @@
 async def added_time(fleet: Fleet, caller: Caller) -> tuple[float, float]:
     """Return the p50 and p99 that a node adds to a call of its own backend server, in ms."""
     service, name = fleet.workload.probe.split(".")
-    call = fleet.workload.services[service].calls[name]
+    path = fleet.workload.services[service].calls[name].path
     vm = fleet.topology.servers_of(service)[0]
-    samples = {"direct": [], "node": []}
-    for _ in range(PROBES):
-        for name, base in (
-            ("direct", vm.backend_url),
-            ("node", f"{vm.front_url}/{service}"),
-        ):
-            started = time.perf_counter()
-            await caller.exchange(call.method, base + call.path, {})
-            samples[name].append((time.perf_counter() - started) * 1000)
-    quantiles = {name: statistics.quantiles(values, n=100) for name, values in samples.items()}
-    return tuple(quantiles["node"][i] - quantiles["direct"][i] for i in (49, 98))
+    direct = PathSamples(f"{vm.backend_url}{path}")
+    node = PathSamples(f"{vm.front_url}/{service}{path}")
+    await pace(caller, [direct, node], PROBES_PER_S, PROBES_S)
+    return tuple(node.quantile_ms(p) - direct.quantile_ms(p) for p in (50, 99))
 
 
 def print_table(workload: Workload, tallies: dict[str, Tally], console: Console) -> None:
@@ -131,7 +126,7 @@
     console.print(f"added per call by the node: p50 {added_p50:.2f} ms, p99 {added_p99:.2f} ms")
     console.print(f"logs: {directory.relative_to(ROOT)}")
     events = read_history(fleet.history)
-    violations = [*double_runs(events), *false_refusals(events), *wrong_answers(events)]
+    violations = judge(events, workload, (ROOT / workload.document).read_text()).violations()
     for violation in violations:
         console.print(f"broken promise: {violation.check}: {violation.text}")
     completed = all(tally.completed for tally in tallies.values())
