--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sections.py
@@ -0,0 +1,30 @@
+"""Operators who change sections of one document."""
+
+import asyncio
+
+from attrs import define, field, frozen
+from basilhill.queries.documents import split_sections
+
+
+@frozen
+class Change:
+    """Hold one published change of a section."""
+
+    team: str
+    revision: int
+    published_ms: float
+    valid: bool
+
+
+@define
+class Operators:
+    """Hold the sections as published last, and all changes."""
+
+    texts: dict[str, str]
+    changes: list[Change] = field(factory=list)
+    lock: asyncio.Lock = field(factory=asyncio.Lock)
+
+
+def operators_of(document: str) -> Operators:
+    """Return operators of a document that was published as the first revision."""
+    return Operators({section.team: section.text for section in split_sections(document, 1)})
