--- a/packages/basilhill/src/basilhill/admission.py
+++ b/packages/basilhill/src/basilhill/admission.py
@@ -1,18 +1,16 @@
 """State of a server's admission controller."""
 
-from attrs import define, field, frozen
+from collections import deque
 
-from basilhill.calls import CallContext
+from attrs import define, field, frozen
 
+from basilhill.calls import CallContext, PriorityClass
 
-@frozen(order=True)
-class QueueKey:
-    """Order waiting calls: class, then depth, then deadline, the best first."""
+CEILING_WINDOWS = 6
+"""Windows for which a closed cohort may still be closed at the sources, which learn levels late."""
 
-    class_rank: int
-    depth_rank: int
-    deadline_ms: int
-    sequence: int
+QueueKey = tuple[int, int, int, int]
+"""Class, depth, deadline and arrival of a waiting call; the greatest key gets the next slot."""
 
 
 @frozen
@@ -25,6 +23,48 @@
     enqueued_ms: int
 
 
+@define
+class CallTimes:
+    """Hold the measured times of one call.
+
+    A call holds its slot also while it waits for its internal calls. Its own time leaves that
+    out, so that a slow service downstream does not look like congestion of this server.
+    """
+
+    held_ms: float
+    least_own_ms: float
+    next_least_own_ms: float
+    rotated_ms: int
+
+
+@define
+class LevelWindow:
+    """Collect what happens between two adjustments of the admission level."""
+
+    started_ms: int = 0
+    delays_ms: list[int] = field(factory=list)
+    work_ms: dict[PriorityClass, float] = field(factory=lambda: dict.fromkeys(PriorityClass, 0.0))
+
+
+@define
+class LimitPeriod:
+    """Collect what happens between two decisions about the concurrency limit."""
+
+    started_ms: int = 0
+    stretches: float = 0.0
+    calls: int = 0
+    busy_ms: float = 0.0
+
+
+@define
+class LimitTrial:
+    """Remember the limit and the rate of work before the limit was lowered on trial."""
+
+    limit: float
+    rate: float
+    settled: bool = False
+
+
 @define
 class AdmissionState:
     """Hold the concurrency limit, the queue and the admission level of one server."""
@@ -35,7 +75,22 @@
     limit: float
     in_flight: int = 0
     level: int = 0
+    able: bool = True
     service_ms: float = 0.0
     sequence: int = 0
-    queue: dict[str, QueuedCall] = field(factory=dict)
-    window_delays_ms: list[int] = field(factory=list)
+    queue: list[QueuedCall] = field(factory=list)
+    waiting: dict[str, QueuedCall] = field(factory=dict)
+    times: dict[str, CallTimes] = field(factory=dict)
+    window: LevelWindow = field(factory=LevelWindow)
+    levels: deque[int] = field(factory=lambda: deque([0], maxlen=CEILING_WINDOWS))
+    densities: dict[PriorityClass, float] = field(factory=lambda: dict.fromkeys(PriorityClass, 0.0))
+    headroom: float = 1.0
+    used: float = 0.0
+    busy_ms: float = 0.0
+    busy_changed_ms: int = 0
+    window_busy_ms: float = 0.0
+    period: LimitPeriod = field(factory=LimitPeriod)
+    trial: LimitTrial | None = None
+    trial_pause_ms: int = 0
+    trial_after_ms: int = 0
+    stretch: float = 1.0
--- a/packages/basilhill/src/basilhill/commands/admission.py
+++ b/packages/basilhill/src/basilhill/commands/admission.py
@@ -1,69 +1,178 @@
 """Admit, queue, start and end calls of one server."""
 
-from enum import Enum
+from bisect import bisect_left, insort
 
+from attrs import frozen
 from expression import Error, Ok, Result
 
-from basilhill.admission import AdmissionState, QueuedCall
-from basilhill.calls import MAX_PRIORITY, CallContext
-from basilhill.queries.admission import expected_wait_ms, passes_level, queue_key
+from basilhill.admission import AdmissionState, CallTimes, LevelWindow, QueuedCall
+from basilhill.calls import COHORTS, CallContext, PriorityClass
+from basilhill.queries.admission import (
+    SATURATED,
+    busy_until,
+    delay_target_ms,
+    demand_level,
+    expected_wait_ms,
+    has_free_slot,
+    held_ms,
+    key_of,
+    mean_delay_ms,
+    open_cohorts,
+    passes_level,
+    queue_key,
+    utilisation,
+)
 from basilhill.verdicts import Reason, Refusal, not_run
 
-SERVICE_TIME_WEIGHT = 0.1
-QUEUE_DELAY_TARGET_MS = 20
-LEVEL_STEP_UP = 8
-LEVEL_STEP_DOWN = 8
+HELD_WEIGHT = 0.1
+DENSITY_WEIGHT = 0.1
+# A class that is refused at its sources cannot be measured. Forgetting its demand by half in
+# about 3 s opens it again, and the queue delay tells whether that was right.
+DENSITY_DECAY = 0.98
+MIN_OPEN_COHORTS = 8
+LEVEL_WEIGHT = 0.5
+USED_WEIGHT = 0.3
+HEADROOM_MIN, HEADROOM_MAX = 0.7, 1.4
+HEADROOM_DOWN, HEADROOM_UP = 0.98, 1.02
+LEAST_TIME_ROTATION_MS = 60_000
 
 
-class Admission(Enum):
-    """Tell whether an admitted call may start."""
+@frozen
+class Admission:
+    """Tell whether an admitted call may start, and which waiting call lost its place to it."""
 
-    START = "start"
-    WAIT = "wait"
+    started: bool
+    dropped: str = ""
 
 
 def admit_call(
-    state: AdmissionState, call_id: str, context: CallContext, now_ms: int
+    state: AdmissionState,
+    call_id: str,
+    call: str,
+    context: CallContext,
+    now_ms: int,
+    usual_ms: float = 0.0,
 ) -> Result[Admission, Refusal]:
     """Take a slot, join the queue or refuse a call."""
+    run_ms = held_ms(state, call, usual_ms)
+    if context.priority >= max(state.levels):
+        state.window.work_ms[context.priority_class] += run_ms
     if not passes_level(context, state.level):
         return Error(not_run(Reason.OVERLOADED, f"below admission level {state.level}"))
-    if now_ms + expected_wait_ms(state) + state.service_ms >= context.deadline_ms:
+    state.sequence += 1
+    key = queue_key(state, context)
+    if now_ms + expected_wait_ms(state, key) + run_ms >= context.deadline_ms:
         return Error(not_run(Reason.DEADLINE, "the call cannot finish in its remaining time"))
-    if state.in_flight < int(state.limit) and not state.queue:
-        state.in_flight += 1
-        return Ok(Admission.START)
+    if has_free_slot(state):
+        state.window.delays_ms.append(0)
+        take_slot(state, now_ms)
+        return Ok(Admission(True))
+    dropped = ""
     if len(state.queue) >= state.queue_limit:
-        return Error(not_run(Reason.OVERLOADED, "the queue is full"))
-    state.sequence += 1
-    state.queue[call_id] = QueuedCall(queue_key(state, context), call_id, context, now_ms)
-    return Ok(Admission.WAIT)
+        if not state.queue or key <= state.queue[0].key:
+            close_lower_classes(state, context)
+            return Error(not_run(Reason.OVERLOADED, "the queue is full"))
+        dropped = state.queue[0].call_id
+        drop_queued(state, dropped, now_ms)
+    queued = QueuedCall(key, call_id, context, now_ms)
+    insort(state.queue, queued, key=key_of)
+    state.waiting[call_id] = queued
+    return Ok(Admission(False, dropped))
 
 
 def start_queued(state: AdmissionState, queued: QueuedCall, now_ms: int) -> None:
     """Move a waiting call into a slot."""
-    del state.queue[queued.call_id]
-    state.window_delays_ms.append(now_ms - queued.enqueued_ms)
-    state.in_flight += 1
+    leave_queue(state, queued.call_id)
+    state.window.delays_ms.append(now_ms - queued.enqueued_ms)
+    take_slot(state, now_ms)
+
+
+def drop_queued(state: AdmissionState, call_id: str, now_ms: int) -> None:
+    """Remove a waiting call that gets no slot because of overload."""
+    queued = state.waiting.get(call_id)
+    if queued is not None:
+        leave_queue(state, call_id)
+        state.window.delays_ms.append(now_ms - queued.enqueued_ms)
+        close_lower_classes(state, queued.context)
 
 
 def leave_queue(state: AdmissionState, call_id: str) -> None:
     """Remove a call that no longer waits."""
-    state.queue.pop(call_id, None)
+    queued = state.waiting.pop(call_id, None)
+    if queued is not None:
+        del state.queue[bisect_left(state.queue, queued.key, key=key_of)]
+
 
+def close_lower_classes(state: AdmissionState, context: CallContext) -> None:
+    """Refuse every lower class as long as a call of this class gets no slot."""
+    state.level = max(state.level, context.priority_class * COHORTS)
 
-def end_call(state: AdmissionState, service_ms: int | None) -> None:
-    """Free the slot of a call and learn from its duration, if it completed."""
+
+def take_slot(state: AdmissionState, now_ms: int) -> None:
+    """Count one more call in flight."""
+    count_busy(state, now_ms)
+    state.in_flight += 1
+
+
+def free_slot(state: AdmissionState, now_ms: int) -> None:
+    """Count one call less in flight."""
+    count_busy(state, now_ms)
     state.in_flight -= 1
-    if service_ms is not None:
-        state.service_ms += SERVICE_TIME_WEIGHT * (service_ms - state.service_ms)
-
-
-def adjust_level(state: AdmissionState) -> None:
-    """Move the admission level by the queue delay since the last adjustment."""
-    delays = state.window_delays_ms
-    if delays and min(delays) > QUEUE_DELAY_TARGET_MS:
-        state.level = min(MAX_PRIORITY, state.level + LEVEL_STEP_UP)
-    else:
-        state.level = max(0, state.level - LEVEL_STEP_DOWN)
-    state.window_delays_ms = []
+
+
+def count_busy(state: AdmissionState, now_ms: int) -> None:
+    """Add up the slot time used until now."""
+    state.busy_ms = busy_until(state, now_ms)
+    state.busy_changed_ms = now_ms
+
+
+def record_times(state: AdmissionState, call: str, whole_ms: int, own_ms: int, now_ms: int) -> None:
+    """Learn from a completed call how long it held its slot and how long it ran itself."""
+    own_ms = max(1, own_ms)
+    times = state.times.get(call)
+    if times is None:
+        times = state.times[call] = CallTimes(whole_ms, own_ms, own_ms, now_ms)
+    if now_ms - times.rotated_ms >= LEAST_TIME_ROTATION_MS:
+        times.least_own_ms, times.next_least_own_ms = times.next_least_own_ms, own_ms
+        times.rotated_ms = now_ms
+    times.least_own_ms = min(times.least_own_ms, own_ms)
+    times.next_least_own_ms = min(times.next_least_own_ms, own_ms)
+    times.held_ms += HELD_WEIGHT * (whole_ms - times.held_ms)
+    state.service_ms += (HELD_WEIGHT if state.service_ms else 1.0) * (whole_ms - state.service_ms)
+    stretch = own_ms / times.least_own_ms
+    state.stretch += HELD_WEIGHT * (stretch - state.stretch)
+    state.period.stretches += stretch
+    state.period.calls += 1
+
+
+def adjust_level(state: AdmissionState, now_ms: int) -> None:
+    """Move the admission level by the queue delay and the demand since the last adjustment."""
+    learn_demand(state, now_ms)
+    used = utilisation(state, now_ms)
+    state.used += USED_WEIGHT * (used - state.used)
+    overloaded = mean_delay_ms(state, now_ms) > delay_target_ms(state)
+    if overloaded:
+        state.headroom = max(HEADROOM_MIN, state.headroom * HEADROOM_DOWN)
+    elif used < SATURATED:
+        state.headroom = min(HEADROOM_MAX, state.headroom * HEADROOM_UP)
+    if overloaded or state.level > 0:
+        wanted = demand_level(state)
+        if overloaded or wanted < state.level:
+            state.level = round(state.level + LEVEL_WEIGHT * (wanted - state.level))
+    state.levels.append(state.level)
+    state.window = LevelWindow(now_ms)
+    state.window_busy_ms = busy_until(state, now_ms)
+
+
+def learn_demand(state: AdmissionState, now_ms: int) -> None:
+    """Estimate the slots wanted per cohort of each class, from cohorts open for some time."""
+    window_ms = max(1, now_ms - state.window.started_ms)
+    ceiling = max(state.levels)
+    for priority_class in PriorityClass:
+        cohorts = open_cohorts(priority_class, ceiling)
+        if cohorts < MIN_OPEN_COHORTS:
+            state.densities[priority_class] *= DENSITY_DECAY
+            continue
+        measured = state.window.work_ms[priority_class] / window_ms / cohorts
+        density = state.densities[priority_class]
+        state.densities[priority_class] = density + DENSITY_WEIGHT * (measured - density)
--- a/packages/basilhill/src/basilhill/commands/fleet.py
+++ b/packages/basilhill/src/basilhill/commands/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from basilhill.commands.routing import drop_subsets, record_levels
 from basilhill.fleet import FleetView, Heartbeat, VmEntry, VmState
 from basilhill.loads import RoutingTable, ServerLoad
 
@@ -15,6 +16,7 @@
 ) -> None:
     """Replace the fleet list and the servers to route to."""
     fleet.vms = {entry.node: entry for entry in entries}
+    known = frozenset(routing.servers)
     for node in list(routing.servers):
         if node not in fleet.vms:
             del routing.servers[node]
@@ -26,6 +28,8 @@
             server = ServerLoad(entry.node, entry.service, entry.data_centre, now_ms)
             routing.servers[entry.node] = server
         server.leaving = server.leaving or entry.state is VmState.LEAVING
+    if known != frozenset(routing.servers):
+        drop_subsets(routing)
 
 
 def record_heartbeat(
@@ -41,3 +45,5 @@
     server.level_ms = now_ms
     server.reported_in_flight = heartbeat.in_flight
     server.reported_limit = heartbeat.limit
+    server.in_flight_at_report = server.in_flight
+    record_levels(routing, node, heartbeat.levels, now_ms)
--- a/packages/basilhill/src/basilhill/commands/routing.py
+++ b/packages/basilhill/src/basilhill/commands/routing.py
@@ -1,10 +1,34 @@
 """Record what a node learns of the servers that it routes to."""
 
-from basilhill.loads import LevelReport, RoutingTable, ServerLoad
+from random import Random
+
+from basilhill.documents import CallPolicy, Document
+from basilhill.loads import LevelReport, RoutingTable, ServerLoad, SourceGate, Subset
+from basilhill.queries.routing import find_subset, may_eject, strictest_level
 from basilhill.verdicts import ServiceLevel
 
 EJECT_AFTER_FAILURES = 5
-EJECTION_MS = 5_000
+EJECTION_MS = 2_000
+EJECTION_MAX_MS = 60_000
+EJECTION_JITTER = 0.2
+# A server is no longer treated as a repeat offender after this time without an ejection.
+EJECTIONS_KEPT_MS = 120_000
+# Recomputing the level for every refused call would cost most when there is least time.
+GATE_MS = 20
+
+
+def use_subset(table: RoutingTable, service: str, now_ms: int) -> Subset:
+    """Return the subset of a service and note that it is used."""
+    subset = table.subsets.get(service)
+    if subset is None:
+        subset = table.subsets[service] = find_subset(table, service)
+    subset.used_ms = now_ms
+    return subset
+
+
+def drop_subsets(table: RoutingTable) -> None:
+    """Form the subsets anew after the fleet changed."""
+    table.subsets.clear()
 
 
 def begin_call(server: ServerLoad) -> None:
@@ -12,19 +36,54 @@
     server.in_flight += 1
 
 
-def end_call(server: ServerLoad, failed: bool, now_ms: int) -> None:
-    """Count a call to a server as over and eject the server after repeated failures."""
+def end_call(
+    table: RoutingTable, server: ServerLoad, failed: bool, now_ms: int, random: Random
+) -> bool:
+    """Count a call to a server as over; return whether the server was ejected for failures."""
     server.in_flight -= 1
     server.failures = server.failures + 1 if failed else 0
-    if server.failures >= EJECT_AFTER_FAILURES:
-        server.ejected_until_ms = now_ms + EJECTION_MS
-        server.failures = 0
+    subset = table.subsets.get(server.service)
+    if server.failures < EJECT_AFTER_FAILURES or subset is None or not may_eject(subset, now_ms):
+        return False
+    if now_ms - server.ejected_until_ms > EJECTIONS_KEPT_MS:
+        server.ejections = 0
+    period_ms = min(EJECTION_MAX_MS, EJECTION_MS * 2**server.ejections)
+    jitter = random.uniform(1 - EJECTION_JITTER, 1 + EJECTION_JITTER)
+    server.ejected_until_ms = now_ms + int(period_ms * jitter)
+    server.ejections += 1
+    server.failures = 0
+    return True
 
 
 def record_levels(
     table: RoutingTable, reporter: str, levels: tuple[ServiceLevel, ...], now_ms: int
 ) -> None:
-    """Store the admission levels that a peer reported."""
+    """Store the admission levels that a peer reported, its own and those it knows."""
+    server = table.servers.get(reporter)
     for level in levels:
-        report = LevelReport(level.level, now_ms)
-        table.levels.setdefault(level.service, {})[reporter] = report
+        if server is not None and server.service == level.service:
+            server.level, server.level_ms = level.level, now_ms
+        else:
+            report = LevelReport(level.level, now_ms)
+            table.levels.setdefault(level.service, {})[reporter] = report
+
+
+def expire_levels(table: RoutingTable, now_ms: int, lifetime_ms: int) -> None:
+    """Forget reports that are too old to be used."""
+    for reports in table.levels.values():
+        old = [name for name, r in reports.items() if now_ms - r.reported_ms >= lifetime_ms]
+        for name in old:
+            del reports[name]
+
+
+def source_gate(
+    table: RoutingTable, document: Document, call: CallPolicy, now_ms: int, lifetime_ms: int
+) -> SourceGate:
+    """Return the strictest admission level on a call's way, computed at most every GATE_MS."""
+    gate = table.gates.get(call.full_name)
+    if gate is None or gate.document is not document or now_ms - gate.computed_ms >= GATE_MS:
+        use_subset(table, call.service, now_ms)
+        strictest = strictest_level(table, document, call, now_ms, lifetime_ms)
+        gate = SourceGate(document, strictest.service, strictest.level, now_ms)
+        table.gates[call.full_name] = gate
+    return gate
--- a/packages/basilhill/src/basilhill/fleet.py
+++ b/packages/basilhill/src/basilhill/fleet.py
@@ -4,6 +4,8 @@
 
 from attrs import define, field, frozen
 
+from basilhill.verdicts import ServiceLevel
+
 
 class VmState(Enum):
     """Tell whether a VM serves or is leaving."""
@@ -31,6 +33,7 @@
     in_flight: int
     limit: int
     digest: str = ""
+    levels: tuple[ServiceLevel, ...] = ()
 
 
 @define
--- a/packages/basilhill/src/basilhill/queries/routing.py
+++ b/packages/basilhill/src/basilhill/queries/routing.py
@@ -1,5 +1,7 @@
 """Choose servers and read admission levels."""
 
+from collections.abc import Iterable
+from hashlib import blake2b
 from random import Random
 from statistics import median_low
 
@@ -7,55 +9,120 @@
 
 from basilhill.calls import CallContext
 from basilhill.documents import CallPolicy, Document
-from basilhill.loads import RoutingTable, ServerLoad
+from basilhill.loads import RoutingTable, ServerLoad, Subset
 from basilhill.queries.admission import passes_level
 from basilhill.queries.documents import called_services
 from basilhill.verdicts import Reason, Refusal, ServiceLevel, not_run
 
+# Part of a subset that stays open to other data centres, to which calls spill over.
+FAR_SHARE = 0.25
+LEAST_RAMP_SHARE = 0.1
+# Servers first seen together with the oldest one were there before this node; they are warm.
+WARM_MS = 1_000
+EJECTED_SHARE = 1 / 3
+
+
+def find_subset(table: RoutingTable, service: str) -> Subset:
+    """Return the servers of a service that this node uses, by rendezvous hash."""
+    servers = [server for server in table.servers.values() if server.service == service]
+    oldest_ms = min((server.first_seen_ms for server in servers), default=0)
+    servers.sort(key=lambda server: rank(table.node, server.node))
+    near = [server for server in servers if server.data_centre == table.data_centre]
+    far = [server for server in servers if server.data_centre != table.data_centre]
+    kept_far = min(len(far), int(table.subset_size * FAR_SHARE))
+    near = near[: table.subset_size - kept_far]
+    return Subset(near + far[: table.subset_size - len(near)], oldest_ms)
+
+
+def rank(node: str, server: str) -> bytes:
+    """Return the rank of a server for a node, as in rendezvous hashing."""
+    return blake2b(f"{node}/{server}".encode(), digest_size=8).digest()
+
 
 def usable_servers(
-    table: RoutingTable, service: str, now_ms: int, excluded: frozenset[str] = frozenset()
+    table: RoutingTable, subset: Subset, now_ms: int, excluded: frozenset[str] = frozenset()
 ) -> list[ServerLoad]:
-    """Return the servers of a service that may get new work."""
-    return [
+    """Return the servers that may get new work, the doubtful ones only if there is no other."""
+    present = [
         server
-        for server in table.servers.values()
-        if server.service == service
-        and not server.leaving
-        and server.ejected_until_ms <= now_ms
+        for server in subset.servers
+        if not server.leaving
         and server.node not in excluded
+        and table.servers.get(server.node) is server
     ]
+    able = [server for server in present if server.reported_limit > 0]
+    sound = [s for s in able if s.ejected_until_ms <= now_ms and not lease_ended(s, now_ms)]
+    return sound or able or present
+
+
+def lease_ended(server: ServerLoad, now_ms: int) -> bool:
+    """Tell whether a server was heard of once and then fell silent."""
+    return 0 < server.lease_until_ms <= now_ms
 
 
 def choose_server(
     table: RoutingTable,
-    service: str,
+    subset: Subset,
+    context: CallContext,
     now_ms: int,
     random: Random,
     excluded: frozenset[str] = frozenset(),
+    own_free: bool = False,
 ) -> Result[ServerLoad, Refusal]:
-    """Return the less loaded of two servers, in the nearest data centre first."""
-    usable = usable_servers(table, service, now_ms, excluded)
-    near = [server for server in usable if server.data_centre == table.data_centre]
-    candidates = [server for server in near if load_of(server) < 1.0] or usable
-    if not candidates:
-        return Error(not_run(Reason.NO_SERVER, f"no server of {service} is available"))
+    """Return the own server if it is free, else the less loaded of two random ones."""
+    usable = usable_servers(table, subset, now_ms, excluded)
+    if not usable:
+        return Error(not_run(Reason.NO_SERVER, "no server of the service is available"))
+    if own_free:
+        for server in usable:
+            if server.node == table.node:
+                return Ok(server)
+    admitting = [s for s in usable if passes_level(context, s.level)] or usable
+    loads = {server.node: load_of(table, subset, server, now_ms) for server in admitting}
+    free = [server for server in admitting if loads[server.node] < 1.0]
+    near = [server for server in free if server.data_centre == table.data_centre]
+    candidates = near or free or admitting
     pair = random.sample(candidates, min(2, len(candidates)))
-    return Ok(min(pair, key=load_of))
+    return Ok(min(pair, key=lambda server: loads[server.node]))
+
 
+def load_of(table: RoutingTable, subset: Subset, server: ServerLoad, now_ms: int) -> float:
+    """Return the load of a server per unit of the concurrency limit that it may use now.
 
-def load_of(server: ServerLoad) -> float:
-    """Return the load of a server per unit of its concurrency limit."""
-    in_flight = max(server.in_flight, server.reported_in_flight)
-    return in_flight / max(1, server.reported_limit)
+    Own calls since the last report count on top of it, and recent failures make it look fuller.
+    """
+    since_report = server.in_flight - server.in_flight_at_report
+    in_flight = max(server.in_flight, server.reported_in_flight + since_report)
+    share = ramp_share(table, subset, server, now_ms)
+    load = in_flight / (max(1, server.reported_limit) * share)
+    return (load + 0.01) * (1 + server.failures)
 
 
-def service_level(table: RoutingTable, service: str, now_ms: int, lifetime_ms: int) -> int:
-    """Return the admission level of a service, from own measurements and from reports."""
+def ramp_share(table: RoutingTable, subset: Subset, server: ServerLoad, now_ms: int) -> float:
+    """Return the share of its limit that a new or formerly ejected server may use."""
+    since_ms = server.ejected_until_ms
+    if server.first_seen_ms > subset.oldest_ms + WARM_MS:
+        since_ms = max(since_ms, server.first_seen_ms)
+    if since_ms == 0:
+        return 1.0
+    return min(1.0, max(LEAST_RAMP_SHARE, (now_ms - since_ms) / table.ramp_ms))
+
+
+def may_eject(subset: Subset, now_ms: int) -> bool:
+    """Tell whether one more server of a service may be ejected."""
+    ejected = sum(server.ejected_until_ms > now_ms for server in subset.servers)
+    return ejected + 1 <= len(subset.servers) * EJECTED_SHARE
+
+
+def service_level(table: RoutingTable, service: str, now_ms: int, lifetime_ms: int) -> int | None:
+    """Return the admission level of a service, by its own servers or by reports, if known."""
+    subset = table.subsets.get(service)
     own = [
         server.level
-        for server in table.servers.values()
-        if server.service == service and now_ms - server.level_ms < lifetime_ms
+        for server in (subset.servers if subset else ())
+        if server.level_ms > 0
+        and now_ms - server.level_ms < lifetime_ms
+        and server.reported_limit > 0
     ]
     reports = [
         report.level
@@ -63,30 +130,21 @@
         if now_ms - report.reported_ms < lifetime_ms
     ]
     levels = own or reports
-    return median_low(levels) if levels else 0
+    return median_low(levels) if levels else None
 
 
 def known_levels(
-    table: RoutingTable, document: Document, call: CallPolicy, now_ms: int, lifetime_ms: int
+    table: RoutingTable, services: Iterable[str], now_ms: int, lifetime_ms: int
 ) -> tuple[ServiceLevel, ...]:
-    """Return the levels of the services that a call reaches, where they refuse anything."""
-    levels = (
-        ServiceLevel(service, service_level(table, service, now_ms, lifetime_ms))
-        for service in called_services(document, call)
-    )
-    return tuple(level for level in levels if level.level > 0)
+    """Return the known levels of some services; level 0 too, which ends an older report."""
+    known = ((name, service_level(table, name, now_ms, lifetime_ms)) for name in services)
+    return tuple(ServiceLevel(name, level) for name, level in known if level is not None)
 
 
-def refusing_service(
-    table: RoutingTable,
-    document: Document,
-    call: CallPolicy,
-    context: CallContext,
-    now_ms: int,
-    lifetime_ms: int,
-) -> str | None:
-    """Return a service on the call's way whose admission level refuses the action."""
-    for service in (call.service, *called_services(document, call)):
-        if not passes_level(context, service_level(table, service, now_ms, lifetime_ms)):
-            return service
-    return None
+def strictest_level(
+    table: RoutingTable, document: Document, call: CallPolicy, now_ms: int, lifetime_ms: int
+) -> ServiceLevel:
+    """Return the highest admission level on a call's way."""
+    services = (call.service, *called_services(document, call))
+    levels = known_levels(table, services, now_ms, lifetime_ms)
+    return max(levels, key=lambda level: level.level, default=ServiceLevel(call.service, 0))
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/suspects.py
@@ -0,0 +1,51 @@
+"""Recognise requests that may have crashed a backend server."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from basilhill.calls import CallRequest
+from basilhill.suspects import SuspectTable, Suspicion
+
+# A request that ran during two crashes is held to be their cause.
+CRASHES_ALLOWED = 2
+
+
+def fingerprint_of(request: CallRequest, header_names: Iterable[str]) -> str:
+    """Return the hash of a request, with those of its headers that settings name."""
+    names = frozenset(header_names)
+    digest = blake2b(digest_size=16)
+    parts = [request.service, request.method, request.path]
+    parts.extend(
+        f"{header.name.lower()}:{header.value}"
+        for header in request.headers
+        if header.name.lower() in names
+    )
+    for part in (*(part.encode() for part in parts), request.body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def suspicion_of(table: SuspectTable, fingerprint: str, now_ms: int) -> Suspicion:
+    """Tell how a request is treated."""
+    record = table.records.get(fingerprint)
+    if record is None or now_ms >= record.expires_ms:
+        return Suspicion.NONE
+    refused = len(record.crashes) >= CRASHES_ALLOWED
+    return Suspicion.REFUSED if refused else Suspicion.SUSPECT
+
+
+def suspect_server(table: SuspectTable, fingerprint: str, servers: Iterable[str]) -> str | None:
+    """Return the one server that may run a suspect.
+
+    Every node names the same one from the same servers, so that copies of a suspect do not run
+    on several servers at once. A server that crashed is named only if there is no other.
+    """
+    crashed = {crash.rsplit("/", 1)[0] for crash in table.records[fingerprint].crashes}
+    ranked = sorted(servers, key=lambda server: (server in crashed, weight(fingerprint, server)))
+    return ranked[0] if ranked else None
+
+
+def weight(fingerprint: str, server: str) -> bytes:
+    """Return the rank of a server for a fingerprint, as in rendezvous hashing."""
+    return blake2b(f"{fingerprint}/{server}".encode(), digest_size=8).digest()
--- a/packages/basilhill/src/basilhill/settings.py
+++ b/packages/basilhill/src/basilhill/settings.py
@@ -28,6 +28,7 @@
     "subset_size": 20,
     "ramp_ms": 10_000,
     "suspect_ttl_ms": 60_000,
+    "fingerprint_headers": ("content-type",),
     "heartbeat_ms": 500,
     "lease_ms": 2_000,
     "pause_ms": 1_000,
@@ -73,6 +74,7 @@
     subset_size: int
     ramp_ms: int
     suspect_ttl_ms: int
+    fingerprint_headers: tuple[str, ...]
     heartbeat_ms: int
     lease_ms: int
     pause_ms: int
--- a/packages/basilhill_fakes/src/basilhill_fakes/processes.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/processes.py
@@ -92,6 +92,7 @@
             "service": vm.service,
             "platform_url": self.topology.platform_url,
             "administration_address": vm.address,
+            "fingerprint_headers": ("x-order",),
             **self.settings,
         }
         delays = {
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -12,6 +12,8 @@
 
 from basilhill_node.headers import CONTEXT, TIMEOUT, forwarded_headers, reference_text
 
+PROBE_TIMEOUT_S = 1.0
+
 
 class BackendServer(Protocol):
     """Run calls on a backend server."""
@@ -20,6 +22,10 @@
         """Run one call; return its complete answer or whether it may have run."""
         ...
 
+    async def probe(self) -> bool:
+        """Tell whether the backend server accepts requests."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
@@ -30,6 +36,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.base = f"http://{settings.address}:{settings.backend_port}"
+        self.health_path = settings.health_path
         self.body_limit = settings.body_limit
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
@@ -71,6 +78,15 @@
                 return Error(may_have_run(Reason.TRUNCATED, "the answer has no length"))
             return Ok(Answer(response.status, forwarded_headers(response.headers), body))
 
+    async def probe(self) -> bool:
+        """Tell whether the backend server accepts requests."""
+        try:
+            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+            async with self.session.get(self.base + self.health_path, timeout=timeout):
+                return True
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
@@ -1,18 +1,24 @@
 """Send a call to a server that may run it, and retry within the budget."""
 
+from http import HTTPStatus
+
 from attrs import evolve, frozen
 from basilhill.budgets import RetryBudget
 from basilhill.calls import CallContext, CallRequest
 from basilhill.commands.budgets import lend_retries, repay_retries, spend_retry
-from basilhill.commands.routing import begin_call, end_call, record_levels
+from basilhill.commands.routing import begin_call, end_call, record_levels, source_gate
 from basilhill.documents import CallPolicy
 from basilhill.loads import ServerLoad
+from basilhill.queries.admission import has_free_slot, passes_level
 from basilhill.queries.budgets import lendable_retries
-from basilhill.queries.routing import choose_server, refusing_service
+from basilhill.queries.routing import choose_server
+from basilhill.suspects import Suspicion
 from basilhill.verdicts import CallReply, Reason, Refusal, Verdict, not_run, verdict_of
-from expression import Error
+from expression import Error, Ok, Result
 
 from basilhill_node.commands.execute_call import execute_call
+from basilhill_node.commands.keep_streams import use_service
+from basilhill_node.commands.screen_call import named_server, suspect_refusal, suspicion
 from basilhill_node.state import NodeState
 
 RETRY_AFTER_MIN_MS = 500
@@ -38,9 +44,7 @@
         refusal = refuse_at_source(node, call)
         if refusal is not None:
             return last or CallReply(Error(refusal))
-        chosen = choose_server(
-            node.routing, call.request.service, node.clock.now_ms(), node.random, excluded
-        )
+        chosen = pick_server(node, call, excluded)
         if chosen.is_error():
             return last or CallReply(Error(chosen.error))
         server = chosen.ok
@@ -53,21 +57,40 @@
         excluded |= {server.node}
 
 
+def pick_server(
+    node: NodeState, call: OpenCall, excluded: frozenset[str]
+) -> Result[ServerLoad, Refusal]:
+    """Return the server that gets a call, or why none may get it."""
+    service = call.request.service
+    found = suspicion(node, call.request)
+    if found is Suspicion.REFUSED:
+        return Error(suspect_refusal())
+    if found is Suspicion.SUSPECT:
+        named = named_server(node, call.request)
+        if named is None or named in excluded:
+            return Error(suspect_refusal())
+        return Ok(node.routing.servers[named])
+    return choose_server(
+        node.routing,
+        use_service(node, service),
+        call.context,
+        node.clock.now_ms(),
+        node.random,
+        excluded,
+        own_free=service == node.settings.service and has_free_slot(node.admission),
+    )
+
+
 def refuse_at_source(node: NodeState, call: OpenCall) -> Refusal | None:
     """Return a refusal if a service on the call's way would refuse it."""
     now_ms = node.clock.now_ms()
-    service = refusing_service(
-        node.routing,
-        node.document,
-        call.policy,
-        call.context,
-        now_ms,
-        node.settings.level_lifetime_ms,
+    gate = source_gate(
+        node.routing, node.document, call.policy, now_ms, node.settings.level_lifetime_ms
     )
-    if service is not None:
-        node.log.record("admit", call.context.action_id, "refused at source", service)
+    if not passes_level(call.context, gate.level) and not node.disabled("levels"):
+        node.log.record("admit", call.context.action_id, "refused at source", gate.service)
         retry_after_ms = node.random.randint(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
-        return not_run(Reason.OVERLOADED, f"{service} is overloaded", retry_after_ms)
+        return not_run(Reason.OVERLOADED, f"{gate.service} is overloaded", retry_after_ms)
     if call.context.deadline_ms - now_ms < call.policy.usual_ms:
         return not_run(Reason.DEADLINE, "the remaining time is below the usual time")
     return None
@@ -91,14 +114,27 @@
     finally:
         repay_retries(call.budget, loan, spent)
         failed = reply is not None and is_failure(reply)
-        end_call(server, failed, node.clock.now_ms())
+        finish(node, server, failed)
         if reply is not None:
             record_levels(node.routing, server.node, reply.levels, node.clock.now_ms())
 
 
+def finish(node: NodeState, server: ServerLoad, failed: bool) -> None:
+    """Count a call to a server as over; stop using the server after repeated failures."""
+    failed = failed and not node.disabled("ejection")
+    if end_call(node.routing, server, failed, node.clock.now_ms(), node.random):
+        period_ms = server.ejected_until_ms - node.clock.now_ms()
+        node.log.record("route", "", f"ejected {server.node} for {period_ms} ms")
+
+
 def is_failure(reply: CallReply) -> bool:
-    """Tell whether a reply speaks against the server that gave it."""
-    return reply.outcome.is_error() and reply.outcome.error.reason in (
+    """Tell whether a reply speaks against the server that gave it.
+
+    Other statuses than 500 may tell of a server further down, and a deadline of a slow one.
+    """
+    if reply.outcome.is_ok():
+        return reply.outcome.ok.status == HTTPStatus.INTERNAL_SERVER_ERROR
+    return reply.outcome.error.reason in (
         Reason.UNREACHABLE,
         Reason.CONNECTION_LOST,
         Reason.TRUNCATED,
--- a/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
@@ -6,17 +6,17 @@
 from basilhill.budgets import RetryBudget
 from basilhill.calls import CallContext, CallRequest, ParentReference
 from basilhill.commands.admission import (
-    Admission,
     admit_call,
-    end_call,
+    drop_queued,
+    free_slot,
     leave_queue,
+    record_times,
     start_queued,
 )
 from basilhill.commands.executions import forget_execution, settle_execution, start_execution
 from basilhill.documents import CallPolicy
-from basilhill.queries.admission import next_queued
+from basilhill.queries.admission import next_queued, wait_limit_ms
 from basilhill.queries.documents import find_call
-from basilhill.queries.routing import known_levels
 from basilhill.verdicts import (
     CallReply,
     Outcome,
@@ -29,6 +29,9 @@
 )
 from expression import Error, Ok, Result
 
+from basilhill_node.commands.screen_call import judge_run, screen_call
+from basilhill_node.commands.watch_backend import note_outcome
+from basilhill_node.queries.loads import own_levels
 from basilhill_node.state import NodeState, ParentCall
 
 
@@ -60,62 +63,77 @@
     node: NodeState, context: CallContext, policy: CallPolicy, request: CallRequest
 ) -> CallReply:
     """Wait for a slot, run the call and free the slot."""
-    action_id = context.action_id
-    entered = await enter(node, context)
-    if entered.is_error():
-        node.log.record("admit", action_id, f"refused {policy.full_name}", entered.error.text)
-        return CallReply(Error(entered.error))
-    node.log.record("admit", action_id, f"started {policy.full_name}")
-    started_ms = node.clock.now_ms()
-    completed = False
-    try:
-        reply = await run_parent(node, context, policy, request)
-        completed = reply.outcome.is_ok()
+    async with screen_call(node, request) as refusal:
+        if refusal is not None:
+            node.log.record("admit", context.action_id, f"refused {policy.full_name}", refusal.text)
+            return CallReply(Error(refusal))
+        entered = await enter(node, context, policy)
+        if entered.is_error():
+            text = entered.error.text
+            node.log.record("admit", context.action_id, f"refused {policy.full_name}", text)
+            return CallReply(Error(entered.error), levels=own_levels(node, policy))
+        node.log.record("admit", context.action_id, f"started {policy.full_name}")
+        try:
+            reply = await run_parent(node, context, policy, request)
+        finally:
+            release_slot(node)
+        note_outcome(node, reply)
+        await judge_run(node, request, reply)
         return reply
-    finally:
-        service_ms = node.clock.now_ms() - started_ms
-        end_call(node.admission, service_ms if completed else None)
-        start_waiting(node)
 
 
-async def enter(node: NodeState, context: CallContext) -> Result[None, Refusal]:
+async def enter(node: NodeState, context: CallContext, policy: CallPolicy) -> Result[None, Refusal]:
     """Wait until a slot is free; refuse when that takes too long."""
     if node.leaving:
         return Error(not_run(Reason.LEAVING, "the server is leaving"))
+    if not node.admission.able:
+        return Error(not_run(Reason.UNREACHABLE, "the backend server is down"))
     call_id = secrets.token_hex(8)
     now_ms = node.clock.now_ms()
-    admitted = admit_call(node.admission, call_id, context, now_ms)
+    admitted = admit_call(
+        node.admission, call_id, policy.full_name, context, now_ms, policy.usual_ms
+    )
     if admitted.is_error():
         return Error(admitted.error)
-    if admitted.ok is Admission.START:
+    if admitted.ok.dropped:
+        node.slot_waiters[admitted.ok.dropped].set_result(
+            not_run(Reason.OVERLOADED, "a call of higher rank took the place in the queue")
+        )
+    if admitted.ok.started:
         return Ok(None)
+    wait_ms = min(context.deadline_ms - now_ms, wait_limit_ms(node.admission, context))
+    return await wait_for_slot(node, call_id, wait_ms)
+
+
+async def wait_for_slot(node: NodeState, call_id: str, wait_ms: int) -> Result[None, Refusal]:
+    """Wait in the queue for a bounded time."""
     waiter = asyncio.get_running_loop().create_future()
     node.slot_waiters[call_id] = waiter
-    wait_ms = min(context.deadline_ms - now_ms, node.settings.queue_ms)
     try:
         async with asyncio.timeout(wait_ms / 1000):
-            await waiter
-        return Ok(None)
+            refusal = await waiter
+        return Ok(None) if refusal is None else Error(refusal)
     except (TimeoutError, asyncio.CancelledError) as error:
-        if waiter.done() and not waiter.cancelled():
+        if waiter.done() and not waiter.cancelled() and waiter.result() is None:
             # The slot was granted in the same turn of the event loop; give it back.
-            end_call(node.admission, None)
-            start_waiting(node)
-        leave_queue(node.admission, call_id)
+            release_slot(node)
         if isinstance(error, TimeoutError):
+            drop_queued(node.admission, call_id, node.clock.now_ms())
             return Error(not_run(Reason.OVERLOADED, "no slot became free in time"))
         raise
     finally:
+        leave_queue(node.admission, call_id)
         del node.slot_waiters[call_id]
 
 
-def start_waiting(node: NodeState) -> None:
-    """Give free slots to waiting calls."""
+def release_slot(node: NodeState) -> None:
+    """Free a slot and give free slots to waiting calls."""
+    free_slot(node.admission, node.clock.now_ms())
     while (queued := next_queued(node.admission)) is not None:
         start_queued(node.admission, queued, node.clock.now_ms())
         waiter = node.slot_waiters[queued.call_id]
         if waiter.done():
-            end_call(node.admission, None)
+            free_slot(node.admission, node.clock.now_ms())
         else:
             waiter.set_result(None)
 
@@ -128,18 +146,18 @@
     parent = ParentCall(context, policy, RetryBudget(context.retry_allotment))
     node.parents[parent_call] = parent
     reference = ParentReference(node.settings.node, node.incarnation, parent_call)
-    timeout_ms = min(context.deadline_ms - node.clock.now_ms(), policy.timeout_ms)
+    started_ms = node.clock.now_ms()
+    timeout_ms = min(context.deadline_ms - started_ms, policy.timeout_ms)
     try:
         outcome = await node.backend.call(request, reference, timeout_ms)
     finally:
         del node.parents[parent_call]
         for task in parent.internal:
             task.cancel()
-    levels = known_levels(
-        node.routing,
-        node.document,
-        policy,
-        node.clock.now_ms(),
-        node.settings.level_lifetime_ms,
-    )
-    return CallReply(outcome, parent.budget.spent + parent.budget.lent, levels)
+    if outcome.is_ok():
+        now_ms = node.clock.now_ms()
+        whole_ms = now_ms - started_ms
+        own_ms = whole_ms - parent.internal_ms
+        record_times(node.admission, policy.full_name, whole_ms, own_ms, now_ms)
+    spent = parent.budget.spent + parent.budget.lent
+    return CallReply(outcome, spent, own_levels(node, policy))
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/commands/keep_streams.py
@@ -0,0 +1,38 @@
+"""Keep streams open to the servers that this node uses."""
+
+import asyncio
+
+from basilhill.commands.routing import use_subset
+
+from basilhill_node.state import NodeState
+
+KEEP_S = 1.0
+
+
+def use_service(node: NodeState, service: str):
+    """Return the servers of a service; open streams to them on the first use.
+
+    Servers report load and levels on streams, so choosing between two of them needs both open.
+    """
+    subset = use_subset(node.routing, service, node.clock.now_ms())
+    if not subset.opened:
+        subset.opened = True
+        touch_streams(node, subset)
+    return subset
+
+
+def touch_streams(node: NodeState, subset) -> None:
+    """Keep the streams to a subset open for a while."""
+    for server in subset.servers:
+        if server.node != node.settings.node:
+            node.peers.channel(server.node).touch()
+
+
+async def keep_streams(node: NodeState) -> None:
+    """Keep the streams to the services in use open until cancelled."""
+    while True:
+        await asyncio.sleep(KEEP_S)
+        used_after_ms = node.clock.now_ms() - node.settings.idle_peer_ms
+        for subset in tuple(node.routing.subsets.values()):
+            if subset.used_ms >= used_after_ms:
+                touch_streams(node, subset)
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -6,7 +6,7 @@
 
 from attrs import evolve, frozen
 from basilhill.budgets import RetryBudget
-from basilhill.calls import Arrival, CallContext, CallRequest
+from basilhill.calls import Arrival, CallContext, CallRequest, PriorityClass
 from basilhill.commands.budgets import lend_retries, repay_retries, take_permit
 from basilhill.commands.tokens import advance_sequence
 from basilhill.documents import CallPolicy
@@ -96,7 +96,7 @@
     context = CallContext(
         action_id_of(arrival),
         action.name,
-        action.priority_class,
+        PriorityClass.STANDARD if node.disabled("class-order") else action.priority_class,
         node.clock.now_ms() + timeout_ms,
         arrival.customer,
         retry_allotment=action.retries,
@@ -171,7 +171,8 @@
     task = node.spawn(run)
     parent.internal.add(task)
     try:
-        return await task
+        with node.internal_call(parent):
+            return await task
     except asyncio.CancelledError:
         task.cancel()
         raise
--- a/packages/basilhill_node/src/basilhill_node/encoding.py
+++ b/packages/basilhill_node/src/basilhill_node/encoding.py
@@ -1,7 +1,10 @@
 """Records as protobuf messages and back."""
 
+from collections.abc import Iterable
+
 from basilhill.calls import CallContext, CallRequest, PriorityClass
 from basilhill.fleet import Heartbeat, VmState
+from basilhill.suspects import SuspectReport
 from basilhill.verdicts import (
     Answer,
     CallReply,
@@ -124,10 +127,40 @@
         in_flight=heartbeat.in_flight,
         limit=heartbeat.limit,
         digest=heartbeat.digest,
+        levels=encode_levels(heartbeat.levels),
     )
 
 
 def decode_heartbeat(message: wire.Heartbeat) -> Heartbeat:
     """Decode a heartbeat."""
     state = VM_STATES[message.state]
-    return Heartbeat(state, message.level, message.in_flight, message.limit, message.digest)
+    return Heartbeat(
+        state,
+        message.level,
+        message.in_flight,
+        message.limit,
+        message.digest,
+        decode_levels(message.levels),
+    )
+
+
+def encode_suspects(reports: Iterable[SuspectReport]) -> wire.Suspects:
+    """Encode reports of requests that may crash servers."""
+    return wire.Suspects(
+        suspects=[
+            wire.Suspect(
+                fingerprint=report.fingerprint,
+                servers=sorted(report.crashes),
+                cleared=report.cleared,
+            )
+            for report in reports
+        ]
+    )
+
+
+def decode_suspects(message: wire.Suspects) -> tuple[SuspectReport, ...]:
+    """Decode reports of requests that may crash servers."""
+    return tuple(
+        SuspectReport(suspect.fingerprint, frozenset(suspect.servers), suspect.cleared)
+        for suspect in message.suspects
+    )
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -4,13 +4,14 @@
 import signal
 
 from basilhill.clocks import Clock, MonotonicClock
-from basilhill.commands.admission import adjust_level
 from basilhill.settings import NodeSettings
 from grpclib.server import Server
 from sanic import Sanic
 
 from basilhill_node.administration import build_administration
 from basilhill_node.backend_servers import HttpBackendServer
+from basilhill_node.commands.adjust_admission import adjust_admission
+from basilhill_node.commands.keep_streams import keep_streams
 from basilhill_node.commands.leave_fleet import finish_calls, start_leaving
 from basilhill_node.commands.read_platform import follow_document, follow_fleet
 from basilhill_node.front import build_front
@@ -18,7 +19,7 @@
 from basilhill_node.peer_server import PeerService
 from basilhill_node.peers import PeerClients
 from basilhill_node.platform import HttpPlatformClient
-from basilhill_node.state import NodeState, new_state
+from basilhill_node.state import new_state
 
 
 async def run_node(
@@ -29,7 +30,7 @@
         settings, clock or MonotonicClock(), network or DirectNetwork(), HttpBackendServer(settings)
     )
     node.peers = PeerClients(node)
-    service = PeerService(node)
+    service = node.callers = PeerService(node)
     peer_server = Server([service])
     await peer_server.start(settings.address, settings.peer_port)
     front = await serve_http(build_front(node), settings.address, settings.front_port)
@@ -41,7 +42,8 @@
         node.spawn(follow_document(node, platform)),
         node.spawn(follow_fleet(node, platform)),
         node.spawn(service.send_heartbeats()),
-        node.spawn(adjust_levels(node)),
+        node.spawn(adjust_admission(node)),
+        node.spawn(keep_streams(node)),
     ]
     node.log.record("node", "", f"serving {settings.service} at {settings.node}")
     await wait_for_signal()
@@ -65,13 +67,6 @@
     return server
 
 
-async def adjust_levels(node: NodeState) -> None:
-    """Move the admission level at fixed intervals until cancelled."""
-    while True:
-        await asyncio.sleep(node.settings.level_interval_ms / 1000)
-        adjust_level(node.admission)
-
-
 async def wait_for_signal() -> None:
     """Wait for SIGTERM or SIGINT."""
     stopped = asyncio.Event()
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -1,13 +1,14 @@
 """Incoming streams of other nodes, one task for each."""
 
 import asyncio
+from contextlib import suppress
 
 from attrs import define, field
 from basilhill.budgets import RetryBudget
 from basilhill.commands.executions import reject_execution
-from basilhill.fleet import Heartbeat, VmState
 from basilhill.queries.documents import find_call
 from basilhill.queries.executions import find_execution
+from basilhill.suspects import SuspectReport
 from basilhill.verdicts import CallReply, Reason, may_have_run, not_run
 from expression import Error
 
@@ -15,8 +16,10 @@
 from basilhill_node.commands.coordinate_call import coordinate_call, token_refusal
 from basilhill_node.commands.dispatch_call import OpenCall
 from basilhill_node.commands.execute_call import execute_call
+from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame
+from basilhill_node.queries.loads import own_heartbeat
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerBase
@@ -62,6 +65,9 @@
             self.start(incoming, frame.coordinate.call_id, self.coordinate(frame.coordinate))
         elif kind == "revoke":
             self.start(incoming, frame.revoke.call_id, self.revoke(frame.revoke))
+        elif kind == "suspects":
+            reports = encoding.decode_suspects(frame.suspects)
+            receive_reports(self.node, reports, from_service=True)
         elif kind == "cancel":
             task = incoming.calls.get(frame.cancel.call_id)
             if task is not None:
@@ -121,21 +127,21 @@
 
     def heartbeat_frame(self) -> wire.Frame:
         """Return this node's state and load."""
-        admission = self.node.admission
-        heartbeat = Heartbeat(
-            VmState.LEAVING if self.node.leaving else VmState.LIVE,
-            admission.level,
-            admission.in_flight + len(admission.queue),
-            int(admission.limit),
-        )
-        return wire.Frame(heartbeat=encoding.encode_heartbeat(heartbeat))
+        return wire.Frame(heartbeat=encoding.encode_heartbeat(own_heartbeat(self.node)))
 
     async def send_heartbeats(self) -> None:
-        """Report state and load to all peers until cancelled."""
+        """Report state and load to all peers, at once after a change, until cancelled."""
         while True:
-            await asyncio.sleep(self.node.settings.heartbeat_ms / 1000)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.node.settings.heartbeat_ms / 1000):
+                    await self.node.state_changed.wait()
+            self.node.state_changed.clear()
             await self.send_to_all(self.heartbeat_frame())
 
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell all callers about requests that may crash servers."""
+        await self.send_to_all(wire.Frame(suspects=encoding.encode_suspects(reports)))
+
     async def send_to_all(self, frame: wire.Frame) -> None:
         """Send a frame on every incoming stream."""
         sends = (incoming.sender.send(frame) for incoming in tuple(self.streams))
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
 from basilhill.commands.fleet import record_heartbeat
+from basilhill.suspects import SuspectReport
 from basilhill.tokens import IdempotencyToken
 from basilhill.verdicts import CallReply, Reason, may_have_run, not_run
 from expression import Error
@@ -12,6 +13,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
+from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.headers import token_text
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
@@ -38,7 +40,8 @@
 
     def unsent_calls(self) -> set[int]:
         """Return the ids of calls whose frames never left."""
-        return {getattr(frame, frame.WhichOneof("body")).call_id for frame in self.frames}
+        bodies = (getattr(frame, frame.WhichOneof("body")) for frame in self.frames)
+        return {body.call_id for body in bodies if hasattr(body, "call_id")}
 
 
 @define(eq=False)
@@ -52,6 +55,7 @@
     pending: dict[int, asyncio.Future] = field(factory=dict)
     next_call_id: int = 0
     used_ms: int = 0
+    touched_ms: int = 0
 
     async def run(self) -> None:
         """Keep the stream open until cancelled."""
@@ -90,6 +94,8 @@
                 waiter.set_result(encoding.decode_reply(frame.reply))
         elif kind == "hello":
             self.node.fleet.incarnations[self.peer] = frame.hello.incarnation
+        elif kind == "suspects":
+            receive_reports(self.node, encoding.decode_suspects(frame.suspects))
         elif kind == "heartbeat":
             record_heartbeat(
                 self.node.routing,
@@ -113,6 +119,23 @@
                 outcome = Error(may_have_run(Reason.CONNECTION_LOST, f"{self.peer} went away"))
             waiter.set_result(CallReply(outcome))
 
+    def touch(self) -> None:
+        """Keep the stream open for a while."""
+        self.touched_ms = self.node.clock.now_ms()
+
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell the peer about requests that may crash servers."""
+        self.touch()
+        frame = wire.Frame(suspects=encoding.encode_suspects(reports))
+        try:
+            async with asyncio.timeout(self.node.settings.lease_ms / 1000):
+                await self.connected.wait()
+                await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                if self.sender is not None:
+                    await self.sender.send(frame)
+        except (TimeoutError, *STREAM_ERRORS):
+            self.node.log.record("peer", "", f"{self.peer} not told of suspects")
+
     async def call(self, frame: wire.Frame, call_id: int, timeout_ms: int) -> CallReply:
         """Send a frame and wait for the reply with its call id."""
         self.used_ms = self.node.clock.now_ms()
--- a/packages/basilhill_node/src/basilhill_node/state.py
+++ b/packages/basilhill_node/src/basilhill_node/state.py
@@ -17,9 +17,9 @@
 from basilhill.fleet import FleetView
 from basilhill.loads import RoutingTable
 from basilhill.settings import NodeSettings
-from basilhill.suspects import SuspectTable
+from basilhill.suspects import SuspectReport, SuspectTable
 from basilhill.tokens import IdempotencyToken, TokenIssuer
-from basilhill.verdicts import CallReply
+from basilhill.verdicts import CallReply, Refusal
 
 from basilhill_node.backend_servers import BackendServer
 from basilhill_node.logs import DecisionLog
@@ -32,6 +32,14 @@
 class PeerChannel(Protocol):
     """Call one other node."""
 
+    def touch(self) -> None:
+        """Keep the stream open for a while."""
+        ...
+
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell the peer about requests that may crash servers."""
+        ...
+
     async def execute(
         self, context: CallContext, key: str | None, request: CallRequest
     ) -> CallReply:
@@ -49,6 +57,14 @@
         ...
 
 
+class PeerCallers(Protocol):
+    """Reach the nodes that have a stream open to this one."""
+
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell all of them about requests that may crash servers."""
+        ...
+
+
 class PeerPool(Protocol):
     """Hold the channels to other nodes."""
 
@@ -65,6 +81,9 @@
     policy: CallPolicy
     budget: RetryBudget
     internal: set[asyncio.Task] = field(factory=set)
+    internal_open: int = 0
+    internal_since_ms: int = 0
+    internal_ms: int = 0
 
 
 @define(eq=False)
@@ -91,9 +110,17 @@
     sections: dict[str, Section] = field(factory=dict)
     refused: dict[str, RefusedSection] = field(factory=dict)
     parents: dict[str, ParentCall] = field(factory=dict)
-    slot_waiters: dict[str, asyncio.Future] = field(factory=dict)
+    slot_waiters: dict[str, asyncio.Future[Refusal | None]] = field(factory=dict)
+    state_changed: asyncio.Event = field(factory=asyncio.Event)
+    announced: dict[str, int] = field(factory=dict)
+    backend_watched: bool = False
+    crashes: int = 0
+    crashed_ms: int = 0
+    suspect_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    suspects_waiting: int = 0
     coordinated_tasks: dict[str, asyncio.Task] = field(factory=dict)
     peers: PeerPool | None = None
+    callers: PeerCallers | None = None
     leaving: bool = False
     open_calls: int = 0
     idle: asyncio.Event = field(factory=asyncio.Event)
@@ -118,6 +145,19 @@
             if self.open_calls == 0:
                 self.idle.set()
 
+    @contextmanager
+    def internal_call(self, parent: ParentCall) -> Iterator[None]:
+        """Count the time in which a parent call waits for at least one internal call."""
+        if parent.internal_open == 0:
+            parent.internal_since_ms = self.clock.now_ms()
+        parent.internal_open += 1
+        try:
+            yield
+        finally:
+            parent.internal_open -= 1
+            if parent.internal_open == 0:
+                parent.internal_ms += self.clock.now_ms() - parent.internal_since_ms
+
     def disabled(self, mechanism: str) -> bool:
         """Tell whether a test switched a mechanism off."""
         return mechanism in self.settings.disabled_mechanisms
@@ -145,7 +185,7 @@
         AdmissionState(
             UNKNOWN_SLOTS, settings.queue_limit, settings.queue_ms, float(UNKNOWN_SLOTS)
         ),
-        RoutingTable(settings.data_centre),
+        RoutingTable(settings.data_centre, settings.node, settings.subset_size, settings.ramp_ms),
         FleetView(),
         SuspectTable(settings.suspect_ttl_ms),
         DecisionLog(clock),
