--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -1,12 +1,13 @@
 """Incoming streams of other nodes, one task for each."""
 
 import asyncio
+from contextlib import suppress
 
 from attrs import define, field
 from basilhill.calls import CallContext
 from basilhill.commands.transits import record_transit
-from basilhill.fleet import Heartbeat, VmState
 from basilhill.queries.transits import excess_transit_ms
+from basilhill.suspects import SuspectReport
 from basilhill.transits import TransitMeter
 from basilhill.verdicts import CallReply, Reason, not_run
 from expression import Error
@@ -15,8 +16,10 @@
 from basilhill_node.commands.coordinate_call import coordinate_copy, refuse_token
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.revoke_call import revoke_call
+from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame, until_reachable
+from basilhill_node.queries.loads import own_heartbeat
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerBase
@@ -71,6 +74,9 @@
             self.start(incoming, frame.revoke.call_id, self.revoke(incoming, frame.revoke))
         elif kind == "reject":
             self.start(incoming, frame.reject.call_id, self.reject(frame.reject))
+        elif kind == "suspects":
+            reports = encoding.decode_suspects(frame.suspects)
+            receive_reports(self.node, reports, from_service=True)
         elif kind == "cancel":
             task = incoming.calls.get(frame.cancel.call_id)
             if task is not None:
@@ -144,21 +150,21 @@
 
     def heartbeat_frame(self) -> wire.Frame:
         """Return this node's state and load."""
-        admission = self.node.admission
-        heartbeat = Heartbeat(
-            VmState.LEAVING if self.node.leaving else VmState.LIVE,
-            admission.level,
-            admission.in_flight + len(admission.queue),
-            int(admission.limit),
-        )
-        return wire.Frame(heartbeat=encoding.encode_heartbeat(heartbeat))
+        return wire.Frame(heartbeat=encoding.encode_heartbeat(own_heartbeat(self.node)))
 
     async def send_heartbeats(self) -> None:
-        """Report state and load to all peers until cancelled."""
+        """Report state and load to all peers, at once after a change, until cancelled."""
         while True:
-            await asyncio.sleep(self.node.settings.heartbeat_ms / 1000)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.node.settings.heartbeat_ms / 1000):
+                    await self.node.state_changed.wait()
+            self.node.state_changed.clear()
             await self.send_to_all(self.heartbeat_frame())
 
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell all callers about requests that may crash servers."""
+        await self.send_to_all(wire.Frame(suspects=encoding.encode_suspects(reports)))
+
     async def send_to_all(self, frame: wire.Frame) -> None:
         """Send a frame on every incoming stream."""
         sends = (incoming.sender.send(frame) for incoming in tuple(self.streams))
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
 from basilhill.commands.fleet import record_heartbeat
+from basilhill.suspects import SuspectReport
 from basilhill.tokens import IdempotencyToken
 from basilhill.verdicts import CallReply, Refusal
 from expression import Error, Ok, Result
@@ -12,6 +13,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
+from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.headers import token_text
 from basilhill_node.network import Network
 from basilhill_node.state import LostReply, NodeState
@@ -88,6 +90,7 @@
     pending: dict[int, asyncio.Future] = field(factory=dict)
     next_call_id: int = 0
     used_ms: int = 0
+    touched_ms: int = 0
 
     async def run(self) -> None:
         """Keep the stream open until cancelled."""
@@ -135,6 +138,8 @@
             sender.incarnation = frame.hello.incarnation
             self.sender = sender
             self.connected.set()
+        elif kind == "suspects":
+            receive_reports(self.node, encoding.decode_suspects(frame.suspects))
         elif kind == "heartbeat":
             record_heartbeat(
                 self.node.routing,
@@ -155,6 +160,23 @@
             if not waiter.done():
                 waiter.set_result(Error(LostReply(call_id not in unsent, sender.incarnation)))
 
+    def touch(self) -> None:
+        """Keep the stream open for a while."""
+        self.touched_ms = self.node.clock.now_ms()
+
+    async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
+        """Tell the peer about requests that may crash servers."""
+        self.touch()
+        frame = wire.Frame(suspects=encoding.encode_suspects(reports))
+        try:
+            async with asyncio.timeout(self.node.settings.lease_ms / 1000):
+                await self.connected.wait()
+                await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                if self.sender is not None:
+                    await self.sender.send(frame)
+        except (TimeoutError, *STREAM_ERRORS):
+            self.node.log.record("peer", "", f"{self.peer} not told of suspects")
+
     async def call(
         self, frame: wire.Frame, timeout_ms: int, incarnation: str = ""
     ) -> Result[CallReply, LostReply]:
