Version sections by team and spread them by tree and digests

Every node watched the platform and replaced whole documents, so an older answer of the platform or of a peer could replace a newer section, and 20,000 watches would exceed the platform's read limit. Now readers of each data centre watch, sections and fleet list shards travel between nodes with versions that only rise, and conflicts between teams are decided from what is held, not from the order of arrival. Leases, drain, leaving and clock jumps are handled with them.

--- a/packages/basilhill/src/basilhill/clocks.py
+++ b/packages/basilhill/src/basilhill/clocks.py
@@ -35,3 +35,25 @@
     def advance(self, duration_ms: int) -> None:
         """Move the time forward by a duration in milliseconds."""
         self.time_ms += duration_ms
+
+
+# Clocks that drift apart by 100 ppm move the offset by 6 ms over two windows.
+OFFSET_WINDOW_MS = 30_000
+
+
+@define
+class SocketDelay:
+    """Tell how long messages of one sender waited in sockets, from both monotonic clocks."""
+
+    window_start_ms: int = 0
+    least: int | None = None
+    earlier_least: int | None = None
+
+    def observe(self, sent_ms: int, now_ms: int) -> int:
+        """Return by how many milliseconds a message took longer than the fastest lately."""
+        offset = now_ms - sent_ms
+        if self.least is None or now_ms - self.window_start_ms >= OFFSET_WINDOW_MS:
+            self.window_start_ms, self.earlier_least, self.least = now_ms, self.least, offset
+        self.least = min(self.least, offset)
+        known = self.least if self.earlier_least is None else min(self.least, self.earlier_least)
+        return offset - known
--- a/packages/basilhill/src/basilhill/commands/fleet.py
+++ b/packages/basilhill/src/basilhill/commands/fleet.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterable
 
-from basilhill.fleet import FleetView, Heartbeat, VmEntry, VmState
+from basilhill.fleet import FleetReads, FleetView, Heartbeat, PeerLease, VmEntry, VmState
 from basilhill.loads import RoutingTable, ServerLoad
+from basilhill.queries.fleet import differs_from_held, rendezvous_orders
+from basilhill.sections import SectionTable
 
 
 def apply_fleet_list(
@@ -15,6 +17,7 @@
 ) -> None:
     """Replace the fleet list and the servers to route to."""
     fleet.vms = {entry.node: entry for entry in entries}
+    fleet.orders = rendezvous_orders(fleet.vms.values())
     for node in list(routing.servers):
         if node not in fleet.vms:
             del routing.servers[node]
@@ -25,7 +28,10 @@
         if server is None:
             server = ServerLoad(entry.node, entry.service, entry.data_centre, now_ms)
             routing.servers[entry.node] = server
-        server.leaving = server.leaving or entry.state is VmState.LEAVING
+        # A heartbeat that says "leaving" takes precedence over a list that lags behind it.
+        heard = server.leaving and not server.listed_leaving
+        server.listed_leaving = entry.state is VmState.LEAVING
+        server.leaving = heard or server.listed_leaving
 
 
 def record_heartbeat(
@@ -36,8 +42,63 @@
     if server is None:
         return
     server.lease_until_ms = now_ms + lease_ms
-    server.leaving = heartbeat.state is VmState.LEAVING
+    server.leaving = heartbeat.state is VmState.LEAVING or server.listed_leaving
     server.level = heartbeat.level
     server.level_ms = now_ms
     server.reported_in_flight = heartbeat.in_flight
     server.reported_limit = heartbeat.limit
+
+
+def renew_lease(fleet: FleetView, node: str, digest: str, now_ms: int, lease_ms: int) -> None:
+    """Count a peer as up for a lease from now on."""
+    fleet.leases[node] = PeerLease(now_ms + lease_ms, digest)
+
+
+def end_lease(fleet: FleetView, routing: RoutingTable, node: str, now_ms: int) -> None:
+    """Count a peer as down because its stream ended or cannot be opened."""
+    fleet.leases[node] = PeerLease(now_ms)
+    server = routing.servers.get(node)
+    if server is not None and server.lease_until_ms != 0:
+        server.lease_until_ms = min(server.lease_until_ms, now_ms)
+
+
+def forget_lease(fleet: FleetView, routing: RoutingTable, node: str) -> None:
+    """Count a peer as unknown because this node closed its stream."""
+    fleet.leases.pop(node, None)
+    server = routing.servers.get(node)
+    if server is not None:
+        server.lease_until_ms = 0
+
+
+def record_incarnation(
+    fleet: FleetView, routing: RoutingTable, node: str, incarnation: str
+) -> bool:
+    """Store the incarnation of a peer; tell whether it restarted, which voids its old reports."""
+    earlier = fleet.incarnations.get(node)
+    fleet.incarnations[node] = incarnation
+    if earlier in (None, incarnation):
+        return False
+    forget_lease(fleet, routing, node)
+    server = routing.servers.get(node)
+    if server is not None:
+        server.leaving, server.failures, server.ejected_until_ms = server.listed_leaving, 0, 0
+        server.level = server.level_ms = server.reported_in_flight = 0
+    return True
+
+
+def drop_reports(fleet: FleetView, routing: RoutingTable) -> None:
+    """Forget leases and level reports, which a paused process can no longer judge by age."""
+    fleet.leases.clear()
+    routing.levels.clear()
+    for server in routing.servers.values():
+        server.lease_until_ms = server.level = server.level_ms = server.reported_in_flight = 0
+
+
+def record_fleet_read(reads: FleetReads, table: SectionTable, read: dict[str, str]) -> None:
+    """Remember what a reader read and how often it differed from what is held."""
+    reads.differing = {
+        shard: reads.differing.get(shard, 0) + 1
+        for shard in read
+        if differs_from_held(table, shard, read[shard])
+    }
+    reads.texts = read
--- a/packages/basilhill/src/basilhill/documents.py
+++ b/packages/basilhill/src/basilhill/documents.py
@@ -54,6 +54,8 @@
     team: str
     revision: int
     text: str
+    # The revision since which the team has owned each of its services, as (service, revision).
+    claims: tuple[tuple[str, int], ...] = field(default=(), eq=False)
 
 
 @frozen
--- a/packages/basilhill/src/basilhill/loads.py
+++ b/packages/basilhill/src/basilhill/loads.py
@@ -22,6 +22,7 @@
     ejected_until_ms: int = 0
     lease_until_ms: int = 0
     leaving: bool = False
+    listed_leaving: bool = False
 
 
 @define
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/fleet.py
@@ -0,0 +1,100 @@
+"""Choose readers and the push tree, and keep the fleet list as sections."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from basilhill.documents import Section
+from basilhill.fleet import FleetReads, FleetView, VmEntry, VmState
+from basilhill.sections import FLEET_PREFIX, SectionTable, is_shard
+
+SETTLED_READS = 3
+
+
+def rendezvous_order(nodes: Iterable[str], key: str) -> list[str]:
+    """Return nodes in an order that depends on the key and changes little with the set."""
+    return sorted(nodes, key=lambda node: blake2b(f"{key} {node}".encode(), digest_size=8).digest())
+
+
+def rendezvous_orders(entries: Iterable[VmEntry]) -> dict[str, list[str]]:
+    """Return the live nodes of each data centre in rendezvous order."""
+    live: dict[str, list[str]] = {}
+    for entry in entries:
+        if entry.state is VmState.LIVE:
+            live.setdefault(entry.data_centre, []).append(entry.node)
+    return {centre: rendezvous_order(nodes, centre) for centre, nodes in live.items()}
+
+
+def is_down(fleet: FleetView, node: str, now_ms: int, wait_ms: int = 0) -> bool:
+    """Tell whether the lease of a peer ended, at least some milliseconds ago."""
+    lease = fleet.leases.get(node)
+    return lease is not None and lease.until_ms + wait_ms <= now_ms
+
+
+def readers_of(order: list[str], down: frozenset[str], count: int) -> list[str]:
+    """Return the first nodes of an order that are not down."""
+    return [node for node in order if node not in down][:count]
+
+
+def watched_by(order: list[str], node: str, down: frozenset[str], count: int) -> list[str]:
+    """Return the nodes ahead of a stand-by reader, whose silence it must notice."""
+    up = [other for other in order if other not in down or other == node]
+    if node not in up[: 2 * count]:
+        return []
+    return order[: order.index(node)]
+
+
+def tree_children(order: list[str], root: str, node: str, fanout: int) -> list[str]:
+    """Return the children of a node in the push tree that has a root at its top."""
+    if root not in order:
+        order = [root, *order]
+    start = order.index(root)
+    turned = order[start:] + order[:start]
+    if node not in turned:
+        return []
+    first = turned.index(node) * fanout + 1
+    return turned[first : first + fanout]
+
+
+def fleet_shards(entries: Iterable[VmEntry]) -> dict[str, str]:
+    """Return the fleet list as the text of one shard for each service."""
+    lines: dict[str, list[str]] = {}
+    for entry in entries:
+        line = f"{entry.node} {entry.data_centre} {entry.state.value}"
+        lines.setdefault(f"{FLEET_PREFIX}{entry.service}", []).append(line)
+    return {shard: "\n".join(sorted(texts)) for shard, texts in lines.items()}
+
+
+def differs_from_held(table: SectionTable, shard: str, text: str) -> bool:
+    """Tell whether a shard that was read is not the one held."""
+    held = table.teams.get(shard)
+    return held is None or held.newest.text != text
+
+
+def changed_shards(
+    table: SectionTable, reads: FleetReads, read: dict[str, str]
+) -> tuple[Section, ...]:
+    """Return the shards to pass on after a read, above the versions held.
+
+    The list has no revision. A shard counts as changed when this reader sees it change, or when it
+    differs from the one held for several reads; one read alone may lag behind the peers.
+    """
+    changed = []
+    for shard, text in (read | dict.fromkeys(reads.texts.keys() - read.keys(), "")).items():
+        held = table.teams.get(shard)
+        seen_change = shard in reads.texts and reads.texts[shard] != text
+        settled = reads.differing.get(shard, 0) >= SETTLED_READS
+        if differs_from_held(table, shard, text) and (held is None or seen_change or settled):
+            changed.append(Section(shard, held.newest.revision + 1 if held else 1, text))
+    return tuple(changed)
+
+
+def listed_vms(table: SectionTable) -> tuple[VmEntry, ...]:
+    """Return the fleet list that the shards hold."""
+    entries = []
+    for shard, held in table.teams.items():
+        if is_shard(shard):
+            service = shard.removeprefix(FLEET_PREFIX)
+            for line in held.newest.text.splitlines():
+                node, data_centre, state = line.split(" ")
+                entries.append(VmEntry(node, service, data_centre, VmState(state)))
+    return tuple(entries)
--- a/packages/basilhill/src/basilhill/queries/routing.py
+++ b/packages/basilhill/src/basilhill/queries/routing.py
@@ -22,11 +22,17 @@
         for server in table.servers.values()
         if server.service == service
         and not server.leaving
+        and not lease_ended(server, now_ms)
         and server.ejected_until_ms <= now_ms
         and server.node not in excluded
     ]
 
 
+def lease_ended(server: ServerLoad, now_ms: int) -> bool:
+    """Tell whether a server that sent heartbeats has stopped; one never heard of may be up."""
+    return 0 < server.lease_until_ms <= now_ms
+
+
 def choose_server(
     table: RoutingTable,
     service: str,
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/sections.py
@@ -0,0 +1,229 @@
+"""Compare versions of sections and decide which sections are in force together."""
+
+from collections.abc import Iterable, Iterator
+from hashlib import blake2b
+
+from attrs import frozen
+
+from basilhill.documents import Problem, RefusedSection, Section, SectionPolicy
+from basilhill.sections import (
+    DIGEST_BUCKETS,
+    Resolution,
+    SectionTable,
+    SectionVersion,
+    TeamVersions,
+    ValidSection,
+    is_shard,
+)
+
+
+@frozen
+class Conflict:
+    """Name the section to refuse because it conflicts with another team's."""
+
+    team: str
+    key: str
+    text: str
+
+
+def changed_sections(
+    table: SectionTable, sections: Iterable[Section], revision: int
+) -> tuple[Section, ...]:
+    """Return what a whole document changes, removed teams as empty sections."""
+    if revision < table.complete_revision:
+        return ()
+    by_team = {section.team: section for section in sections}
+    changed = [s for s in by_team.values() if differs(table, s)]
+    for team, versions in table.teams.items():
+        present = versions.newest.text and versions.newest.revision < revision
+        if present and team not in by_team and not is_shard(team):
+            changed.append(Section(team, revision, ""))
+    return tuple(changed)
+
+
+def differs(table: SectionTable, section: Section) -> bool:
+    """Tell whether a section differs from the newest one held of its team."""
+    held = table.teams.get(section.team)
+    return held is None or held.newest.text != section.text
+
+
+def is_read_stale(table: SectionTable, section: Section) -> bool:
+    """Tell whether this node read the document later than the section, and read otherwise."""
+    if is_shard(section.team) or section.revision > table.complete_revision:
+        return False
+    return differs(table, section)
+
+
+def held_sections(
+    table: SectionTable, team: str
+) -> tuple[tuple[Section, ...], tuple[Section, ...]]:
+    """Return the sections of a team to pass on: the newest and valid ones, and the fallback."""
+    versions = table.teams[team]
+    sections = [versions.newest]
+    if versions.valid is not None and versions.valid.section != versions.newest:
+        sections.append(versions.valid.section)
+    fallback = fallback_in_force(table, versions)
+    return tuple(sections), (fallback.section,) if fallback else ()
+
+
+def fallback_in_force(table: SectionTable, versions: TeamVersions) -> ValidSection | None:
+    """Return the fallback of a team if it is in force."""
+    if versions.fallback is None:
+        return None
+    in_force = table.resolution.in_force.get(versions.newest.team)
+    used = in_force is not None and in_force.section == versions.fallback.section
+    return versions.fallback if used else None
+
+
+def version_of(table: SectionTable, team: str) -> SectionVersion:
+    """Return the version of all that is held of a team."""
+    sections, fallbacks = held_sections(table, team)
+    hashed = blake2b(digest_size=8)
+    for section in (*sections, *fallbacks):
+        hashed.update(f"{section.revision} {section.claims} {section.text}\n".encode())
+    return SectionVersion(team, table.teams[team].newest.revision, hashed.hexdigest())
+
+
+def bucket_of(team: str) -> int:
+    """Return the digest bucket of a team."""
+    return blake2b(team.encode(), digest_size=1).digest()[0] % DIGEST_BUCKETS
+
+
+def versions_in(table: SectionTable, buckets: Iterable[int]) -> tuple[SectionVersion, ...]:
+    """Return the versions of the teams in some buckets."""
+    wanted = frozenset(buckets)
+    return tuple(v for team, v in table.versions.items() if bucket_of(team) in wanted)
+
+
+def bucket_digests(versions: dict[str, SectionVersion]) -> tuple[int, ...]:
+    """Return one number for each bucket, equal when two nodes hold the same in it."""
+    digests = [0] * DIGEST_BUCKETS
+    for team, version in versions.items():
+        hashed = blake2b(f"{team} {version.digest}".encode(), digest_size=8)
+        digests[bucket_of(team)] ^= int.from_bytes(hashed.digest())
+    return tuple(digests)
+
+
+def differing_buckets(table: SectionTable, buckets: tuple[int, ...]) -> tuple[int, ...]:
+    """Return the buckets in which a peer holds something else."""
+    pairs = enumerate(zip(table.buckets, buckets, strict=False))
+    return tuple(number for number, (own, other) in pairs if own != other)
+
+
+def summary_digest(buckets: tuple[int, ...]) -> str:
+    """Return a text for heartbeats that is equal when two nodes hold the same sections."""
+    return blake2b(repr(buckets).encode(), digest_size=8).hexdigest()
+
+
+def teams_to_send(
+    table: SectionTable, versions: Iterable[SectionVersion], buckets: Iterable[int]
+) -> tuple[str, ...]:
+    """Return the teams in some buckets of which a peer with these versions lacks something."""
+    theirs = {version.team: version for version in versions}
+    wanted = []
+    for own in versions_in(table, buckets):
+        other = theirs.get(own.team)
+        if other is None or (other.digest != own.digest and other.revision <= own.revision):
+            wanted.append(own.team)
+    return tuple(wanted)
+
+
+def resolve_sections(teams: dict[str, TeamVersions]) -> Resolution:
+    """Decide which valid sections are in force; depends on what is held, not on its order."""
+    chosen = {team: held.valid for team, held in sorted(teams.items()) if held.valid is not None}
+    refused = {
+        team: RefusedSection(held.newest, held.problems)
+        for team, held in teams.items()
+        if held.problems
+    }
+    while (conflict := next_conflict(chosen, teams)) is not None:
+        section, held = chosen[conflict.team].section, teams[conflict.team]
+        problem = Problem(conflict.team, conflict.key, line_of(section, conflict), conflict.text)
+        refused.setdefault(conflict.team, RefusedSection(section, (problem,)))
+        if chosen[conflict.team] is held.valid and held.fallback is not None:
+            chosen[conflict.team] = held.fallback
+        else:
+            del chosen[conflict.team]
+    return Resolution(chosen, refused)
+
+
+def line_of(section: Section, conflict: Conflict) -> int:
+    """Return the first line of a section that mentions what a conflict is about."""
+    for number, line in enumerate(section.text.splitlines(), 1):
+        if conflict.key in line:
+            return number
+    return 0
+
+
+def next_conflict(
+    chosen: dict[str, ValidSection], teams: dict[str, TeamVersions]
+) -> Conflict | None:
+    """Return one conflict between the chosen sections, the same on every node."""
+    return next(ownership_conflicts(chosen), None) or next(reference_conflicts(chosen, teams), None)
+
+
+def ownership_conflicts(chosen: dict[str, ValidSection]) -> Iterator[Conflict]:
+    """Return the sections that claim a service or an action that another team has had longer."""
+    owners: dict[str, tuple[int, str]] = {}
+    for team, valid in sorted(chosen.items()):
+        since = dict(valid.section.claims)
+        for name in sorted(claimed_names(valid.policy)):
+            claim = (since.get(name, valid.section.revision), team)
+            other = owners.setdefault(name, claim)
+            if other != claim:
+                owners[name] = min(other, claim)
+                kind, _, key = name.partition(" ")
+                text = f"the {kind} belongs to team {owners[name][1]}"
+                yield Conflict(max(other, claim)[1], key, text)
+
+
+def claimed_names(policy: SectionPolicy | None) -> frozenset[str]:
+    """Return the services and actions that only one team may have."""
+    if policy is None:
+        return frozenset()
+    services = (f"service {name}" for name in policy.services)
+    return frozenset((*services, *(f"action {name}" for name in policy.actions)))
+
+
+def reference_conflicts(
+    chosen: dict[str, ValidSection], teams: dict[str, TeamVersions]
+) -> Iterator[Conflict]:
+    """Return the sections that call what no team has, or that removed what others call."""
+    known = {name for valid in chosen.values() for name in defined_calls(valid)}
+    for team in sorted(chosen):
+        for name in sorted(set(referred_calls(chosen[team])) - known):
+            yield blamed_section(chosen, teams, team, name)
+
+
+def blamed_section(
+    chosen: dict[str, ValidSection], teams: dict[str, TeamVersions], team: str, name: str
+) -> Conflict:
+    """Return which of two sections came later: the one that refers or the one that removed."""
+    for other in sorted(chosen):
+        fallback = teams[other].fallback
+        if (
+            chosen[other] is teams[other].valid
+            and fallback is not None
+            and name in defined_calls(fallback)
+            and chosen[other].section.revision > chosen[team].section.revision
+        ):
+            return Conflict(other, name, f"team {team} still calls {name}")
+    return Conflict(team, name, f"no team has the call {name}")
+
+
+def defined_calls(valid: ValidSection) -> Iterator[str]:
+    """Return the full names of the calls that a section defines."""
+    if valid.policy is not None:
+        for service in valid.policy.services.values():
+            for call in service.calls.values():
+                yield call.full_name
+
+
+def referred_calls(valid: ValidSection) -> Iterator[str]:
+    """Return the full names of the calls that a section refers to."""
+    if valid.policy is not None:
+        for service in valid.policy.services.values():
+            for call in service.calls.values():
+                yield from call.calls
+        for action in valid.policy.actions.values():
+            yield action.entry
--- a/packages/basilhill/src/basilhill/settings.py
+++ b/packages/basilhill/src/basilhill/settings.py
@@ -38,6 +38,8 @@
     "tree_fanout": 8,
     "digest_ms": 1_000,
     "platform_poll_ms": 2_000,
+    "seeds": (),
+    "peers_first_ms": 1_500,
     "body_limit": 1_000_000,
     "grace_ms": 50,
     "shutdown_ms": 30_000,
@@ -83,6 +85,8 @@
     tree_fanout: int
     digest_ms: int
     platform_poll_ms: int
+    seeds: tuple[str, ...]
+    peers_first_ms: int
     body_limit: int
     grace_ms: int
     shutdown_ms: int
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -20,6 +20,10 @@
         """Run one call; return its complete answer or whether it may have run."""
         ...
 
+    async def is_draining(self) -> bool | None:
+        """Tell whether the server says that it drains; None when it says nothing."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
@@ -31,6 +35,8 @@
     def __init__(self, settings: NodeSettings) -> None:
         self.base = f"http://{settings.address}:{settings.backend_port}"
         self.body_limit = settings.body_limit
+        self.health_url = self.base + settings.health_path
+        self.health_timeout = aiohttp.ClientTimeout(total=settings.heartbeat_ms / 1000)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -71,6 +77,15 @@
                 return Error(may_have_run(Reason.TRUNCATED, "the answer has no length"))
             return Ok(Answer(response.status, forwarded_headers(response.headers), body))
 
+    async def is_draining(self) -> bool | None:
+        """Tell whether the server says that it drains; None when it says nothing."""
+        try:
+            async with self.session.get(self.health_url, timeout=self.health_timeout) as response:
+                health = await response.json()
+                return health["state"] == "draining"
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
+            return None
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
@@ -65,8 +65,12 @@
     if entered.is_error():
         node.log.record("admit", action_id, f"refused {policy.full_name}", entered.error.text)
         return CallReply(Error(entered.error))
-    node.log.record("admit", action_id, f"started {policy.full_name}")
     started_ms = node.clock.now_ms()
+    if context.deadline_ms <= started_ms:
+        end_call(node.admission, None)
+        start_waiting(node)
+        return CallReply(Error(not_run(Reason.DEADLINE, "the deadline passed before the start")))
+    node.log.record("admit", action_id, f"started {policy.full_name}")
     completed = False
     try:
         reply = await run_parent(node, context, policy, request)
--- a/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
@@ -1,36 +1,120 @@
-"""Follow the platform's document and fleet list."""
+"""Follow the platform's document and fleet list on behalf of a data centre."""
 
 import asyncio
 
-from basilhill.commands.fleet import apply_fleet_list
+from basilhill.commands.fleet import record_fleet_read
+from basilhill.commands.sections import complete_read
+from basilhill.fleet import FleetReads
 from basilhill.queries.documents import split_sections
+from basilhill.queries.fleet import changed_shards, fleet_shards, is_down
+from basilhill.queries.sections import changed_sections
 
-from basilhill_node.commands.apply_configuration import apply_sections
-from basilhill_node.platform import PlatformClient
+from basilhill_node.commands.exchange_sections import (
+    JITTER,
+    ask_for_sections,
+    is_reader,
+    take_offered,
+)
+from basilhill_node.platform import PlatformClient, Revision
 from basilhill_node.state import NodeState
 
+BOOT_POLL_MS = 50
+# A watch that returns sooner without a newer revision is not waiting; asking again at once would
+# load the platform.
+SHORT_WATCH_MS = 1_000
+
+
+async def join_fleet(node: NodeState, platform: PlatformClient) -> None:
+    """Get sections from peers, else from the platform; repeat until there is a document."""
+    reads = FleetReads()
+    while True:
+        await read_fleet(node, platform, reads)
+        if await ask_peers_first(node):
+            return
+        read = await platform.read_document()
+        if read.is_ok():
+            await take_document(node, platform, read.ok)
+        if node.document.services:
+            return
+        await pause_between_reads(node)
+
+
+async def ask_peers_first(node: NodeState) -> bool:
+    """Ask peers for sections; tell whether they gave a document."""
+    asked = ask_for_sections(node)
+    end_ms = node.clock.now_ms() + node.settings.peers_first_ms
+    while node.clock.now_ms() < end_ms and not node.document.services:
+        now_ms = node.clock.now_ms()
+        silent = {p for p in asked - node.reports_received if not is_down(node.fleet, p, now_ms)}
+        if not silent:
+            break
+        await asyncio.sleep(BOOT_POLL_MS / 1000)
+    return bool(node.document.services)
+
 
 async def follow_document(node: NodeState, platform: PlatformClient) -> None:
-    """Apply each revision of the document until cancelled."""
-    revision = 0
+    """Apply each revision of the document while this node is a reader, until cancelled."""
+    await join_fleet(node, platform)
     while True:
-        read = await platform.watch_document(revision)
+        if not is_reader(node):
+            await asyncio.sleep(node.settings.heartbeat_ms * node.random.uniform(*JITTER) / 1000)
+            continue
+        known, started_ms = node.table.complete_revision, node.clock.now_ms()
+        read = await platform.watch_document(known)
         if read.is_error():
             node.log.record("config", "", "platform not readable", read.error)
-            await asyncio.sleep(node.settings.platform_poll_ms / 1000)
-            continue
-        if read.ok.number > revision:
-            revision = read.ok.number
-            apply_sections(node, split_sections(read.ok.text, revision))
+            await pause_between_reads(node)
+        elif read.ok.number > known or node.disabled("section-versions"):
+            await take_document(node, platform, read.ok)
+        elif node.clock.now_ms() - started_ms < SHORT_WATCH_MS:
+            node.log.record("config", "", f"platform is stale at {read.ok.number}", f"{known} held")
+            await pause_between_reads(node)
+
+
+async def take_document(node: NodeState, platform: PlatformClient, read: Revision) -> None:
+    """Take what a whole read changes; a removal must be in two equal reads."""
+    if node.disabled("section-versions"):
+        node.table.complete_revision = 0
+    sections = split_sections(read.text, read.number)
+    if not sections:
+        node.log.record("config", "", f"document {read.number} not taken", "it has no section")
+        await pause_between_reads(node)
+        return
+    changed = changed_sections(node.table, sections, read.number)
+    if any(not section.text for section in changed):
+        again = await platform.read_document()
+        if again.is_error() or again.ok != read:
+            node.log.record(
+                "config", "", f"document {read.number} not taken", "removal unconfirmed"
+            )
+            await pause_between_reads(node)
+            return
+    complete_read(node.table, read.number)
+    take_offered(node, changed)
 
 
 async def follow_fleet(node: NodeState, platform: PlatformClient) -> None:
-    """Apply the fleet list until cancelled."""
+    """Read the fleet list while this node is a reader, until cancelled."""
+    reads = FleetReads()
     while True:
-        read = await platform.read_fleet()
-        if read.is_error():
-            node.log.record("fleet", "", "fleet list not readable", read.error)
-        else:
-            services = frozenset(entry.service for entry in read.ok)
-            apply_fleet_list(node.fleet, node.routing, read.ok, services, node.clock.now_ms())
-        await asyncio.sleep(node.settings.platform_poll_ms / 1000)
+        if is_reader(node):
+            await read_fleet(node, platform, reads)
+        await pause_between_reads(node)
+
+
+async def read_fleet(node: NodeState, platform: PlatformClient, reads: FleetReads) -> None:
+    """Read the fleet list once and take what changed."""
+    read = await platform.read_fleet()
+    if read.is_error():
+        node.log.record("fleet", "", "fleet list not readable", read.error)
+        return
+    shards = fleet_shards(read.ok)
+    if shards:
+        changed = changed_shards(node.table, reads, shards)
+        record_fleet_read(reads, node.table, shards)
+        take_offered(node, changed)
+
+
+async def pause_between_reads(node: NodeState) -> None:
+    """Wait for a jittered time, so that readers do not ask the platform together."""
+    await asyncio.sleep(node.settings.platform_poll_ms * node.random.uniform(*JITTER) / 1000)
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -24,6 +24,8 @@
     token_refusal,
 )
 from basilhill_node.commands.dispatch_call import OpenCall, dispatch_call
+from basilhill_node.commands.leave_fleet import refuse_when_leaving
+from basilhill_node.commands.wake_up import check_pause, waited_ms
 from basilhill_node.state import NodeState, ParentCall
 
 
@@ -38,6 +40,7 @@
 
 async def serve_call(node: NodeState, request: CallRequest, arrival: Arrival) -> ServedCall:
     """Serve one call to its end."""
+    check_pause(node)
     with node.open_call():
         return await serve_open(node, request, arrival)
 
@@ -67,6 +70,9 @@
     if opened.is_error():
         return served(node, CallReply(Error(opened.error)))
     call = opened.ok
+    refusal = refuse_when_leaving(node, None) if policy.idempotent else None
+    if refusal is not None:
+        return served(node, CallReply(Error(refusal)))
     started_ms = node.clock.now_ms()
     if policy.idempotent:
         reply = await dispatch_call(node, call)
@@ -92,7 +98,7 @@
     repeats = policy.idempotent and arrival.attempt > 0
     if repeats and not take_permit(node.customers, arrival.customer, node.clock.now_ms()):
         return Error(not_run(Reason.CUSTOMER_LIMIT, "too many repeats", 1000))
-    timeout_ms = min(arrival.timeout_ms or action.timeout_ms, action.timeout_ms)
+    timeout_ms = min(arrival.timeout_ms or action.timeout_ms, action.timeout_ms) - waited_ms(node)
     context = CallContext(
         action_id_of(arrival),
         action.name,
@@ -117,6 +123,7 @@
     if arrival.token.node != node.settings.node:
         return await forward_copy(node, arrival.token, arrival.attempt, call)
     refusal = token_refusal(node, arrival.token, arrival.attempt)
+    refusal = refusal or refuse_when_leaving(node, arrival.token.key)
     if refusal is not None:
         return CallReply(Error(refusal))
     return await coordinate_call(node, call)
--- a/packages/basilhill_node/src/basilhill_node/encoding.py
+++ b/packages/basilhill_node/src/basilhill_node/encoding.py
@@ -1,7 +1,9 @@
 """Records as protobuf messages and back."""
 
 from basilhill.calls import CallContext, CallRequest, PriorityClass
+from basilhill.documents import Section
 from basilhill.fleet import Heartbeat, VmState
+from basilhill.sections import DigestReport, SectionBatch, SectionVersion
 from basilhill.verdicts import (
     Answer,
     CallReply,
@@ -131,3 +133,55 @@
     """Decode a heartbeat."""
     state = VM_STATES[message.state]
     return Heartbeat(state, message.level, message.in_flight, message.limit, message.digest)
+
+
+def encode_batch(batch: SectionBatch) -> wire.Sections:
+    """Encode sections for a peer."""
+    sections = [encode_section(section) for section in batch.sections]
+    fallbacks = [encode_section(section) for section in batch.fallbacks]
+    return wire.Sections(sections=sections, fallbacks=fallbacks, root=batch.root)
+
+
+def encode_section(section: Section) -> wire.Section:
+    """Encode a section."""
+    return wire.Section(
+        team=section.team,
+        revision=section.revision,
+        text=section.text.encode(),
+        claims=dict(section.claims),
+    )
+
+
+def decode_batch(message: wire.Sections) -> SectionBatch:
+    """Decode sections from a peer."""
+    sections = tuple(decode_section(section) for section in message.sections)
+    fallbacks = tuple(decode_section(section) for section in message.fallbacks)
+    return SectionBatch(sections, fallbacks, message.root)
+
+
+def decode_section(message: wire.Section) -> Section:
+    """Decode a section."""
+    claims = tuple(sorted(message.claims.items()))
+    return Section(message.team, message.revision, message.text.decode(), claims)
+
+
+def encode_report(report: DigestReport) -> wire.SectionDigests:
+    """Encode what a node holds."""
+    versions = [
+        wire.SectionVersion(team=v.team, revision=v.revision, digest=v.digest)
+        for v in report.versions
+    ]
+    return wire.SectionDigests(
+        versions=versions,
+        reply_wanted=report.reply_wanted,
+        buckets=report.buckets,
+        differing=report.differing,
+    )
+
+
+def decode_report(message: wire.SectionDigests) -> DigestReport:
+    """Decode what a peer holds."""
+    versions = tuple(SectionVersion(v.team, v.revision, v.digest) for v in message.versions)
+    return DigestReport(
+        tuple(message.buckets), versions, tuple(message.differing), message.reply_wanted
+    )
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -11,8 +11,10 @@
 
 from basilhill_node.administration import build_administration
 from basilhill_node.backend_servers import HttpBackendServer
-from basilhill_node.commands.leave_fleet import finish_calls, start_leaving
+from basilhill_node.commands.exchange_sections import exchange_digests
+from basilhill_node.commands.leave_fleet import finish_calls, follow_drain, start_leaving
 from basilhill_node.commands.read_platform import follow_document, follow_fleet
+from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.front import build_front
 from basilhill_node.network import DirectNetwork, Network
 from basilhill_node.peer_server import PeerService
@@ -20,6 +22,9 @@
 from basilhill_node.platform import HttpPlatformClient
 from basilhill_node.state import NodeState, new_state
 
+CLOSE_POLLS = 50
+CLOSE_POLL_S = 0.02
+
 
 async def run_node(
     settings: NodeSettings, clock: Clock | None = None, network: Network | None = None
@@ -40,17 +45,19 @@
     background = [
         node.spawn(follow_document(node, platform)),
         node.spawn(follow_fleet(node, platform)),
+        node.spawn(exchange_digests(node)),
+        node.spawn(follow_drain(node)),
         node.spawn(service.send_heartbeats()),
         node.spawn(adjust_levels(node)),
     ]
     node.log.record("node", "", f"serving {settings.service} at {settings.node}")
     await wait_for_signal()
     start_leaving(node)
-    await service.send_to_all(service.heartbeat_frame())
     await finish_calls(node)
+    front.close()
+    await close_requests(front)
     for task in background:
         task.cancel()
-    front.close()
     administration.close()
     peer_server.close()
     await platform.close()
@@ -65,10 +72,19 @@
     return server
 
 
+async def close_requests(front) -> None:
+    """Close the connections of callers, each after the request that it carries."""
+    for _ in range(CLOSE_POLLS):
+        if all(connection.close_if_idle() for connection in list(front.connections)):
+            return
+        await asyncio.sleep(CLOSE_POLL_S)
+
+
 async def adjust_levels(node: NodeState) -> None:
     """Move the admission level at fixed intervals until cancelled."""
     while True:
         await asyncio.sleep(node.settings.level_interval_ms / 1000)
+        check_pause(node)
         adjust_level(node.admission)
 
 
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -4,7 +4,15 @@
 
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
-from basilhill.commands.fleet import record_heartbeat
+from basilhill.clocks import Clock, SocketDelay
+from basilhill.commands.fleet import (
+    end_lease,
+    forget_lease,
+    record_heartbeat,
+    record_incarnation,
+    renew_lease,
+)
+from basilhill.sections import DigestReport, SectionBatch
 from basilhill.tokens import IdempotencyToken
 from basilhill.verdicts import CallReply, Reason, may_have_run, not_run
 from expression import Error
@@ -12,11 +20,18 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
+from basilhill_node.commands.exchange_sections import receive_batch, receive_report
+from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.headers import token_text
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerStub
 
+# A failed connection is tried again after a time that doubles up to this many times the first.
+RECONNECT_FACTOR_MAX = 16
+# A stream that carried no call is closed after this many digest intervals.
+CONTROL_IDLE_DIGESTS = 3
+
 STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
@@ -25,6 +40,7 @@
     """Send frames over one stream; frames that are ready together go as one message."""
 
     stream: object
+    clock: Clock
     frames: list[wire.Frame] = field(factory=list)
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
@@ -34,11 +50,13 @@
         async with self.lock:
             if self.frames:
                 batch, self.frames = self.frames, []
-                await self.stream.send_message(wire.Batch(frames=batch))
+                message = wire.Batch(frames=batch, sent_ms=self.clock.now_ms())
+                await self.stream.send_message(message)
 
     def unsent_calls(self) -> set[int]:
         """Return the ids of calls whose frames never left."""
-        return {getattr(frame, frame.WhichOneof("body")).call_id for frame in self.frames}
+        bodies = (getattr(frame, frame.WhichOneof("body")) for frame in self.frames)
+        return {body.call_id for body in bodies if hasattr(body, "call_id")}
 
 
 @define(eq=False)
@@ -47,6 +65,9 @@
 
     node: NodeState
     peer: str
+    touched_ms: int = 0
+    failures: int = 0
+    delay: SocketDelay = field(factory=SocketDelay)
     sender: FrameSender | None = None
     connected: asyncio.Event = field(factory=asyncio.Event)
     pending: dict[int, asyncio.Future] = field(factory=dict)
@@ -57,7 +78,11 @@
         """Keep the stream open until cancelled."""
         while True:
             await self.hold_stream()
-            await asyncio.sleep(self.node.settings.reconnect_ms / 1000)
+            end_lease(self.node.fleet, self.node.routing, self.peer, self.node.clock.now_ms())
+            self.failures += 1
+            factor = min(2 ** (self.failures - 1), RECONNECT_FACTOR_MAX)
+            wait_ms = self.node.settings.reconnect_ms * factor * self.node.random.uniform(0.5, 1)
+            await asyncio.sleep(wait_ms / 1000)
 
     async def hold_stream(self) -> None:
         """Open the stream and handle its frames until it breaks."""
@@ -67,37 +92,50 @@
             if not self.node.network.reachable(self.peer):
                 raise ConnectionRefusedError(self.peer)
             async with PeerStub(channel).Exchange.open() as stream:
-                sender = FrameSender(stream)
+                sender = FrameSender(stream, self.node.clock)
+                self.delay = SocketDelay()
                 await sender.send(hello_frame(self.node))
                 self.sender = sender
                 self.connected.set()
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                    check_pause(self.node)
+                    waited_ms = self.delay.observe(batch.sent_ms, self.node.clock.now_ms())
                     for frame in batch.frames:
-                        self.receive(frame)
+                        self.receive(frame, waited_ms)
         except STREAM_ERRORS as error:
             self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
         finally:
             self.fail_pending()
             channel.close()
 
-    def receive(self, frame: wire.Frame) -> None:
-        """Handle one frame from the peer."""
+    def receive(self, frame: wire.Frame, waited_ms: int) -> None:
+        """Handle one frame from the peer that waited in sockets for some time."""
         kind = frame.WhichOneof("body")
         if kind == "reply":
             waiter = self.pending.get(frame.reply.call_id)
             if waiter is not None and not waiter.done():
                 waiter.set_result(encoding.decode_reply(frame.reply))
         elif kind == "hello":
-            self.node.fleet.incarnations[self.peer] = frame.hello.incarnation
+            fleet, routing = self.node.fleet, self.node.routing
+            if record_incarnation(fleet, routing, self.peer, frame.hello.incarnation):
+                self.node.log.record("fleet", "", f"{self.peer} restarted")
         elif kind == "heartbeat":
-            record_heartbeat(
-                self.node.routing,
-                self.peer,
-                encoding.decode_heartbeat(frame.heartbeat),
-                self.node.clock.now_ms(),
-                self.node.settings.lease_ms,
-            )
+            self.receive_heartbeat(frame.heartbeat, waited_ms)
+        elif kind == "sections":
+            receive_batch(self.node, encoding.decode_batch(frame.sections))
+        elif kind == "section_digests":
+            report = encoding.decode_report(frame.section_digests)
+            self.node.spawn(receive_report(self.node, self, self.peer, report))
+
+    def receive_heartbeat(self, message: wire.Heartbeat, waited_ms: int) -> None:
+        """Renew the lease of the peer from the time at which it sent the heartbeat."""
+        node, heartbeat = self.node, encoding.decode_heartbeat(message)
+        self.failures = 0
+        sent_ms = node.clock.now_ms() - waited_ms
+        lease_ms = node.settings.lease_ms
+        record_heartbeat(node.routing, self.peer, heartbeat, sent_ms, lease_ms)
+        renew_lease(node.fleet, self.peer, heartbeat.digest, sent_ms, lease_ms)
 
     def fail_pending(self) -> None:
         """End the calls that got no reply, by whether their frames had left."""
@@ -113,6 +151,41 @@
                 outcome = Error(may_have_run(Reason.CONNECTION_LOST, f"{self.peer} went away"))
             waiter.set_result(CallReply(outcome))
 
+    def touch(self) -> None:
+        """Keep the stream open for a while."""
+        self.touched_ms = self.node.clock.now_ms()
+
+    async def send_batch(self, batch: SectionBatch) -> bool:
+        """Send sections; tell whether they left this node."""
+        return await self.send_control(wire.Frame(sections=encoding.encode_batch(batch)))
+
+    async def send_report(self, report: DigestReport) -> bool:
+        """Send what this node holds; tell whether it left this node."""
+        return await self.send_control(wire.Frame(section_digests=encoding.encode_report(report)))
+
+    async def send_control(self, frame: wire.Frame) -> bool:
+        """Send a frame that has no reply; tell whether it left this node."""
+        self.touch()
+        try:
+            async with asyncio.timeout(self.node.settings.lease_ms / 1000):
+                if not self.connected.is_set():
+                    async with asyncio.timeout(self.node.settings.reconnect_ms / 1000):
+                        await self.connected.wait()
+                await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+                if self.sender is None:
+                    return False
+                await self.sender.send(frame)
+                return True
+        except (TimeoutError, *STREAM_ERRORS):
+            return False
+
+    def idle_at(self, now_ms: int) -> bool:
+        """Tell whether nothing used the stream lately; one that carries calls stays longer."""
+        settings = self.node.settings
+        if self.pending or now_ms - self.touched_ms < CONTROL_IDLE_DIGESTS * settings.digest_ms:
+            return False
+        return not self.next_call_id or now_ms - self.used_ms >= settings.idle_peer_ms
+
     async def call(self, frame: wire.Frame, call_id: int, timeout_ms: int) -> CallReply:
         """Send a frame and wait for the reply with its call id."""
         self.used_ms = self.node.clock.now_ms()
@@ -223,7 +296,7 @@
         """Return the client of a peer, opened on demand."""
         client = self.clients.get(node)
         if client is None:
-            client = self.clients[node] = PeerClient(self.node, node)
+            client = self.clients[node] = PeerClient(self.node, node, self.node.clock.now_ms())
             self.tasks[node] = self.node.spawn(client.run())
         return client
 
@@ -233,3 +306,10 @@
         task = self.tasks.pop(node, None)
         if task is not None:
             task.cancel()
+        forget_lease(self.node.fleet, self.node.routing, node)
+
+    def close_idle(self) -> None:
+        """Close the streams that nothing used lately."""
+        now_ms = self.node.clock.now_ms()
+        for peer in [peer for peer, client in self.clients.items() if client.idle_at(now_ms)]:
+            self.close(peer)
--- a/packages/basilhill_node/src/basilhill_node/state.py
+++ b/packages/basilhill_node/src/basilhill_node/state.py
@@ -16,6 +16,7 @@
 from basilhill.executions import ExecutionTable
 from basilhill.fleet import FleetView
 from basilhill.loads import RoutingTable
+from basilhill.sections import DigestReport, SectionBatch, SectionTable
 from basilhill.settings import NodeSettings
 from basilhill.suspects import SuspectTable
 from basilhill.tokens import IdempotencyToken, TokenIssuer
@@ -29,9 +30,25 @@
 UNKNOWN_SLOTS = 10
 
 
-class PeerChannel(Protocol):
+class SectionLink(Protocol):
+    """Exchange sections with one other node."""
+
+    async def send_batch(self, batch: SectionBatch) -> bool:
+        """Send sections; tell whether they left this node."""
+        ...
+
+    async def send_report(self, report: DigestReport) -> bool:
+        """Send what this node holds; tell whether it left this node."""
+        ...
+
+
+class PeerChannel(SectionLink, Protocol):
     """Call one other node."""
 
+    def touch(self) -> None:
+        """Keep the stream open for a while."""
+        ...
+
     async def execute(
         self, context: CallContext, key: str | None, request: CallRequest
     ) -> CallReply:
@@ -56,6 +73,14 @@
         """Return the channel to a node, opened on demand."""
         ...
 
+    def close(self, node: str) -> None:
+        """Close the stream to a node."""
+        ...
+
+    def close_idle(self) -> None:
+        """Close the streams that nothing used lately."""
+        ...
+
 
 @define
 class ParentCall:
@@ -88,6 +113,7 @@
     metrics: Metrics = field(factory=Metrics)
     random: Random = field(factory=Random)
     document: Document = field(factory=Document)
+    table: SectionTable = field(factory=SectionTable)
     sections: dict[str, Section] = field(factory=dict)
     refused: dict[str, RefusedSection] = field(factory=dict)
     parents: dict[str, ParentCall] = field(factory=dict)
@@ -95,6 +121,13 @@
     coordinated_tasks: dict[str, asyncio.Task] = field(factory=dict)
     peers: PeerPool | None = None
     leaving: bool = False
+    leaving_causes: set[str] = field(factory=set)
+    state_changed: asyncio.Event = field(factory=asyncio.Event)
+    checked_ms: int = 0
+    woken_ms: int = 0
+    paused_ms: int = 0
+    takeover_ms: int = 0
+    reports_received: set[str] = field(factory=set)
     open_calls: int = 0
     idle: asyncio.Event = field(factory=asyncio.Event)
     tasks: set[asyncio.Task] = field(factory=set)
@@ -151,6 +184,9 @@
         DecisionLog(clock),
     )
     state.idle.set()
+    state.checked_ms = clock.now_ms()
+    # Nodes that notice a silent reader at the same time wait for different times.
+    state.takeover_ms = state.random.randint(0, settings.lease_ms)
     return state
 
 
