Test section versions, readers, leaving and pauses with real nodes

A removal that a restarted reader had not seen came back from a peer; the property test over interleavings found it, and a read that is complete now also tells which teams are absent. A document counts once two reads were equal, so that a cut read removes nothing.

--- a/packages/basilhill/src/basilhill/commands/sections.py
+++ b/packages/basilhill/src/basilhill/commands/sections.py
@@ -52,7 +52,10 @@
 def take_section(table: SectionTable, section: Section, any_version: bool) -> bool:
     """Take a section if it is newer than the newest one of its team."""
     held = table.teams.get(section.team)
-    if held is not None and not any_version:
+    if held is None and section.text and is_read_stale(table, section) and not any_version:
+        # The team was absent when this node read the document later than the peer.
+        section = Section(section.team, table.complete_revision, "")
+    elif held is not None and not any_version:
         if section.revision == held.newest.revision:
             return take_equal(held, section)
         if section.revision < held.newest.revision:
--- a/packages/basilhill/src/basilhill/queries/sections.py
+++ b/packages/basilhill/src/basilhill/queries/sections.py
@@ -49,7 +49,7 @@
 
 def is_read_stale(table: SectionTable, section: Section) -> bool:
     """Tell whether this node read the document later than the section, and read otherwise."""
-    if is_shard(section.team) or section.revision > table.complete_revision:
+    if is_shard(section.team) or section.revision >= table.complete_revision:
         return False
     return differs(table, section)
 
--- /dev/null
+++ b/packages/basilhill/tests/test_fleet.py
@@ -0,0 +1,126 @@
+"""Tests of leases, readers, the push tree and the fleet list as sections."""
+
+from basilhill.clocks import SocketDelay
+from basilhill.commands.fleet import (
+    apply_fleet_list,
+    drop_reports,
+    end_lease,
+    record_fleet_read,
+    record_heartbeat,
+    record_incarnation,
+    renew_lease,
+)
+from basilhill.commands.sections import take_sections
+from basilhill.fleet import FleetReads, FleetView, Heartbeat, VmEntry, VmState
+from basilhill.loads import RoutingTable
+from basilhill.queries.fleet import (
+    changed_shards,
+    fleet_shards,
+    is_down,
+    listed_vms,
+    readers_of,
+    rendezvous_order,
+    tree_children,
+    watched_by,
+)
+from basilhill.queries.routing import usable_servers
+from basilhill.sections import SectionTable
+
+NODES = [f"10.0.0.{number}:1" for number in range(40)]
+LIVE = Heartbeat(VmState.LIVE, 0, 0, 10)
+
+
+def new_view(state=VmState.LIVE):
+    fleet, routing = FleetView(), RoutingTable("a")
+    entries = (VmEntry("n1", "shop", "a", state), VmEntry("n2", "shop", "b"))
+    apply_fleet_list(fleet, routing, entries, frozenset({"shop"}), 0)
+    return fleet, routing
+
+
+def usable(routing, now_ms):
+    return [server.node for server in usable_servers(routing, "shop", now_ms)]
+
+
+def test_server_whose_lease_ended_gets_no_work_until_it_is_heard_again():
+    """Guard against work for a stopped node whose stream is still open."""
+    _fleet, routing = new_view()
+    record_heartbeat(routing, "n1", LIVE, 100, 2_000)
+    assert usable(routing, 2_099) == ["n1", "n2"]
+    assert usable(routing, 2_100) == ["n2"]
+    record_heartbeat(routing, "n1", LIVE, 5_000, 2_000)
+    assert usable(routing, 5_000) == ["n1", "n2"]
+
+
+def test_listed_leaving_server_stays_leaving_though_its_heartbeat_says_live():
+    """Guard against new work when the leaving notice is lost."""
+    _fleet, routing = new_view(VmState.LEAVING)
+    record_heartbeat(routing, "n1", LIVE, 100, 2_000)
+    assert usable(routing, 100) == ["n2"]
+
+
+def test_lagging_list_does_not_undo_a_leaving_notice():
+    """Guard against new work for a server that said it leaves before the list did."""
+    fleet, routing = new_view()
+    record_heartbeat(routing, "n1", Heartbeat(VmState.LEAVING, 0, 0, 10), 100, 2_000)
+    entries = tuple(fleet.vms.values())
+    apply_fleet_list(fleet, routing, entries, frozenset({"shop"}), 200)
+    assert usable(routing, 200) == ["n2"]
+
+
+def test_restarted_peer_and_woken_node_forget_old_reports():
+    """Guard against routing by the leases and levels of another incarnation or time."""
+    fleet, routing = new_view()
+    record_incarnation(fleet, routing, "n1", "one")
+    record_heartbeat(routing, "n1", Heartbeat(VmState.LEAVING, 50, 9, 10), 100, 2_000)
+    assert record_incarnation(fleet, routing, "n1", "two")
+    assert usable(routing, 9_000) == ["n1", "n2"]
+    assert routing.servers["n1"].level == 0
+    renew_lease(fleet, "n1", "", 0, 2_000)
+    drop_reports(fleet, routing)
+    assert fleet.leases == {}
+
+
+def test_silent_reader_is_replaced_by_the_next_in_order_after_the_wait():
+    """Guard against a data centre without readers."""
+    fleet, routing = new_view()
+    end_lease(fleet, routing, NODES[0], 1_000)
+    assert not is_down(fleet, NODES[0], 1_400, wait_ms=500)
+    assert is_down(fleet, NODES[0], 1_500, wait_ms=500)
+    assert readers_of(NODES, frozenset({NODES[0]}), 3) == NODES[1:4]
+    assert watched_by(NODES, NODES[4], frozenset(), 3) == NODES[:4]
+    assert watched_by(NODES, NODES[20], frozenset(), 3) == []
+
+
+def test_tree_reaches_every_node_once_from_any_root():
+    """Guard against nodes that no push reaches."""
+    order = rendezvous_order(NODES, "a")
+    for root in (*order[:3], "10.9.9.9:1"):
+        reached, pending = [], [root]
+        while pending:
+            node = pending.pop()
+            reached.append(node)
+            pending += tree_children(order, root, node, 8)
+        assert sorted(reached) == sorted({*order, root})
+
+
+def test_one_late_read_of_the_fleet_list_does_not_undo_newer_entries():
+    """Guard against a restarted reader that pushes a lagging list over a newer one."""
+    old = fleet_shards((VmEntry("n1", "shop", "a"),))
+    new = fleet_shards((VmEntry("n1", "shop", "a", VmState.LEAVING),))
+    table, reads = SectionTable(), FleetReads()
+    take_sections(table, changed_shards(table, reads, new))
+    for _ in range(3):
+        assert changed_shards(table, reads, old) == ()
+        record_fleet_read(reads, table, old)
+    settled = changed_shards(table, reads, old)
+    assert [shard.revision for shard in settled] == [2]
+    take_sections(table, settled)
+    assert [entry.state for entry in listed_vms(table)] == [VmState.LIVE]
+
+
+def test_messages_that_waited_in_sockets_are_told_by_their_delay():
+    """Guard against expired work that a woken process takes for new."""
+    delay = SocketDelay()
+    assert [delay.observe(sent, now) for sent, now in ((0, 500), (100, 602))] == [0, 2]
+    assert delay.observe(200, 3_700) == 3_000
+    assert delay.observe(40_000, 40_500) == 0
--- /dev/null
+++ b/packages/basilhill/tests/test_sections.py
@@ -0,0 +1,147 @@
+"""Tests of section versions: no interleaving may lower a version or split the nodes."""
+
+from basilhill.commands.sections import complete_read, take_sections
+from basilhill.documents import Section
+from basilhill.queries.documents import split_sections
+from basilhill.queries.sections import changed_sections, held_sections
+from basilhill.sections import SectionTable
+from hypothesis import given
+from hypothesis import strategies as st
+
+TEAMS = ("first", "second")
+SERVICE = """[team.{team}.service.{service}]
+slots = {slots}
+connections = 10
+"""
+CALL = """[team.{team}.service.{service}.call.run]
+method = "GET"
+path = "/"
+idempotent = true
+timeout_ms = 100
+calls = {calls}
+"""
+
+
+def service(team, name, slots=1, calls=None):
+    text = SERVICE.format(team=team, service=name, slots=slots)
+    return text + (CALL.format(team=team, service=name, calls=calls) if calls is not None else "")
+
+
+def section(team, revision, name, **options):
+    return Section(team, revision, service(team, name, **options))
+
+
+def in_force(table):
+    return {team: valid.section for team, valid in table.resolution.in_force.items()}
+
+
+def read_document(table, revisions, number):
+    sections = split_sections(revisions[number - 1], number)
+    changed = changed_sections(table, sections, number)
+    if number >= table.complete_revision:
+        take_sections(table, changed)
+        complete_read(table, number)
+
+
+def send_all(source, target):
+    for team in tuple(source.teams):
+        take_sections(target, *held_sections(source, team))
+
+
+# Each revision gives each team a section with some slots, none (0), or an invalid one (9).
+DOCUMENTS = st.lists(st.tuples(*[st.sampled_from((0, 1, 2, 3, 9))] * 2), min_size=1, max_size=5)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(("read", "send", "restart")), st.integers(0, 2), st.integers(0, 4)),
+    max_size=25,
+)
+
+
+def document_text(row):
+    texts = []
+    for team, slots in zip(TEAMS, row, strict=True):
+        if slots:
+            texts.append(service(team, team, slots if slots != 9 else '"many"'))
+    return "".join(texts) or service("other", "other")
+
+
+@given(DOCUMENTS, STEPS)
+def test_no_interleaving_lowers_a_version_and_all_nodes_agree_in_the_end(rows, steps):
+    """Guard against stale reads, late pushes and restarts that bring an old section back."""
+    revisions = [document_text(row) for row in rows]
+    nodes = [SectionTable() for _ in range(3)]
+    for step, index, number in steps:
+        before = {t: v.newest.revision for t, v in nodes[index].teams.items()}
+        if step == "read":
+            read_document(nodes[index], revisions, min(number + 1, len(revisions)))
+        elif step == "send":
+            send_all(nodes[number % 3], nodes[index])
+        else:
+            nodes[index], before = SectionTable(), {}
+        held = nodes[index].teams
+        assert all(held[team].newest.revision >= low for team, low in before.items())
+    read_document(nodes[0], revisions, len(revisions))
+    for _ in range(2):
+        for source in nodes:
+            for target in nodes:
+                send_all(source, target)
+    newest = [{t: v.newest.text for t, v in node.teams.items()} for node in nodes]
+    last = {s.team: s.text for s in split_sections(revisions[-1], 1)}
+    assert newest[0] == newest[1] == newest[2]
+    assert {team: text for team, text in newest[0].items() if text} == last
+
+
+@given(st.permutations(range(4)))
+def test_every_order_of_arrival_gives_the_same_owner_of_a_service(order):
+    """Guard against nodes that serve by different owners after a conflict."""
+    sections = (
+        section("first", 5, "shop"),
+        section("second", 4, "other"),
+        section("second", 7, "shop"),
+        section("first", 9, "shop", slots=2),
+    )
+    table = SectionTable()
+    for index in order:
+        take_sections(table, (sections[index],))
+    # The claim of revision 5 may be skipped on the way to 9; another node's copy brings it.
+    informed = SectionTable()
+    for each in sections:
+        take_sections(informed, (each,))
+    send_all(informed, table)
+    assert in_force(table)["first"].revision == 9
+    assert table.resolution.refused.keys() == {"second"}
+    assert "belongs to team first" in str(table.resolution.refused["second"].problems[0])
+
+
+def test_refused_section_leaves_the_last_good_one_and_a_later_good_one_replaces_it():
+    """Guard against an invalid section that takes the team's services away."""
+    table = SectionTable()
+    take_sections(table, (section("first", 1, "shop"),))
+    take_sections(table, (section("first", 2, "shop", slots='"many"'),))
+    assert in_force(table)["first"].revision == 1
+    assert table.resolution.refused["first"].section.revision == 2
+    take_sections(table, (section("first", 3, "shop", slots=3),))
+    assert in_force(table)["first"].revision == 3
+    assert table.resolution.refused == {}
+
+
+def test_section_that_removes_a_call_in_use_is_refused_and_the_call_stays():
+    """Guard against one team's edit that breaks another team's service."""
+    table = SectionTable()
+    take_sections(table, (section("first", 1, "shop", calls=[]),))
+    take_sections(table, (section("second", 2, "cart", calls=["shop.run"]),))
+    take_sections(table, (Section("first", 3, ""),))
+    assert in_force(table)["first"].revision == 1
+    assert "still calls shop.run" in str(table.resolution.refused["first"].problems[0])
+
+
+def test_text_read_again_later_outlives_a_peer_that_saw_the_change_between():
+    """Guard against a silent revert when a reader skipped a change and its undoing."""
+    revisions = [service("first", "shop", slots) for slots in (1, 2, 1)]
+    reader, behind = SectionTable(), SectionTable()
+    read_document(reader, revisions, 1)
+    read_document(reader, revisions, 3)
+    read_document(behind, revisions, 2)
+    send_all(behind, reader)
+    send_all(reader, behind)
+    assert in_force(behind)["first"].text == in_force(reader)["first"].text == revisions[0]
+    assert in_force(behind)["first"].revision == 3
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_configuration.py
@@ -0,0 +1,133 @@
+"""Tests of configuration changes with real nodes: none is lost, none reverts, none comes late."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import pytest
+from basilhill.queries.fleet import rendezvous_order
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.workloads import WORKLOADS
+
+WORKLOAD = WORKLOADS["degustari"]
+DOCUMENT = (Path(__file__).parents[3] / WORKLOAD.document).read_text()
+IN_FORCE_S = 4.0
+POLL_S = 0.05
+# One reader for each data centre, so that the other nodes depend on the tree and on digests.
+SETTINGS = {"configuration_readers": 1}
+COUNTS = {"calendar": 6, "reservations": 0, "deposits": 0, "flavours": 0}
+
+
+def with_slots(document, service, slots):
+    """Return the document with other slots of one service."""
+    before, header, after = document.partition(f".service.{service}]\n")
+    first, _, rest = after.partition("\n")
+    assert first.startswith("slots = ")
+    return f"{before}{header}slots = {slots}\n{rest}"
+
+
+async def status_of(fleet, vm):
+    return await fleet.get(f"{vm.administration_url}/status")
+
+
+async def until_everywhere(fleet, revisions, vms=None):
+    """Wait until sections are in force on all nodes; return the seconds it took."""
+    started = time.monotonic()
+    while True:
+        vms = vms or fleet.topology.vms
+        statuses = await asyncio.gather(*(status_of(fleet, vm) for vm in vms))
+        held = [status["sections"] for status in statuses]
+        if all(each.get(team) == number for each in held for team, number in revisions.items()):
+            return time.monotonic() - started
+        assert time.monotonic() - started < 2 * IN_FORCE_S, held
+        await asyncio.sleep(POLL_S)
+
+
+async def set_faults(fleet, **faults):
+    await fleet.put(f"{fleet.topology.platform_url}/test/faults", faults)
+
+
+async def restart_node(fleet, vm):
+    fleet.signal(f"node-{vm.address}", signal.SIGKILL)
+    await fleet.wait_ended(f"node-{vm.address}")
+    await fleet.start_node(vm)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = new_fleet(WORKLOAD, tmp_path, counts=COUNTS, settings=SETTINGS)
+    fleet.settings["seeds"] = [vm.node for vm in fleet.topology.vms[:2]]
+    try:
+        await fleet.start(DOCUMENT)
+        await asyncio.sleep(1)
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+async def test_two_changes_at_once_one_invalid_are_decided_alike_everywhere(fleet):
+    """Guard against an invalid section that blocks or drops another team's change."""
+    changed = with_slots(DOCUMENT, "calendar", 61)
+    await fleet.publish_document(with_slots(changed, "deposits", '"many"'))
+    taken_s = await until_everywhere(fleet, {"calendar": 2, "deposits": 1})
+    assert taken_s < IN_FORCE_S
+    await asyncio.sleep(1)
+    for vm in fleet.topology.vms:
+        status = await status_of(fleet, vm)
+        assert status["limit"] == 61
+        assert status["sections"]["deposits"] == 1
+        assert "deposits" in status["refused"]["deposits"][0]
+    await fleet.publish_document(with_slots(changed, "deposits", 90))
+    assert await until_everywhere(fleet, {"calendar": 2, "deposits": 3}) < IN_FORCE_S
+    statuses = [await status_of(fleet, vm) for vm in fleet.topology.vms]
+    assert [status["refused"] for status in statuses] == [{}] * len(statuses)
+
+
+async def test_stale_and_down_platform_reverts_nothing_even_on_a_node_that_restarts(fleet):
+    """Guard against old revisions that a stale platform serves to a node without memory."""
+    await fleet.publish_document(with_slots(DOCUMENT, "calendar", 62))
+    await until_everywhere(fleet, {"calendar": 2})
+    first, second, *_ = fleet.topology.vms
+    await set_faults(fleet, stale_revision=1)
+    await restart_node(fleet, first)
+    await until_everywhere(fleet, {"calendar": 2, "deposits": 1})
+    await set_faults(fleet, stale_revision=0, down=True)
+    await restart_node(fleet, second)
+    await until_everywhere(fleet, {"calendar": 2, "deposits": 1})
+    await set_faults(fleet, down=False)
+    await fleet.publish_document(with_slots(DOCUMENT, "calendar", 63))
+    await until_everywhere(fleet, {"calendar": 2})
+
+
+async def test_readers_alone_read_the_platform_and_a_removed_team_goes_everywhere(fleet):
+    """Guard against a read by each node for each change, and against removals that stay away."""
+    url = f"{fleet.topology.platform_url}/test/counters"
+    await asyncio.sleep(2)
+    before = (await fleet.get(url))["reads"]
+    extra = '\n[team.extra]\ncontact = "extra@example.test"\n'
+    await fleet.publish_document(DOCUMENT + extra)
+    await until_everywhere(fleet, {"extra": 2})
+    await fleet.publish_document(DOCUMENT)
+    taken_s = await until_everywhere(fleet, {"extra": None})
+    reads = (await fleet.get(url))["reads"] - before
+    # Three readers make two reads and a new watch for each change, and read the fleet list.
+    assert taken_s < IN_FORCE_S
+    assert reads <= 3 * 2 * 3 + 3 * 4
+
+
+async def test_silent_reader_is_replaced(fleet):
+    """Guard against a data centre that gets no changes when its reader stops."""
+    vms = [vm for vm in fleet.topology.vms if vm.data_centre == "bucharest-1"]
+    reader = rendezvous_order([vm.node for vm in vms], "bucharest-1")[0]
+    (stopped,) = (vm for vm in vms if vm.node == reader)
+    fleet.signal(f"node-{stopped.address}", signal.SIGSTOP)
+    await fleet.publish_document(with_slots(DOCUMENT, "calendar", 64))
+    others = [vm for vm in fleet.topology.vms if vm != stopped]
+    assert await until_everywhere(fleet, {"calendar": 2}, others) < IN_FORCE_S
+    # The lease and the wait, which is at most a lease.
+    await asyncio.sleep(4.5)
+    readers = [vm.data_centre for vm in others if (await status_of(fleet, vm))["reader"]]
+    assert sorted(readers) == ["bucharest-1", "bucharest-2", "bucharest-3"]
+    fleet.signal(f"node-{stopped.address}", signal.SIGCONT)
+    await until_everywhere(fleet, {"calendar": 2})
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_leaving.py
@@ -0,0 +1,157 @@
+"""Tests of leaving and pausing with real nodes under load."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+from basilhill_fakes.caller import Caller
+from basilhill_fakes.history import EventKind, HistoryWriter, now_ms, read_history
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.queries.histories import double_runs, false_refusals, wrong_answers
+from basilhill_fakes.workloads import WORKLOADS
+
+WORKLOAD = WORKLOADS["webshop"]
+DOCUMENT = (Path(__file__).parents[3] / WORKLOAD.document).read_text()
+COUNTS = {"catalogue": 0, "checkout": 1, "warehouse": 2, "ledger": 1}
+NEW_WORK_MS = 3_000
+CALL_GAP_S = 0.02
+
+
+class Load:
+    """Perform probes, and transactions now and then, from a bounded loop of callers."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.caller = Caller(
+            WORKLOAD, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"), tries=8
+        )
+        self.tasks = []
+        self.stopped = False
+
+    async def run(self, seconds):
+        end_ms = now_ms() + seconds * 1000
+        number = 0
+        while now_ms() < end_ms and not self.stopped:
+            name = WORKLOAD.transaction if number % 5 == 0 else WORKLOAD.probe
+            self.tasks.append(asyncio.create_task(self.caller.perform(name)))
+            number += 1
+            await asyncio.sleep(CALL_GAP_S)
+        return await asyncio.gather(*self.tasks)
+
+
+@pytest.fixture
+async def start(tmp_path):
+    fleets = []
+
+    async def start_fleet(**settings):
+        fleet = new_fleet(WORKLOAD, tmp_path, counts=COUNTS, settings=settings)
+        load = Load(fleet)
+        fleets.append((fleet, load))
+        await fleet.start(DOCUMENT)
+        return fleet, load, fleet.topology.servers_of("warehouse")[0]
+
+    yield start_fleet
+    for fleet, load in fleets:
+        await load.caller.session.close()
+        await fleet.stop()
+
+
+def started_between(history, vm, from_ms, to_ms=float("inf")):
+    """Return the runs that a backend server started in a time."""
+    return [
+        event
+        for event in history
+        if event.kind is EventKind.RUN_STARTED
+        and event.place == vm.address
+        and from_ms <= event.time_ms < to_ms
+    ]
+
+
+def violations(history):
+    return double_runs(history) + false_refusals(history) + wrong_answers(history)
+
+
+async def drain(fleet, vm, draining=True):
+    await fleet.put(f"{vm.backend_url}/test/faults", {"draining": draining})
+
+
+@pytest.mark.parametrize("disabled", [(), ("leaving-notice",)])
+async def test_drained_server_gets_no_new_work_and_comes_back(start, disabled):
+    """Guard against work for a draining server, also when its leaving notice is lost."""
+    fleet, load, vm = await start(disabled_mechanisms=disabled)
+    running = asyncio.create_task(load.run(8.5))
+    await asyncio.sleep(1)
+    await drain(fleet, vm)
+    left_ms = now_ms()
+    await asyncio.sleep(4.5)
+    back_ms = now_ms()
+    await drain(fleet, vm, False)
+    events = await running
+    history = read_history(fleet.history)
+    assert started_between(history, vm, left_ms - 1_000, left_ms)
+    assert started_between(history, vm, left_ms + NEW_WORK_MS, back_ms) == []
+    assert started_between(history, vm, back_ms + 500)
+    assert [event.status for event in events if event.status != 200] == []
+    assert violations(history) == []
+
+
+async def test_server_that_the_fleet_list_calls_leaving_gets_no_new_work(start):
+    """Guard against work for a VM that the platform takes away while its server says live."""
+    fleet, load, vm = await start(platform_poll_ms=500)
+    await fleet.put(f"{vm.backend_url}/test/faults", {"lying_health": True})
+    running = asyncio.create_task(load.run(5))
+    await asyncio.sleep(0.5)
+    await fleet.publish_fleet(frozenset({vm.address}))
+    left_ms = now_ms()
+    events = await running
+    history = read_history(fleet.history)
+    assert started_between(history, vm, left_ms + NEW_WORK_MS) == []
+    assert [event.status for event in events if event.status != 200] == []
+
+
+async def test_sigterm_ends_a_node_with_status_0_and_cuts_off_no_request(start):
+    """Guard against requests, internal calls or copies that a graceful shutdown cuts off."""
+    fleet, load, vm = await start()
+    checkout = fleet.topology.servers_of("checkout")[0]
+    running = asyncio.create_task(load.run(3))
+    await asyncio.sleep(1)
+    fleet.signal(f"node-{vm.address}", signal.SIGTERM)
+    fleet.signal(f"node-{checkout.address}", signal.SIGTERM)
+    assert await fleet.wait_ended(f"node-{vm.address}") == 0
+    assert await fleet.wait_ended(f"node-{checkout.address}") == 0
+    ended_ms = now_ms()
+    load.stopped = True
+    await running
+    history = read_history(fleet.history)
+    # A connection refused after the end (status 0) cuts off nothing; an answer that breaks does.
+    cut = [e for e in history if e.verdict == "may-have-run"]
+    lost = [e for e in history if e.kind is EventKind.ANSWER_RECEIVED and e.status == 0]
+    assert cut == []
+    assert [e for e in lost if e.time_ms < ended_ms - 500] == []
+    runs = [e.order for e in history if e.kind is EventKind.RUN_STARTED]
+    ends = [e.order for e in history if e.kind is EventKind.RUN_ENDED]
+    assert sorted(runs) == sorted(ends)
+    assert violations(history) == []
+
+
+async def test_woken_node_refuses_expired_work_and_serves_again(start):
+    """Guard against work that expired in the sockets of a paused process but runs on waking."""
+    fleet, load, vm = await start(lease_ms=3_000)
+    name = f"node-{vm.address}"
+    running = asyncio.create_task(load.run(6.5))
+    await asyncio.sleep(1)
+    fleet.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(3.4)
+    fleet.signal(name, signal.SIGCONT)
+    woken_ms = now_ms()
+    await running
+    history = read_history(fleet.history)
+    sent = {e.order: e.time_ms for e in history if e.kind is EventKind.CALL_SENT}
+    runs = started_between(history, vm, woken_ms)
+    timeout_ms = load.caller.timeout_ms
+    assert [e for e in runs if e.order in sent and e.time_ms - sent[e.order] > timeout_ms] == []
+    assert started_between(history, vm, woken_ms + 1_000)
+    assert violations(history) == []
+    log = (fleet.directory / f"{name}.log").read_text()
+    assert "woke after" in log
--- a/packages/basilhill_node/src/basilhill_node/commands/exchange_sections.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/exchange_sections.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from basilhill.documents import Section
-from basilhill.queries.fleet import is_down, readers_of, tree_children, watched_by
+from basilhill.queries.fleet import tree_children, watched_by
 from basilhill.queries.sections import (
     differing_buckets,
     held_sections,
@@ -13,6 +13,7 @@
 from basilhill.sections import DigestReport, SectionBatch
 
 from basilhill_node.commands.apply_configuration import apply_sections
+from basilhill_node.queries.readers import distant_reader, down_nodes, is_reader, own_order
 from basilhill_node.state import NodeState, SectionLink
 
 # Below the limit of 4 MiB that gRPC sets to one message by default.
@@ -21,24 +22,6 @@
 JITTER = (0.75, 1.25)
 
 
-def down_nodes(node: NodeState, wait_ms: int = 0) -> frozenset[str]:
-    """Return the peers whose lease ended, at least some milliseconds ago."""
-    now_ms, fleet = node.clock.now_ms(), node.fleet
-    return frozenset(peer for peer in fleet.leases if is_down(fleet, peer, now_ms, wait_ms))
-
-
-def own_order(node: NodeState) -> list[str]:
-    """Return the nodes of the own data centre in the order of its readers."""
-    return node.fleet.orders.get(node.settings.data_centre, [])
-
-
-def is_reader(node: NodeState) -> bool:
-    """Tell whether this node watches the platform for its data centre."""
-    down = down_nodes(node, node.takeover_ms) - {node.settings.node}
-    readers = readers_of(own_order(node), down, node.settings.configuration_readers)
-    return node.settings.node in readers
-
-
 def take_offered(
     node: NodeState, sections: tuple[Section, ...], fallbacks: tuple[Section, ...] = (), root=""
 ) -> None:
@@ -85,16 +68,6 @@
         watch_readers(node)
 
 
-def distant_reader(node: NodeState) -> set[str]:
-    """Return one reader of another data centre."""
-    centres = sorted(node.fleet.orders.keys() - {node.settings.data_centre})
-    if not centres:
-        return set()
-    order = node.fleet.orders[node.random.choice(centres)]
-    readers = readers_of(order, down_nodes(node), node.settings.configuration_readers)
-    return {node.random.choice(readers)} if readers else set()
-
-
 def watch_readers(node: NodeState) -> None:
     """Keep streams to the nodes whose silence makes this node a reader."""
     order, readers = own_order(node), node.settings.configuration_readers
--- a/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
@@ -12,16 +12,18 @@
 from basilhill_node.commands.exchange_sections import (
     JITTER,
     ask_for_sections,
-    is_reader,
     take_offered,
 )
 from basilhill_node.platform import PlatformClient, Revision
+from basilhill_node.queries.readers import is_reader
 from basilhill_node.state import NodeState
 
 BOOT_POLL_MS = 50
 # A watch that returns sooner without a newer revision is not waiting; asking again at once would
 # load the platform.
 SHORT_WATCH_MS = 1_000
+# The document may change between two reads, a few times at most.
+CONFIRMING_READS = 4
 
 
 async def join_fleet(node: NodeState, platform: PlatformClient) -> None:
@@ -72,25 +74,32 @@
 
 
 async def take_document(node: NodeState, platform: PlatformClient, read: Revision) -> None:
-    """Take what a whole read changes; a removal must be in two equal reads."""
-    if node.disabled("section-versions"):
-        node.table.complete_revision = 0
-    sections = split_sections(read.text, read.number)
+    """Take what a document changes, once two reads of it were equal."""
+    confirmed = await confirm_read(platform, read)
+    sections = split_sections(confirmed.text, confirmed.number) if confirmed else ()
     if not sections:
-        node.log.record("config", "", f"document {read.number} not taken", "it has no section")
+        reason = "it has no section" if confirmed else "a second read differed"
+        node.log.record("config", "", f"document {read.number} not taken", reason)
         await pause_between_reads(node)
         return
-    changed = changed_sections(node.table, sections, read.number)
-    if any(not section.text for section in changed):
-        again = await platform.read_document()
-        if again.is_error() or again.ok != read:
-            node.log.record(
-                "config", "", f"document {read.number} not taken", "removal unconfirmed"
-            )
-            await pause_between_reads(node)
-            return
-    complete_read(node.table, read.number)
-    take_offered(node, changed)
+    if node.disabled("section-versions"):
+        node.table.complete_revision = 0
+    take_offered(node, changed_sections(node.table, sections, confirmed.number))
+    # Only now, because changes below a complete revision count as stale.
+    complete_read(node.table, confirmed.number)
+
+
+async def confirm_read(platform: PlatformClient, read: Revision) -> Revision | None:
+    """Return a document that was read twice alike, so that a cut one removes no section."""
+    for _ in range(CONFIRMING_READS):
+        again = await platform.watch_document(read.number - 1)
+        if again.is_error():
+            return None
+        if again.ok == read:
+            return read
+        if again.ok.number > read.number:
+            read = again.ok
+    return None
 
 
 async def follow_fleet(node: NodeState, platform: PlatformClient) -> None:
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -1,6 +1,7 @@
 """Outgoing streams to other nodes, one task for each peer."""
 
 import asyncio
+from contextlib import suppress
 
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
@@ -70,6 +71,7 @@
     delay: SocketDelay = field(factory=SocketDelay)
     sender: FrameSender | None = None
     connected: asyncio.Event = field(factory=asyncio.Event)
+    wanted: asyncio.Event = field(factory=asyncio.Event)
     pending: dict[int, asyncio.Future] = field(factory=dict)
     next_call_id: int = 0
     used_ms: int = 0
@@ -80,9 +82,17 @@
             await self.hold_stream()
             end_lease(self.node.fleet, self.node.routing, self.peer, self.node.clock.now_ms())
             self.failures += 1
-            factor = min(2 ** (self.failures - 1), RECONNECT_FACTOR_MAX)
-            wait_ms = self.node.settings.reconnect_ms * factor * self.node.random.uniform(0.5, 1)
-            await asyncio.sleep(wait_ms / 1000)
+            await self.back_off()
+
+    async def back_off(self) -> None:
+        """Wait before the next try, for a shorter time when a call asks for the stream."""
+        wait_ms = self.node.settings.reconnect_ms * self.node.random.uniform(0.25, 0.5)
+        await asyncio.sleep(wait_ms / 1000)
+        factor = min(2**self.failures, RECONNECT_FACTOR_MAX)
+        self.wanted.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms * (factor - 1) / 1000):
+                await self.wanted.wait()
 
     async def hold_stream(self) -> None:
         """Open the stream and handle its frames until it breaks."""
@@ -192,6 +202,7 @@
         waiter = asyncio.get_running_loop().create_future()
         self.pending[call_id] = waiter
         replied = False
+        self.wanted.set()
         try:
             async with asyncio.timeout((timeout_ms + self.node.settings.grace_ms) / 1000):
                 if not self.connected.is_set():
--- a/packages/basilhill_node/src/basilhill_node/queries/status.py
+++ b/packages/basilhill_node/src/basilhill_node/queries/status.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from basilhill_node.queries.readers import is_reader
 from basilhill_node.state import NodeState
 
 
@@ -18,6 +19,8 @@
         "service": node.settings.service,
         "data_centre": node.settings.data_centre,
         "leaving": node.leaving,
+        "leaving_causes": sorted(node.leaving_causes),
+        "reader": is_reader(node),
         "level": node.admission.level,
         "in_flight": node.admission.in_flight,
         "queued": len(node.admission.queue),
