--- a/packages/basilhill/src/basilhill/documents.py
+++ b/packages/basilhill/src/basilhill/documents.py
@@ -64,6 +64,8 @@
     team: str
     revision: int
     text: str
+    # The revision since which the team has owned each of its services, as (service, revision).
+    claims: tuple[tuple[str, int], ...] = field(default=(), eq=False)
     # Left out of comparisons and messages: lines move with every edit of a team above.
     origins: tuple[LineOrigin, ...] = field(default=(), eq=False, repr=False)
 
--- a/packages/basilhill/src/basilhill/queries/splitting.py
+++ b/packages/basilhill/src/basilhill/queries/splitting.py
@@ -50,7 +50,7 @@
         if placed.statement is not placed.header:
             section.add(placed.statement.first, placed.statement.text)
     return tuple(
-        Section(team, revision, "\n".join(section.lines) + "\n", tuple(section.origins))
+        Section(team, revision, "\n".join(section.lines) + "\n", origins=tuple(section.origins))
         for team, section in texts.items()
     )
 
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -28,6 +28,10 @@
         """Tell whether the backend server accepts requests."""
         ...
 
+    async def is_draining(self) -> bool | None:
+        """Tell whether the server says that it drains; None when it says nothing."""
+        ...
+
     async def close(self) -> None:
         """Close all connections."""
         ...
@@ -51,6 +55,9 @@
 
     async def before_headers(_session, context, _parameters) -> None:
         sending = context.trace_request_ctx
+        if sending is None:
+            # Reads of the health endpoint have no deadline of a call.
+            return
         if sending.clock.now_ms() >= sending.deadline_ms:
             raise DeadlinePassedError
         sending.begun = True
@@ -66,8 +73,9 @@
     def __init__(self, settings: NodeSettings, clock: Clock | None = None) -> None:
         self.clock = clock or MonotonicClock()
         self.base = f"http://{settings.address}:{settings.backend_port}"
-        self.health_path = settings.health_path
         self.body_limit = settings.body_limit
+        self.health_url = self.base + settings.health_path
+        self.health_timeout = aiohttp.ClientTimeout(total=settings.heartbeat_ms / 1000)
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -126,11 +134,20 @@
         """Tell whether the backend server accepts requests."""
         try:
             timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
-            async with self.session.get(self.base + self.health_path, timeout=timeout):
+            async with self.session.get(self.health_url, timeout=timeout):
                 return True
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
 
+    async def is_draining(self) -> bool | None:
+        """Tell whether the server says that it drains; None when it says nothing."""
+        try:
+            async with self.session.get(self.health_url, timeout=self.health_timeout) as response:
+                health = await response.json()
+                return health["state"] == "draining"
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError, KeyError, TypeError):
+            return None
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
@@ -7,6 +7,7 @@
 from basilhill.commands.limits import adjust_limit
 from basilhill.commands.routing import expire_levels
 
+from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.queries.loads import own_heartbeat
 from basilhill_node.state import NodeState
 
@@ -18,6 +19,7 @@
     """Adjust at fixed intervals until cancelled."""
     while True:
         await asyncio.sleep(node.settings.level_interval_ms / 1000)
+        check_pause(node)
         now_ms = node.clock.now_ms()
         if not node.disabled("levels"):
             adjust_level(node.admission, now_ms)
--- a/packages/basilhill_node/src/basilhill_node/commands/coordinate_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/coordinate_call.py
@@ -22,6 +22,7 @@
     dispatch_call,
     return_loan,
 )
+from basilhill_node.commands.leave_fleet import leaving_refusal
 from basilhill_node.commands.revoke_call import is_uncertain, resolve_uncertain, withdraw_run
 from basilhill_node.state import CoordinatedRun, NodeState
 
@@ -43,9 +44,11 @@
     if policy is None:
         unknown = not_run(Reason.UNKNOWN_CALL, "the coordinator does not know the call")
         return refuse_key(node, token.key, unknown)
-    now_ms = node.clock.now_ms()
-    repeats = attempt > 0 and find_execution(node.coordinated, token.key, now_ms) is None
-    limit = customer_refusal(node, context.customer) if repeats else None
+    unknown_key = find_execution(node.coordinated, token.key, node.clock.now_ms()) is None
+    leaving = leaving_refusal(node) if unknown_key else None
+    if leaving is not None:
+        return refuse_key(node, token.key, leaving)
+    limit = customer_refusal(node, context.customer) if unknown_key and attempt > 0 else None
     if limit is not None:
         return refuse_key(node, token.key, limit)
     budget = RetryBudget(context.retry_allotment)
@@ -180,8 +183,8 @@
 
 def knows_coordinator(node: NodeState, token: IdempotencyToken) -> bool:
     """Tell whether a token names a node of the fleet; others are not dialled."""
-    known = node.fleet.vms.keys() | node.fleet.incarnations.keys()
-    return not node.fleet.vms or token.node in known
+    fleet = node.fleet
+    return not fleet.vms or token.node in fleet.vms or token.node in fleet.incarnations
 
 
 def coordinator_gone(
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -29,6 +29,8 @@
     dispatch_call,
     return_loan,
 )
+from basilhill_node.commands.leave_fleet import leaving_refusal
+from basilhill_node.commands.wake_up import check_pause, waited_ms
 from basilhill_node.state import NodeState, ParentCall
 
 
@@ -43,6 +45,7 @@
 
 async def serve_call(node: NodeState, request: CallRequest, arrival: Arrival) -> ServedCall:
     """Serve one call to its end."""
+    check_pause(node)
     with node.open_call():
         return await serve_open(node, request, arrival)
 
@@ -82,6 +85,9 @@
             return served(node, CallReply(Error(refusal)))
         return served(node, await refuse_arrival(node, arrival, refusal))
     call = opened.ok
+    refusal = leaving_refusal(node) if policy.idempotent else None
+    if refusal is not None:
+        return served(node, CallReply(Error(refusal)))
     started_ms = node.clock.now_ms()
     if policy.idempotent:
         reply = await dispatch_call(node, call)
@@ -119,7 +125,7 @@
         limit = customer_refusal(node, arrival.customer)
         if limit is not None:
             return Error(limit)
-    timeout_ms = min(arrival.timeout_ms or action.timeout_ms, action.timeout_ms)
+    timeout_ms = min(arrival.timeout_ms or action.timeout_ms, action.timeout_ms) - waited_ms(node)
     context = CallContext(
         action_id_of(arrival),
         action.name,
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -11,8 +11,9 @@
 from basilhill_node.administration import build_administration
 from basilhill_node.backend_servers import HttpBackendServer
 from basilhill_node.commands.adjust_admission import adjust_admission
+from basilhill_node.commands.exchange_sections import exchange_digests
 from basilhill_node.commands.keep_streams import keep_streams
-from basilhill_node.commands.leave_fleet import finish_calls, start_leaving
+from basilhill_node.commands.leave_fleet import finish_calls, follow_drain, start_leaving
 from basilhill_node.commands.read_platform import follow_document, follow_fleet
 from basilhill_node.front import build_front
 from basilhill_node.network import DirectNetwork, Network
@@ -21,6 +22,9 @@
 from basilhill_node.platform import HttpPlatformClient
 from basilhill_node.state import new_state
 
+CLOSE_POLLS = 50
+CLOSE_POLL_S = 0.02
+
 
 async def run_node(
     settings: NodeSettings, clock: Clock | None = None, network: Network | None = None
@@ -41,6 +45,8 @@
     background = [
         node.spawn(follow_document(node, platform)),
         node.spawn(follow_fleet(node, platform)),
+        node.spawn(exchange_digests(node)),
+        node.spawn(follow_drain(node)),
         node.spawn(service.send_heartbeats()),
         node.spawn(adjust_admission(node)),
         node.spawn(keep_streams(node)),
@@ -48,11 +54,11 @@
     node.log.record("node", "", f"serving {settings.service} at {settings.node}")
     await wait_for_signal()
     start_leaving(node)
-    await service.send_to_all(service.heartbeat_frame())
     await finish_calls(node)
+    front.close()
+    await close_requests(front)
     for task in background:
         task.cancel()
-    front.close()
     administration.close()
     peer_server.close()
     await platform.close()
@@ -67,6 +73,14 @@
     return server
 
 
+async def close_requests(front) -> None:
+    """Close the connections of callers, each after the request that it carries."""
+    for _ in range(CLOSE_POLLS):
+        if all(connection.close_if_idle() for connection in list(front.connections)):
+            return
+        await asyncio.sleep(CLOSE_POLL_S)
+
+
 async def wait_for_signal() -> None:
     """Wait for SIGTERM or SIGINT."""
     stopped = asyncio.Event()
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -7,6 +7,7 @@
 from basilhill.calls import CallContext
 from basilhill.commands.transits import record_transit
 from basilhill.queries.transits import excess_transit_ms
+from basilhill.sections import DigestReport, SectionBatch
 from basilhill.suspects import SuspectReport
 from basilhill.transits import TransitMeter
 from basilhill.verdicts import CallReply, Reason, not_run
@@ -14,9 +15,11 @@
 
 from basilhill_node import encoding
 from basilhill_node.commands.coordinate_call import coordinate_copy, refuse_token
+from basilhill_node.commands.exchange_sections import own_report, receive_batch, receive_report
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.revoke_call import revoke_call
 from basilhill_node.commands.screen_call import receive_reports
+from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame, until_reachable
 from basilhill_node.queries.loads import own_heartbeat
@@ -34,6 +37,15 @@
     calls: dict[int, asyncio.Task] = field(factory=dict)
     transits: TransitMeter = field(factory=TransitMeter)
 
+    async def send_batch(self, batch: SectionBatch) -> bool:
+        """Send sections; tell whether they are on their way."""
+        return self.sender.submit_control(wire.Frame(sections=encoding.encode_batch(batch)))
+
+    async def send_report(self, report: DigestReport) -> bool:
+        """Send what this node holds; tell whether it is on its way."""
+        frame = wire.Frame(section_digests=encoding.encode_report(report))
+        return self.sender.submit_control(frame)
+
 
 class PeerService(PeerBase):
     """Serve calls of other nodes."""
@@ -44,12 +56,14 @@
 
     async def Exchange(self, stream) -> None:  # noqa: N802 - the name of the generated base class
         """Handle the frames of one stream until it ends."""
-        incoming = IncomingStream(FrameSender(stream, self.node.network))
+        incoming = IncomingStream(FrameSender(stream, self.node.clock, self.node.network))
         self.streams.add(incoming)
         writer = self.node.spawn(incoming.sender.run())
         try:
             async for batch in stream:
                 await until_reachable(self.node.network, incoming.peer)
+                check_pause(self.node)
+                record_transit(incoming.transits, batch.sent_ms, self.node.clock.now_ms())
                 for frame in batch.frames:
                     self.receive(incoming, frame)
         finally:
@@ -64,6 +78,11 @@
         kind = frame.WhichOneof("body")
         if kind == "hello":
             self.greet(incoming, frame.hello)
+        elif kind == "sections":
+            receive_batch(self.node, encoding.decode_batch(frame.sections))
+        elif kind == "section_digests":
+            report = encoding.decode_report(frame.section_digests)
+            self.node.spawn(receive_report(self.node, incoming, incoming.peer, report))
         elif kind == "execute":
             call = self.execute(incoming, frame.execute)
             self.start(incoming, frame.execute.call_id, call)
@@ -83,17 +102,17 @@
                 task.cancel()
 
     def greet(self, incoming: IncomingStream, hello: wire.Hello) -> None:
-        """Answer the first frame of a stream, whose transit is the measure of later ones."""
+        """Answer the first frame of a stream."""
         incoming.peer = incoming.sender.peer = hello.node
-        self.excess_ms(incoming, hello.sent_ms)
         incoming.sender.submit(hello_frame(self.node))
         incoming.sender.submit(self.heartbeat_frame())
+        if not self.node.document.services:
+            # A node that restarts while the platform is down learns from those that dial it.
+            self.node.spawn(incoming.send_report(own_report(self.node)))
 
     def excess_ms(self, incoming: IncomingStream, sent_ms: int) -> int:
         """Return how much longer than usual a message was on its way, for example in a pause."""
-        now_ms = self.node.clock.now_ms()
-        record_transit(incoming.transits, sent_ms, now_ms)
-        return excess_transit_ms(incoming.transits, sent_ms, now_ms)
+        return excess_transit_ms(incoming.transits, sent_ms, self.node.clock.now_ms())
 
     def start(self, incoming: IncomingStream, call_id: int, call) -> None:
         """Run a call as a task that replies on its stream."""
@@ -105,10 +124,10 @@
         """Wait for a call and send its reply."""
         with self.node.open_call():
             reply = await call
-        try:
-            await incoming.sender.send(wire.Frame(reply=encoding.encode_reply(call_id, reply)))
-        except STREAM_ERRORS as error:
-            self.node.log.record("peer", "", f"lost {incoming.peer}", type(error).__name__)
+            try:
+                await incoming.sender.send(wire.Frame(reply=encoding.encode_reply(call_id, reply)))
+            except STREAM_ERRORS as error:
+                self.node.log.record("peer", "", f"lost {incoming.peer}", type(error).__name__)
 
     async def execute(self, incoming: IncomingStream, message: wire.Execute) -> CallReply:
         """Run a call on the backend server beside this node."""
@@ -159,6 +178,7 @@
                 async with asyncio.timeout(self.node.settings.heartbeat_ms / 1000):
                     await self.node.state_changed.wait()
             self.node.state_changed.clear()
+            check_pause(self.node)
             await self.send_to_all(self.heartbeat_frame())
 
     async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
@@ -166,6 +186,6 @@
         await self.send_to_all(wire.Frame(suspects=encoding.encode_suspects(reports)))
 
     async def send_to_all(self, frame: wire.Frame) -> None:
-        """Send a frame on every incoming stream."""
-        sends = (incoming.sender.send(frame) for incoming in tuple(self.streams))
-        await asyncio.gather(*sends, return_exceptions=True)
+        """Send a frame on every incoming stream whose peer reads."""
+        for incoming in tuple(self.streams):
+            incoming.sender.submit_control(frame)
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -1,19 +1,33 @@
 """Outgoing streams to other nodes, one task for each peer."""
 
 import asyncio
+from contextlib import suppress
 
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
-from basilhill.commands.fleet import record_heartbeat
+from basilhill.clocks import Clock
+from basilhill.commands.fleet import (
+    end_lease,
+    forget_lease,
+    record_heartbeat,
+    record_incarnation,
+    renew_lease,
+)
+from basilhill.commands.transits import record_transit
+from basilhill.queries.transits import excess_transit_ms
+from basilhill.sections import DigestReport, SectionBatch
 from basilhill.suspects import SuspectReport
 from basilhill.tokens import IdempotencyToken
+from basilhill.transits import TransitMeter
 from basilhill.verdicts import CallReply, Refusal
 from expression import Error, Ok, Result
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
+from basilhill_node.commands.exchange_sections import receive_batch, receive_report
 from basilhill_node.commands.screen_call import receive_reports
+from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.headers import token_text
 from basilhill_node.network import Network
 from basilhill_node.state import LostReply, NodeState
@@ -21,6 +35,13 @@
 from basilhill_node.wire.peer_grpc import PeerStub
 
 CUT_POLL_S = 0.05
+# A failed connection is tried again after a time that doubles up to this many times the first.
+RECONNECT_FACTOR_MAX = 16
+# A stream that carried no call is closed after this many digest intervals.
+CONTROL_IDLE_DIGESTS = 3
+# Control frames are dropped when a peer has left this many frames unread.
+CONTROL_FRAMES_MAX = 100
+
 STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
 
 
@@ -32,6 +53,7 @@
     """
 
     stream: object
+    clock: Clock
     network: Network
     peer: str = ""
     incarnation: str = ""
@@ -47,7 +69,8 @@
                 batch, self.frames = self.frames, []
                 self.ready.clear()
                 if batch:
-                    await self.stream.send_message(wire.Batch(frames=batch))
+                    message = wire.Batch(frames=batch, sent_ms=self.clock.now_ms())
+                    await self.stream.send_message(message)
         except STREAM_ERRORS:
             return
 
@@ -60,6 +83,13 @@
         self.frames.append(frame)
         self.ready.set()
 
+    def submit_control(self, frame: wire.Frame) -> bool:
+        """Put a frame that has no reply into the outbox, unless the peer has stopped reading."""
+        if len(self.frames) >= CONTROL_FRAMES_MAX:
+            return False
+        self.submit(frame)
+        return True
+
     def withdraw(self, call_id: int) -> bool:
         """Take the frame of a call back; return whether it was still in the outbox."""
         kept = [frame for frame in self.frames if call_id_of(frame) != call_id]
@@ -85,8 +115,11 @@
 
     node: NodeState
     peer: str
+    failures: int = 0
+    transits: TransitMeter = field(factory=TransitMeter)
     sender: FrameSender | None = None
     connected: asyncio.Event = field(factory=asyncio.Event)
+    wanted: asyncio.Event = field(factory=asyncio.Event)
     pending: dict[int, asyncio.Future] = field(factory=dict)
     next_call_id: int = 0
     used_ms: int = 0
@@ -96,7 +129,19 @@
         """Keep the stream open until cancelled."""
         while True:
             await self.hold_stream()
-            await asyncio.sleep(self.node.settings.reconnect_ms / 1000)
+            end_lease(self.node.fleet, self.node.routing, self.peer, self.node.clock.now_ms())
+            self.failures += 1
+            await self.back_off()
+
+    async def back_off(self) -> None:
+        """Wait before the next try, for a shorter time when a call asks for the stream."""
+        wait_ms = self.node.settings.reconnect_ms * self.node.random.uniform(0.25, 0.5)
+        await asyncio.sleep(wait_ms / 1000)
+        factor = min(2**self.failures, RECONNECT_FACTOR_MAX)
+        self.wanted.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms * (factor - 1) / 1000):
+                await self.wanted.wait()
 
     async def hold_stream(self) -> None:
         """Open the stream and handle its frames until it breaks."""
@@ -108,14 +153,19 @@
                 raise ConnectionRefusedError(self.peer)
             async with PeerStub(channel).Exchange.open() as stream:
                 await stream.send_request()
-                sender = FrameSender(stream, self.node.network, self.peer)
+                sender = FrameSender(stream, self.node.clock, self.node.network, self.peer)
+                self.transits = TransitMeter()
                 sender.submit(hello_frame(self.node))
                 writer = self.node.spawn(sender.run())
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
+                    check_pause(self.node)
+                    now_ms = self.node.clock.now_ms()
+                    record_transit(self.transits, batch.sent_ms, now_ms)
+                    waited_ms = excess_transit_ms(self.transits, batch.sent_ms, now_ms)
                     for frame in batch.frames:
-                        self.receive(sender, frame)
+                        self.receive(sender, frame, waited_ms)
         except STREAM_ERRORS as error:
             self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
         finally:
@@ -124,8 +174,8 @@
             self.fail_pending()
             channel.close()
 
-    def receive(self, sender: FrameSender, frame: wire.Frame) -> None:
-        """Handle one frame from the peer."""
+    def receive(self, sender: FrameSender, frame: wire.Frame, waited_ms: int) -> None:
+        """Handle one frame from the peer that waited in sockets for some time."""
         kind = frame.WhichOneof("body")
         if kind == "reply":
             waiter = self.pending.get(frame.reply.call_id)
@@ -134,20 +184,30 @@
         elif kind == "hello":
             # Calls wait for the peer's Hello: it proves that the peer has seen this node's Hello,
             # and names the incarnation that will run the calls.
-            self.node.fleet.incarnations[self.peer] = frame.hello.incarnation
+            fleet, routing = self.node.fleet, self.node.routing
+            if record_incarnation(fleet, routing, self.peer, frame.hello.incarnation):
+                self.node.log.record("fleet", "", f"{self.peer} restarted")
             sender.incarnation = frame.hello.incarnation
             self.sender = sender
             self.connected.set()
         elif kind == "suspects":
             receive_reports(self.node, encoding.decode_suspects(frame.suspects))
         elif kind == "heartbeat":
-            record_heartbeat(
-                self.node.routing,
-                self.peer,
-                encoding.decode_heartbeat(frame.heartbeat),
-                self.node.clock.now_ms(),
-                self.node.settings.lease_ms,
-            )
+            self.receive_heartbeat(frame.heartbeat, waited_ms)
+        elif kind == "sections":
+            receive_batch(self.node, encoding.decode_batch(frame.sections))
+        elif kind == "section_digests":
+            report = encoding.decode_report(frame.section_digests)
+            self.node.spawn(receive_report(self.node, self, self.peer, report))
+
+    def receive_heartbeat(self, message: wire.Heartbeat, waited_ms: int) -> None:
+        """Renew the lease of the peer from the time at which it sent the heartbeat."""
+        node, heartbeat = self.node, encoding.decode_heartbeat(message)
+        self.failures = 0
+        sent_ms = node.clock.now_ms() - waited_ms
+        lease_ms = node.settings.lease_ms
+        record_heartbeat(node.routing, self.peer, heartbeat, sent_ms, lease_ms)
+        renew_lease(node.fleet, self.peer, heartbeat.digest, sent_ms, lease_ms)
 
     def fail_pending(self) -> None:
         """End the calls that got no reply, by whether their frames had left."""
@@ -166,17 +226,36 @@
 
     async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
         """Tell the peer about requests that may crash servers."""
-        self.touch()
         frame = wire.Frame(suspects=encoding.encode_suspects(reports))
-        try:
-            async with asyncio.timeout(self.node.settings.lease_ms / 1000):
-                await self.connected.wait()
-                await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
-                if self.sender is not None:
-                    await self.sender.send(frame)
-        except (TimeoutError, *STREAM_ERRORS):
+        if not await self.send_control(frame, self.node.settings.lease_ms):
             self.node.log.record("peer", "", f"{self.peer} not told of suspects")
 
+    async def send_batch(self, batch: SectionBatch) -> bool:
+        """Send sections; tell whether they are on their way."""
+        frame = wire.Frame(sections=encoding.encode_batch(batch))
+        return await self.send_control(frame, self.node.settings.reconnect_ms)
+
+    async def send_report(self, report: DigestReport) -> bool:
+        """Send what this node holds; tell whether it is on its way."""
+        frame = wire.Frame(section_digests=encoding.encode_report(report))
+        return await self.send_control(frame, self.node.settings.reconnect_ms)
+
+    async def send_control(self, frame: wire.Frame, connect_ms: int) -> bool:
+        """Send a frame that has no reply; tell whether it is on its way."""
+        self.touch()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(connect_ms / 1000):
+                await self.connected.wait()
+        await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
+        return self.sender is not None and self.sender.submit_control(frame)
+
+    def idle_at(self, now_ms: int) -> bool:
+        """Tell whether nothing used the stream lately; one that carries calls stays longer."""
+        settings = self.node.settings
+        if self.pending or now_ms - self.touched_ms < CONTROL_IDLE_DIGESTS * settings.digest_ms:
+            return False
+        return not self.next_call_id or now_ms - self.used_ms >= settings.idle_peer_ms
+
     async def call(
         self, frame: wire.Frame, timeout_ms: int, incarnation: str = ""
     ) -> Result[CallReply, LostReply]:
@@ -188,6 +267,7 @@
         call_id = call_id_of(frame)
         waiter = asyncio.get_running_loop().create_future()
         sender, done = None, False
+        self.wanted.set()
         try:
             async with asyncio.timeout((timeout_ms + self.node.settings.grace_ms) / 1000):
                 if not self.connected.is_set():
@@ -281,7 +361,6 @@
         incarnation=node.incarnation,
         data_centre=settings.data_centre,
         service=settings.service,
-        sent_ms=node.clock.now_ms(),
     )
     return wire.Frame(hello=hello)
 
@@ -298,7 +377,9 @@
         """Return the client of a peer, opened on demand."""
         client = self.clients.get(node)
         if client is None:
-            client = self.clients[node] = PeerClient(self.node, node)
+            client = self.clients[node] = PeerClient(
+                self.node, node, touched_ms=self.node.clock.now_ms()
+            )
             self.tasks[node] = self.node.spawn(client.run())
         return client
 
@@ -308,3 +389,10 @@
         task = self.tasks.pop(node, None)
         if task is not None:
             task.cancel()
+        forget_lease(self.node.fleet, self.node.routing, node)
+
+    def close_idle(self) -> None:
+        """Close the streams that nothing used lately."""
+        now_ms = self.node.clock.now_ms()
+        for peer in [peer for peer, client in self.clients.items() if client.idle_at(now_ms)]:
+            self.close(peer)
