--- a/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
@@ -1,5 +1,6 @@
 """Detect that the process was stopped, before it acts on what waited in its sockets."""
 
+from basilhill.clocks import SocketDelay
 from basilhill.commands.fleet import drop_reports
 
 from basilhill_node.commands.exchange_sections import ask_for_sections
@@ -27,6 +28,13 @@
     return True
 
 
+def socket_wait_ms(node: NodeState, delay: SocketDelay, sent_ms: int) -> int:
+    """Return how long a message of a stream waited in sockets, after checking for a pause."""
+    check_pause(node)
+    wait_ms = delay.observe(sent_ms, node.clock.now_ms())
+    return 0 if node.disabled("pause-check") else wait_ms
+
+
 def waited_ms(node: NodeState) -> int:
     """Return how long a request that is read now may have waited for a paused process."""
     recent = node.woken_ms and node.clock.now_ms() - node.woken_ms <= BACKLOG_MS
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -20,7 +20,7 @@
 from basilhill_node.commands.exchange_sections import own_report, receive_batch, receive_report
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.leave_fleet import refuse_when_leaving
-from basilhill_node.commands.wake_up import check_pause
+from basilhill_node.commands.wake_up import check_pause, socket_wait_ms
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame
 from basilhill_node.state import NodeState
@@ -69,8 +69,7 @@
             await incoming.sender.send(hello_frame(self.node))
             await incoming.sender.send(self.heartbeat_frame())
             async for batch in stream:
-                check_pause(self.node)
-                waited_ms = incoming.delay.observe(batch.sent_ms, self.node.clock.now_ms())
+                waited_ms = socket_wait_ms(self.node, incoming.delay, batch.sent_ms)
                 for frame in batch.frames:
                     self.receive(incoming, frame, waited_ms)
         finally:
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -22,7 +22,7 @@
 
 from basilhill_node import encoding
 from basilhill_node.commands.exchange_sections import receive_batch, receive_report
-from basilhill_node.commands.wake_up import check_pause
+from basilhill_node.commands.wake_up import socket_wait_ms
 from basilhill_node.headers import token_text
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
@@ -109,8 +109,7 @@
                 self.connected.set()
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
-                    check_pause(self.node)
-                    waited_ms = self.delay.observe(batch.sent_ms, self.node.clock.now_ms())
+                    waited_ms = socket_wait_ms(self.node, self.delay, batch.sent_ms)
                     for frame in batch.frames:
                         self.receive(frame, waited_ms)
         except STREAM_ERRORS as error:
