--- a/packages/basilhill/src/basilhill/commands/fleet.py
+++ b/packages/basilhill/src/basilhill/commands/fleet.py
@@ -18,6 +18,7 @@
     """Replace the fleet list and the servers to route to."""
     fleet.vms = {entry.node: entry for entry in entries}
     fleet.orders = rendezvous_orders(fleet.vms.values())
+    fleet.incarnations = {n: i for n, i in fleet.incarnations.items() if n in fleet.vms}
     for node in list(routing.servers):
         if node not in fleet.vms:
             del routing.servers[node]
@@ -56,7 +57,9 @@
 
 def end_lease(fleet: FleetView, routing: RoutingTable, node: str, now_ms: int) -> None:
     """Count a peer as down because its stream ended or cannot be opened."""
-    fleet.leases[node] = PeerLease(now_ms)
+    lease = fleet.leases.get(node)
+    # Every failed try to connect calls this; the peer has been down since the first.
+    fleet.leases[node] = PeerLease(min(now_ms, lease.until_ms) if lease else now_ms)
     server = routing.servers.get(node)
     if server is not None and server.lease_until_ms != 0:
         server.lease_until_ms = min(server.lease_until_ms, now_ms)
--- a/packages/basilhill/src/basilhill/commands/sections.py
+++ b/packages/basilhill/src/basilhill/commands/sections.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from attrs import evolve
-from expression import Ok, Result
+from expression import Error, Ok, Result
 
 from basilhill.documents import Problem, Section, SectionPolicy
 from basilhill.queries.documents import parse_section
@@ -87,7 +87,11 @@
     """Return what a section says, nothing for a removal or a shard of the fleet list."""
     if is_shard(section.team) or not section.text:
         return Ok(None)
-    return parse_section(section)
+    try:
+        return parse_section(section)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        # A section that the parser does not foresee is refused; it must not stop the reader.
+        return Error((Problem(section.team, "", 0, f"{type(error).__name__}: {error}"),))
 
 
 def merged_claims(
--- a/packages/basilhill/src/basilhill/queries/fleet.py
+++ b/packages/basilhill/src/basilhill/queries/fleet.py
@@ -59,7 +59,7 @@
     """Return the fleet list as the text of one shard for each service."""
     lines: dict[str, list[str]] = {}
     for entry in entries:
-        line = f"{entry.node} {entry.data_centre} {entry.state.value}"
+        line = f"{entry.node} {entry.state.value} {entry.data_centre}"
         lines.setdefault(f"{FLEET_PREFIX}{entry.service}", []).append(line)
     return {shard: "\n".join(sorted(texts)) for shard, texts in lines.items()}
 
@@ -95,6 +95,6 @@
         if is_shard(shard):
             service = shard.removeprefix(FLEET_PREFIX)
             for line in held.newest.text.splitlines():
-                node, data_centre, state = line.split(" ")
+                node, state, data_centre = line.split(" ", 2)
                 entries.append(VmEntry(node, service, data_centre, VmState(state)))
     return tuple(entries)
--- a/packages/basilhill/tests/test_fleet.py
+++ b/packages/basilhill/tests/test_fleet.py
@@ -84,6 +84,7 @@
     """Guard against a data centre without readers."""
     fleet, routing = new_view()
     end_lease(fleet, routing, NODES[0], 1_000)
+    end_lease(fleet, routing, NODES[0], 1_300)
     assert not is_down(fleet, NODES[0], 1_400, wait_ms=500)
     assert is_down(fleet, NODES[0], 1_500, wait_ms=500)
     assert readers_of(NODES, frozenset({NODES[0]}), 3) == NODES[1:4]
--- a/packages/basilhill/tests/test_sections.py
+++ b/packages/basilhill/tests/test_sections.py
@@ -124,6 +124,16 @@
     assert table.resolution.refused == {}
 
 
+def test_section_that_the_parser_does_not_foresee_is_refused():
+    """Guard against a section that stops the reader of a data centre."""
+    table = SectionTable()
+    text = '[team.first.action.buy]\nentry = "a.b"\nclass = "gold"\ntimeout_ms = 1\n'
+    take_sections(table, (Section("first", 1, text),))
+    assert table.resolution.refused.keys() == {"first"}
+    take_sections(table, (section("first", 2, "shop"),))
+    assert in_force(table)["first"].revision == 2
+
+
 def test_section_that_removes_a_call_in_use_is_refused_and_the_call_stays():
     """Guard against one team's edit that breaks another team's service."""
     table = SectionTable()
--- a/packages/basilhill_fakes/tests/test_configuration.py
+++ b/packages/basilhill_fakes/tests/test_configuration.py
@@ -145,3 +145,15 @@
     assert sorted(readers) == ["bucharest-1", "bucharest-2", "bucharest-3"]
     fleet.signal(f"node-{stopped.address}", signal.SIGCONT)
     assert await until_everywhere(fleet, {"calendar": number}) < IN_FORCE_S
+
+
+async def test_data_centre_without_the_platform_gets_changes_from_another(fleet):
+    """Guard against a data centre that is cut off from the platform and keeps old sections."""
+    cut_off = [vm for vm in fleet.topology.vms if vm.data_centre == "bucharest-3"]
+    fleet.settings["platform_url"] = f"http://{fleet.topology.platform_address}:1"
+    try:
+        await asyncio.gather(*(restart_node(fleet, vm) for vm in cut_off))
+    finally:
+        del fleet.settings["platform_url"]
+    number = await fleet.publish_document(with_slots(DOCUMENT, "calendar", 66))
+    assert await until_everywhere(fleet, {"calendar": number}) < IN_FORCE_S
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -17,8 +17,8 @@
 from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.front import build_front
 from basilhill_node.network import DirectNetwork, Network
+from basilhill_node.peer_pool import PeerClients
 from basilhill_node.peer_server import PeerService
-from basilhill_node.peers import PeerClients
 from basilhill_node.platform import HttpPlatformClient
 from basilhill_node.state import NodeState, new_state
 
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/peer_pool.py
@@ -0,0 +1,40 @@
+"""The clients of all peers."""
+
+import asyncio
+
+from attrs import define, field
+from basilhill.commands.fleet import forget_lease
+
+from basilhill_node.peers import PeerClient
+from basilhill_node.state import NodeState
+
+
+@define(eq=False)
+class PeerClients:
+    """Hold a client for each peer, opened on demand."""
+
+    node: NodeState
+    clients: dict[str, PeerClient] = field(factory=dict)
+    tasks: dict[str, asyncio.Task] = field(factory=dict)
+
+    def channel(self, node: str) -> PeerClient:
+        """Return the client of a peer, opened on demand."""
+        client = self.clients.get(node)
+        if client is None:
+            client = self.clients[node] = PeerClient(self.node, node, self.node.clock.now_ms())
+            self.tasks[node] = self.node.spawn(client.run())
+        return client
+
+    def close(self, node: str) -> None:
+        """Close the stream to a peer."""
+        self.clients.pop(node, None)
+        task = self.tasks.pop(node, None)
+        if task is not None:
+            task.cancel()
+        forget_lease(self.node.fleet, self.node.routing, node)
+
+    def close_idle(self) -> None:
+        """Close the streams that nothing used lately."""
+        now_ms = self.node.clock.now_ms()
+        for peer in [peer for peer, client in self.clients.items() if client.idle_at(now_ms)]:
+            self.close(peer)
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -182,5 +182,8 @@
 
     async def send_to_all(self, frame: wire.Frame) -> None:
         """Send a frame on every incoming stream."""
-        sends = (incoming.sender.send(frame) for incoming in tuple(self.streams))
+        streams = tuple(self.streams)
+        for incoming in streams:
+            incoming.sender.drop_heartbeats()
+        sends = (incoming.sender.send(frame) for incoming in streams)
         await asyncio.gather(*sends, return_exceptions=True)
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -8,7 +8,6 @@
 from basilhill.clocks import Clock, SocketDelay
 from basilhill.commands.fleet import (
     end_lease,
-    forget_lease,
     record_heartbeat,
     record_incarnation,
     renew_lease,
@@ -54,6 +53,10 @@
                 message = wire.Batch(frames=batch, sent_ms=self.clock.now_ms())
                 await self.stream.send_message(message)
 
+    def drop_heartbeats(self) -> None:
+        """Drop heartbeats that still wait, because a newer one follows."""
+        self.frames = [frame for frame in self.frames if not frame.HasField("heartbeat")]
+
     def unsent_calls(self) -> set[int]:
         """Return the ids of calls whose frames never left."""
         bodies = (getattr(frame, frame.WhichOneof("body")) for frame in self.frames)
@@ -292,34 +295,3 @@
         service=settings.service,
     )
     return wire.Frame(hello=hello)
-
-
-@define(eq=False)
-class PeerClients:
-    """Hold a client for each peer, opened on demand."""
-
-    node: NodeState
-    clients: dict[str, PeerClient] = field(factory=dict)
-    tasks: dict[str, asyncio.Task] = field(factory=dict)
-
-    def channel(self, node: str) -> PeerClient:
-        """Return the client of a peer, opened on demand."""
-        client = self.clients.get(node)
-        if client is None:
-            client = self.clients[node] = PeerClient(self.node, node, self.node.clock.now_ms())
-            self.tasks[node] = self.node.spawn(client.run())
-        return client
-
-    def close(self, node: str) -> None:
-        """Close the stream to a peer."""
-        self.clients.pop(node, None)
-        task = self.tasks.pop(node, None)
-        if task is not None:
-            task.cancel()
-        forget_lease(self.node.fleet, self.node.routing, node)
-
-    def close_idle(self) -> None:
-        """Close the streams that nothing used lately."""
-        now_ms = self.node.clock.now_ms()
-        for peer in [peer for peer, client in self.clients.items() if client.idle_at(now_ms)]:
-            self.close(peer)
