--- a/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
@@ -22,6 +22,9 @@
 # A watch that returns sooner without a newer revision is not waiting; asking again at once would
 # load the platform.
 SHORT_WATCH_MS = 1_000
+# An entry of the list is about 95 bytes, so a reader reads at most 4 KB/s of it. All readers pass
+# on what they see, so a large fleet notices a change long before one reader's turn.
+FLEET_READ_MS_PER_VM = 25
 # The document may change between two reads, a few times at most.
 CONFIRMING_READS = 4
 
@@ -108,7 +111,7 @@
     while True:
         if is_reader(node):
             await read_fleet(node, platform, reads)
-        await pause_between_reads(node)
+        await pause_between_reads(node, len(node.fleet.vms) * FLEET_READ_MS_PER_VM)
 
 
 async def read_fleet(node: NodeState, platform: PlatformClient, reads: FleetReads) -> None:
@@ -124,6 +127,7 @@
         take_offered(node, changed)
 
 
-async def pause_between_reads(node: NodeState) -> None:
+async def pause_between_reads(node: NodeState, least_ms: int = 0) -> None:
     """Wait for a jittered time, so that readers do not ask the platform together."""
-    await asyncio.sleep(node.settings.platform_poll_ms * node.random.uniform(*JITTER) / 1000)
+    wait_ms = max(node.settings.platform_poll_ms, least_ms)
+    await asyncio.sleep(wait_ms * node.random.uniform(*JITTER) / 1000)
