--- a/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
@@ -1,6 +1,9 @@
 """Detect that the process was stopped, before it acts on what waited in its sockets."""
 
 from basilhill.commands.fleet import drop_reports
+from basilhill.commands.transits import record_transit
+from basilhill.queries.transits import excess_transit_ms
+from basilhill.transits import TransitMeter
 
 from basilhill_node.commands.exchange_sections import ask_for_sections
 from basilhill_node.state import NodeState
@@ -27,6 +30,19 @@
     return True
 
 
+def receive_batch_time(node: NodeState, meter: TransitMeter, sent_ms: int) -> None:
+    """Check for a pause and learn from the time stamp of a batch of frames."""
+    check_pause(node)
+    record_transit(meter, sent_ms, node.clock.now_ms())
+
+
+def socket_wait_ms(node: NodeState, meter: TransitMeter, sent_ms: int) -> int:
+    """Return how much longer than usual a message was on its way, for example in a pause."""
+    if node.disabled("pause-check"):
+        return 0
+    return excess_transit_ms(meter, sent_ms, node.clock.now_ms())
+
+
 def waited_ms(node: NodeState) -> int:
     """Return how long a request that is read now may have waited for a paused process."""
     recent = node.woken_ms and node.clock.now_ms() - node.woken_ms <= BACKLOG_MS
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -5,8 +5,6 @@
 
 from attrs import define, field
 from basilhill.calls import CallContext
-from basilhill.commands.transits import record_transit
-from basilhill.queries.transits import excess_transit_ms
 from basilhill.sections import DigestReport, SectionBatch
 from basilhill.suspects import SuspectReport
 from basilhill.transits import TransitMeter
@@ -19,7 +17,7 @@
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.revoke_call import revoke_call
 from basilhill_node.commands.screen_call import receive_reports
-from basilhill_node.commands.wake_up import check_pause
+from basilhill_node.commands.wake_up import check_pause, receive_batch_time, socket_wait_ms
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame, until_reachable
 from basilhill_node.queries.loads import own_heartbeat
@@ -62,8 +60,7 @@
         try:
             async for batch in stream:
                 await until_reachable(self.node.network, incoming.peer)
-                check_pause(self.node)
-                record_transit(incoming.transits, batch.sent_ms, self.node.clock.now_ms())
+                receive_batch_time(self.node, incoming.transits, batch.sent_ms)
                 for frame in batch.frames:
                     self.receive(incoming, frame)
         finally:
@@ -112,7 +109,7 @@
 
     def excess_ms(self, incoming: IncomingStream, sent_ms: int) -> int:
         """Return how much longer than usual a message was on its way, for example in a pause."""
-        return excess_transit_ms(incoming.transits, sent_ms, self.node.clock.now_ms())
+        return socket_wait_ms(self.node, incoming.transits, sent_ms)
 
     def start(self, incoming: IncomingStream, call_id: int, call) -> None:
         """Run a call as a task that replies on its stream."""
@@ -188,4 +185,5 @@
     async def send_to_all(self, frame: wire.Frame) -> None:
         """Send a frame on every incoming stream whose peer reads."""
         for incoming in tuple(self.streams):
+            incoming.sender.drop_heartbeats()
             incoming.sender.submit_control(frame)
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -8,13 +8,10 @@
 from basilhill.clocks import Clock
 from basilhill.commands.fleet import (
     end_lease,
-    forget_lease,
     record_heartbeat,
     record_incarnation,
     renew_lease,
 )
-from basilhill.commands.transits import record_transit
-from basilhill.queries.transits import excess_transit_ms
 from basilhill.sections import DigestReport, SectionBatch
 from basilhill.suspects import SuspectReport
 from basilhill.tokens import IdempotencyToken
@@ -27,7 +24,7 @@
 from basilhill_node import encoding
 from basilhill_node.commands.exchange_sections import receive_batch, receive_report
 from basilhill_node.commands.screen_call import receive_reports
-from basilhill_node.commands.wake_up import check_pause
+from basilhill_node.commands.wake_up import receive_batch_time, socket_wait_ms
 from basilhill_node.headers import token_text
 from basilhill_node.network import Network
 from basilhill_node.state import LostReply, NodeState
@@ -90,6 +87,10 @@
         self.submit(frame)
         return True
 
+    def drop_heartbeats(self) -> None:
+        """Drop heartbeats that still wait, because a newer one follows."""
+        self.frames = [frame for frame in self.frames if not frame.HasField("heartbeat")]
+
     def withdraw(self, call_id: int) -> bool:
         """Take the frame of a call back; return whether it was still in the outbox."""
         kept = [frame for frame in self.frames if call_id_of(frame) != call_id]
@@ -160,10 +161,8 @@
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
-                    check_pause(self.node)
-                    now_ms = self.node.clock.now_ms()
-                    record_transit(self.transits, batch.sent_ms, now_ms)
-                    waited_ms = excess_transit_ms(self.transits, batch.sent_ms, now_ms)
+                    receive_batch_time(self.node, self.transits, batch.sent_ms)
+                    waited_ms = socket_wait_ms(self.node, self.transits, batch.sent_ms)
                     for frame in batch.frames:
                         self.receive(sender, frame, waited_ms)
         except STREAM_ERRORS as error:
@@ -363,36 +362,3 @@
         service=settings.service,
     )
     return wire.Frame(hello=hello)
-
-
-@define(eq=False)
-class PeerClients:
-    """Hold a client for each peer, opened on demand."""
-
-    node: NodeState
-    clients: dict[str, PeerClient] = field(factory=dict)
-    tasks: dict[str, asyncio.Task] = field(factory=dict)
-
-    def channel(self, node: str) -> PeerClient:
-        """Return the client of a peer, opened on demand."""
-        client = self.clients.get(node)
-        if client is None:
-            client = self.clients[node] = PeerClient(
-                self.node, node, touched_ms=self.node.clock.now_ms()
-            )
-            self.tasks[node] = self.node.spawn(client.run())
-        return client
-
-    def close(self, node: str) -> None:
-        """Close the stream to a peer."""
-        self.clients.pop(node, None)
-        task = self.tasks.pop(node, None)
-        if task is not None:
-            task.cancel()
-        forget_lease(self.node.fleet, self.node.routing, node)
-
-    def close_idle(self) -> None:
-        """Close the streams that nothing used lately."""
-        now_ms = self.node.clock.now_ms()
-        for peer in [peer for peer, client in self.clients.items() if client.idle_at(now_ms)]:
-            self.close(peer)
