--- a/packages/basilhill/src/basilhill/queries/budgets.py
+++ b/packages/basilhill/src/basilhill/queries/budgets.py
@@ -5,7 +5,7 @@
 
 def lendable_retries(budget: RetryBudget) -> int:
     """Return how many retries the next internal call may get."""
-    return (budget.balance + 1) // 2
+    return max(0, budget.balance + 1) // 2
 
 
 def used_retries(budget: RetryBudget) -> int:
--- a/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
@@ -55,8 +55,8 @@
         if chosen.is_error():
             return total_reply(call, last or CallReply(Error(chosen.error)))
         # Spent only when a server is about to get the retry.
-        if last is not None and not node.disabled("retry-budget"):
-            spend_retry(call.budget)
+        if last is not None and not spend_retry(call.budget):
+            call.budget.spent += 1
         server = chosen.ok
         node.log.record(
             "route", call.context.action_id, f"{call.policy.full_name} to {server.node}"
@@ -133,7 +133,7 @@
     run = call.run
     if run is not None:
         run.executor, run.incarnation = server.node, ""
-        run.granted_ms = node.clock.now_ms()
+        run.granted_ms, run.loan = node.clock.now_ms(), context.retry_allotment
     if server.node == node.settings.node:
         return await execute_call(node, context, call.key, call.request)
     result = await node.peers.channel(server.node).execute(context, call.key, call.request)
--- a/packages/basilhill_node/src/basilhill_node/commands/revoke_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/revoke_call.py
@@ -33,9 +33,9 @@
         if reply is not None:
             node.log.record("coordinate", context.action_id, f"revoked at {run.executor}")
             return reply
-        await asyncio.sleep(node.settings.reconnect_ms / 1000)
+        await asyncio.sleep(min(node.settings.reconnect_ms, remaining_ms) / 1000)
     refusal = may_have_run(Reason.CONNECTION_LOST, f"no reply from {run.executor}")
-    return CallReply(Error(refusal), context.retry_allotment)
+    return CallReply(Error(refusal), run.loan)
 
 
 async def send_revoke(
@@ -47,8 +47,9 @@
     result = await channel.revoke(key, run.incarnation, age_ms, timeout_ms)
     if result.is_ok():
         return result.ok
-    if result.error.incarnation not in ("", run.incarnation):
-        return CallReply(Error(may_have_run(Reason.CONNECTION_LOST, "the executor restarted")))
+    if result.error.refused or result.error.incarnation not in ("", run.incarnation):
+        refusal = may_have_run(Reason.CONNECTION_LOST, f"{run.executor} ended or restarted")
+        return CallReply(Error(refusal), run.loan)
     return None
 
 
@@ -57,8 +58,9 @@
     pause_ms = RESOLVE_PAUSE_MIN_MS
     while node.clock.now_ms() - run.granted_ms < node.settings.executor_lifetime_ms // 2:
         reply = await send_revoke(node, run, key, RESOLVE_TIMEOUT_MS)
-        if reply is not None:
-            settle_execution(node.coordinated, key, reply.outcome, reply.retries_spent)
+        record = node.coordinated.records.get(key)
+        if reply is not None and record is not None:
+            settle_execution(node.coordinated, key, reply.outcome, record.retries_spent)
             node.log.record("coordinate", "", f"resolved {key}", verdict_of(reply.outcome).value)
             return
         await asyncio.sleep(pause_ms / 1000)
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -85,6 +85,8 @@
 
     def excess_ms(self, incoming: IncomingStream, sent_ms: int) -> int:
         """Return how much longer than usual a message was on its way, for example in a pause."""
+        if self.node.disabled("deadline-check"):
+            return 0
         now_ms = self.node.clock.now_ms()
         record_transit(incoming.transits, sent_ms, now_ms)
         return excess_transit_ms(incoming.transits, sent_ms, now_ms)
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -88,6 +88,7 @@
     pending: dict[int, asyncio.Future] = field(factory=dict)
     next_call_id: int = 0
     used_ms: int = 0
+    refused: bool = False
 
     async def run(self) -> None:
         """Keep the stream open until cancelled."""
@@ -102,7 +103,7 @@
         writer = None
         try:
             if not self.node.network.reachable(self.peer):
-                raise ConnectionRefusedError(self.peer)
+                raise ConnectionAbortedError(self.peer)
             async with PeerStub(channel).Exchange.open() as stream:
                 await stream.send_request()
                 sender = FrameSender(stream, self.node.network, self.peer)
@@ -114,6 +115,7 @@
                     for frame in batch.frames:
                         self.receive(sender, frame)
         except STREAM_ERRORS as error:
+            self.refused = isinstance(error, ConnectionRefusedError)
             self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
         finally:
             if writer is not None:
@@ -134,6 +136,7 @@
             self.node.fleet.incarnations[self.peer] = frame.hello.incarnation
             sender.incarnation = frame.hello.incarnation
             self.sender = sender
+            self.refused = False
             self.connected.set()
         elif kind == "heartbeat":
             record_heartbeat(
@@ -186,7 +189,9 @@
                 return result
         except TimeoutError:
             done = sender is None or sender.withdraw(call_id)
-            return Error(LostReply(not done, "" if done else sender.incarnation))
+            if done:
+                return Error(LostReply(False, refused=self.refused))
+            return Error(LostReply(True, sender.incarnation))
         finally:
             self.pending.pop(call_id, None)
             if sender is not None and not done and not sender.withdraw(call_id):
--- a/packages/basilhill_node/src/basilhill_node/state.py
+++ b/packages/basilhill_node/src/basilhill_node/state.py
@@ -32,10 +32,14 @@
 
 @frozen
 class LostReply:
-    """Tell that a call got no reply, whether its frame left, and to which incarnation."""
+    """Tell that a call got no reply, whether its frame left, and to which incarnation.
+
+    A refused connection shows that the incarnation known before has ended.
+    """
 
     sent: bool
     incarnation: str = ""
+    refused: bool = False
 
 
 class PeerChannel(Protocol):
@@ -94,6 +98,7 @@
     executor: str = ""
     incarnation: str = ""
     granted_ms: int = 0
+    loan: int = 0
 
 
 @define(eq=False)
