--- a/packages/basilhill/tests/test_executions.py
+++ b/packages/basilhill/tests/test_executions.py
@@ -1,13 +1,15 @@
 """Tests of execution records."""
 
 from basilhill.commands.executions import (
+    begin_run,
+    forget_execution,
     reject_execution,
     settle_execution,
     start_execution,
 )
 from basilhill.executions import ExecutionState, ExecutionTable
 from basilhill.queries.executions import find_execution
-from basilhill.verdicts import Answer, Reason, Verdict, not_run
+from basilhill.verdicts import Answer, Reason, Verdict, may_have_run, not_run
 from expression import Error, Ok
 
 
@@ -47,3 +49,57 @@
     start_execution(table, "key", 0)
     settle_execution(table, "key", Error(not_run(Reason.OVERLOADED, "")))
     assert find_execution(table, "key", 1).state is ExecutionState.REJECTED
+
+
+def test_rejected_waiting_key_cannot_begin_its_run():
+    table = new_table()
+    start_execution(table, "key", 0, state=ExecutionState.WAITING)
+    assert reject_execution(table, "key", not_run(Reason.CANCELLED, ""), 1).is_ok()
+    assert not begin_run(table, "key")
+    forget_execution(table, "key")
+    assert start_execution(table, "key", 2).error.verdict is Verdict.NOT_RUN
+
+
+def test_running_key_is_not_rejected_because_not_run_would_be_false():
+    table = new_table()
+    start_execution(table, "key", 0, state=ExecutionState.WAITING)
+    assert begin_run(table, "key")
+    refused = reject_execution(table, "key", not_run(Reason.CANCELLED, ""), 1)
+    assert refused.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_full_table_refuses_a_rejection_that_it_cannot_keep():
+    table = new_table(capacity=1)
+    start_execution(table, "first", 0)
+    refused = reject_execution(table, "second", not_run(Reason.CANCELLED, ""), 1)
+    assert refused.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_long_running_record_does_not_keep_others_from_expiring():
+    table = new_table()
+    start_execution(table, "long", 0)
+    start_execution(table, "short", 1)
+    settle_execution(table, "short", Ok(Answer(200, (), b"body")))
+    start_execution(table, "other", 150)
+    assert set(table.records) == {"long", "other"}
+    assert table.answer_bytes == 0
+    assert find_execution(table, "long", 150).state is ExecutionState.RUNNING
+
+
+def test_oldest_answers_become_uncertain_above_the_limit_instead_of_growing():
+    table = new_table()
+    for key in ("first", "second", "third"):
+        start_execution(table, key, 0)
+        settle_execution(table, key, Ok(Answer(200, (), b"x" * 400)))
+    assert table.answer_bytes == 800
+    assert find_execution(table, "first", 1).state is ExecutionState.UNCERTAIN
+    assert find_execution(table, "first", 1).outcome.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_uncertain_outcome_becomes_definite_but_never_the_other_way():
+    table = new_table()
+    start_execution(table, "key", 0)
+    settle_execution(table, "key", Error(may_have_run(Reason.CONNECTION_LOST, "")))
+    settle_execution(table, "key", Ok(Answer(200)))
+    settle_execution(table, "key", Error(may_have_run(Reason.CONNECTION_LOST, "")))
+    assert find_execution(table, "key", 1).state is ExecutionState.ANSWERED
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -61,16 +61,8 @@
         kind = frame.WhichOneof("body")
         if kind == "hello":
             self.greet(incoming, frame.hello)
-        elif kind == "execute":
-            call = self.execute(incoming, frame.execute)
-            self.start(incoming, frame.execute.call_id, call)
-        elif kind == "coordinate":
-            call = self.coordinate(incoming, frame.coordinate)
-            self.start(incoming, frame.coordinate.call_id, call)
-        elif kind == "revoke":
-            self.start(incoming, frame.revoke.call_id, self.revoke(incoming, frame.revoke))
-        elif kind == "reject":
-            self.start(incoming, frame.reject.call_id, self.reject(frame.reject))
+        elif kind in HANDLERS:
+            self.start(incoming, getattr(frame, kind), HANDLERS[kind])
         elif kind == "cancel":
             task = incoming.calls.get(frame.cancel.call_id)
             if task is not None:
@@ -91,18 +83,21 @@
         record_transit(incoming.transits, sent_ms, now_ms)
         return excess_transit_ms(incoming.transits, sent_ms, now_ms)
 
-    def start(self, incoming: IncomingStream, call_id: int, call) -> None:
-        """Run a call as a task that replies on its stream."""
-        task = self.node.spawn(self.reply(incoming, call_id, call))
+    def start(self, incoming: IncomingStream, message, handler) -> None:
+        """Run the handler of a call as a task that replies on its stream."""
+        call_id = message.call_id
+        task = self.node.spawn(self.reply(incoming, message, handler))
         incoming.calls[call_id] = task
         task.add_done_callback(lambda _: incoming.calls.pop(call_id, None))
 
-    async def reply(self, incoming: IncomingStream, call_id: int, call) -> None:
+    async def reply(self, incoming: IncomingStream, message, handler) -> None:
         """Wait for a call and send its reply."""
         with self.node.open_call():
-            reply = await call
+            reply = await handler(self, incoming, message)
         try:
-            await incoming.sender.send(wire.Frame(reply=encoding.encode_reply(call_id, reply)))
+            await incoming.sender.send(
+                wire.Frame(reply=encoding.encode_reply(message.call_id, reply))
+            )
         except STREAM_ERRORS as error:
             self.node.log.record("peer", "", f"lost {incoming.peer}", type(error).__name__)
 
@@ -131,7 +126,7 @@
         request = encoding.decode_request(message.request)
         return await coordinate_copy(self.node, token.ok, message.attempt, context, request)
 
-    async def reject(self, message: wire.Reject) -> CallReply:
+    async def reject(self, incoming: IncomingStream, message: wire.Reject) -> CallReply:
         """Reject the key of a token that this node issued, for a peer that refuses a copy."""
         token = parse_token(message.token)
         if token.is_error():
@@ -165,3 +160,11 @@
         """Send a frame on every incoming stream."""
         sends = (incoming.sender.send(frame) for incoming in tuple(self.streams))
         await asyncio.gather(*sends, return_exceptions=True)
+
+
+HANDLERS = {
+    "execute": PeerService.execute,
+    "coordinate": PeerService.coordinate,
+    "revoke": PeerService.revoke,
+    "reject": PeerService.reject,
+}
