--- a/packages/basilhill_node/src/basilhill_node/commands/coordinate_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/coordinate_call.py
@@ -180,8 +180,8 @@
 
 def knows_coordinator(node: NodeState, token: IdempotencyToken) -> bool:
     """Tell whether a token names a node of the fleet; others are not dialled."""
-    known = node.fleet.vms.keys() | node.fleet.incarnations.keys()
-    return not node.fleet.vms or token.node in known
+    fleet = node.fleet
+    return not fleet.vms or token.node in fleet.vms or token.node in fleet.incarnations
 
 
 def coordinator_gone(
--- a/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
@@ -46,6 +46,9 @@
     policy = find_call(node.document, request.service, request.method, request.path)
     if policy is None or request.service != node.settings.service:
         return CallReply(Error(not_run(Reason.UNKNOWN_CALL, "this node does not serve the call")))
+    if key is None and not policy.idempotent and not node.disabled("token-records"):
+        # The sender still has a document in which the call is idempotent.
+        return CallReply(Error(not_run(Reason.TOKEN_REQUIRED, "the call is not idempotent")))
     if key is None:
         return await run_admitted(node, context, policy, request)
     started = start_execution(node.executed, key, node.clock.now_ms(), state=ExecutionState.WAITING)
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -1,6 +1,7 @@
 """Incoming streams of other nodes, one task for each."""
 
 import asyncio
+from functools import partial
 
 from attrs import define, field
 from basilhill.calls import CallContext
@@ -41,9 +42,11 @@
 
     async def Exchange(self, stream) -> None:  # noqa: N802 - the name of the generated base class
         """Handle the frames of one stream until it ends."""
-        incoming = IncomingStream(FrameSender(stream, self.node.network))
+        limit = self.node.settings.peer_outbox_limit
+        incoming = IncomingStream(FrameSender(stream, self.node.network, limit))
         self.streams.add(incoming)
         writer = self.node.spawn(incoming.sender.run())
+        writer.add_done_callback(partial(end_reading, asyncio.current_task()))
         try:
             async for batch in stream:
                 await until_reachable(self.node.network, incoming.peer)
@@ -162,6 +165,12 @@
         await asyncio.gather(*sends, return_exceptions=True)
 
 
+def end_reading(reader: asyncio.Task, writer: asyncio.Task) -> None:
+    """End the task that reads a stream whose writer broke, so that the peer opens another."""
+    if not writer.cancelled():
+        reader.cancel()
+
+
 HANDLERS = {
     "execute": PeerService.execute,
     "coordinate": PeerService.coordinate,
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -27,10 +27,12 @@
     """Send frames over one stream; frames that are ready together go as one message.
 
     Only the task of `run` writes, so that a cancelled call never leaves half a message behind.
+    Above the limit frames are dropped, because the peer takes none; a reply dropped is a lost one.
     """
 
     stream: object
     network: Network
+    limit: int
     peer: str = ""
     incarnation: str = ""
     frames: list[wire.Frame] = field(factory=list)
@@ -50,13 +52,16 @@
             return
 
     async def send(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox."""
+        """Put a frame into the outbox, if there is room."""
         self.submit(frame)
 
-    def submit(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox."""
+    def submit(self, frame: wire.Frame) -> bool:
+        """Put a frame into the outbox; return whether there was room."""
+        if len(self.frames) >= self.limit:
+            return False
         self.frames.append(frame)
         self.ready.set()
+        return True
 
     def withdraw(self, call_id: int) -> bool:
         """Take the frame of a call back; return whether it was still in the outbox."""
@@ -106,9 +111,12 @@
                 raise ConnectionAbortedError(self.peer)
             async with PeerStub(channel).Exchange.open() as stream:
                 await stream.send_request()
-                sender = FrameSender(stream, self.node.network, self.peer)
+                limit = self.node.settings.peer_outbox_limit
+                sender = FrameSender(stream, self.node.network, limit, self.peer)
                 sender.submit(hello_frame(self.node))
                 writer = self.node.spawn(sender.run())
+                # Without its writer the stream is of no use; closing it ends the reading too.
+                writer.add_done_callback(lambda _: channel.close())
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
@@ -176,14 +184,15 @@
                         await self.connected.wait()
                 await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                 sender = self.sender
-                if sender is None or len(sender.frames) >= self.node.settings.peer_outbox_limit:
-                    sender = None
+                if sender is None:
                     return Error(LostReply(False))
                 if incarnation not in ("", sender.incarnation):
                     current, sender = sender.incarnation, None
                     return Error(LostReply(False, current))
                 self.pending[call_id] = waiter
-                sender.submit(frame)
+                if not sender.submit(frame):
+                    sender = None
+                    return Error(LostReply(False))
                 result = await waiter
                 done = True
                 return result
