--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -16,8 +16,9 @@
 from basilhill_node.commands.coordinate_call import coordinate_copy, refuse_token
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.revoke_call import revoke_call
+from basilhill_node.frames import STREAM_ERRORS, FrameSender, until_reachable
 from basilhill_node.headers import parse_token
-from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame, until_reachable
+from basilhill_node.peers import hello_frame
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerBase
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -9,78 +9,14 @@
 from basilhill.verdicts import CallReply, Refusal
 from expression import Error, Ok, Result
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
+from basilhill_node.frames import STREAM_ERRORS, FrameSender, call_id_of, until_reachable
 from basilhill_node.headers import token_text
-from basilhill_node.network import Network
 from basilhill_node.state import LostReply, NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerStub
 
-CUT_POLL_S = 0.05
-STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
-
-
-@define(eq=False)
-class FrameSender:
-    """Send frames over one stream; frames that are ready together go as one message.
-
-    Only the task of `run` writes, so that a cancelled call never leaves half a message behind.
-    Above the limit frames are dropped, because the peer takes none; a reply dropped is a lost one.
-    """
-
-    stream: object
-    network: Network
-    limit: int
-    peer: str = ""
-    incarnation: str = ""
-    frames: list[wire.Frame] = field(factory=list)
-    ready: asyncio.Event = field(factory=asyncio.Event)
-
-    async def run(self) -> None:
-        """Write frames until the stream breaks."""
-        try:
-            while True:
-                await self.ready.wait()
-                await until_reachable(self.network, self.peer)
-                batch, self.frames = self.frames, []
-                self.ready.clear()
-                if batch:
-                    await self.stream.send_message(wire.Batch(frames=batch))
-        except STREAM_ERRORS:
-            return
-
-    async def send(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox, if there is room."""
-        self.submit(frame)
-
-    def submit(self, frame: wire.Frame) -> bool:
-        """Put a frame into the outbox; return whether there was room."""
-        if len(self.frames) >= self.limit:
-            return False
-        self.frames.append(frame)
-        self.ready.set()
-        return True
-
-    def withdraw(self, call_id: int) -> bool:
-        """Take the frame of a call back; return whether it was still in the outbox."""
-        kept = [frame for frame in self.frames if call_id_of(frame) != call_id]
-        withdrawn = len(kept) < len(self.frames)
-        self.frames = kept
-        return withdrawn
-
-
-def call_id_of(frame: wire.Frame) -> int:
-    """Return the call id of a frame, 0 for a frame without one."""
-    return getattr(getattr(frame, frame.WhichOneof("body")), "call_id", 0)
-
-
-async def until_reachable(network: Network, peer: str) -> None:
-    """Hold messages back while the network does not pass them, as TCP does."""
-    while not network.reachable(peer):  # noqa: ASYNC110 - a network offers no event to wait for
-        await asyncio.sleep(CUT_POLL_S)
-
 
 @define(eq=False)
 class PeerClient:
