--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import suppress
+from functools import partial
 
 from attrs import define, field
 from basilhill.calls import CallContext
@@ -18,8 +19,9 @@
 from basilhill_node.commands.revoke_call import revoke_call
 from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.commands.wake_up import check_pause, receive_batch_time, socket_wait_ms
+from basilhill_node.frames import STREAM_ERRORS, FrameSender, until_reachable
 from basilhill_node.headers import parse_token
-from basilhill_node.peers import STREAM_ERRORS, FrameSender, hello_frame, until_reachable
+from basilhill_node.peers import hello_frame
 from basilhill_node.queries.loads import own_heartbeat
 from basilhill_node.state import NodeState
 from basilhill_node.wire import peer_pb2 as wire
@@ -37,12 +39,12 @@
 
     async def send_batch(self, batch: SectionBatch) -> bool:
         """Send sections; tell whether they are on their way."""
-        return self.sender.submit_control(wire.Frame(sections=encoding.encode_batch(batch)))
+        return self.sender.submit(wire.Frame(sections=encoding.encode_batch(batch)))
 
     async def send_report(self, report: DigestReport) -> bool:
         """Send what this node holds; tell whether it is on its way."""
         frame = wire.Frame(section_digests=encoding.encode_report(report))
-        return self.sender.submit_control(frame)
+        return self.sender.submit(frame)
 
 
 class PeerService(PeerBase):
@@ -54,9 +56,11 @@
 
     async def Exchange(self, stream) -> None:  # noqa: N802 - the name of the generated base class
         """Handle the frames of one stream until it ends."""
-        incoming = IncomingStream(FrameSender(stream, self.node.clock, self.node.network))
+        limit = self.node.settings.peer_outbox_limit
+        incoming = IncomingStream(FrameSender(stream, self.node.clock, self.node.network, limit))
         self.streams.add(incoming)
         writer = self.node.spawn(incoming.sender.run())
+        writer.add_done_callback(partial(end_reading, asyncio.current_task()))
         try:
             async for batch in stream:
                 await until_reachable(self.node.network, incoming.peer)
@@ -80,19 +84,11 @@
         elif kind == "section_digests":
             report = encoding.decode_report(frame.section_digests)
             self.node.spawn(receive_report(self.node, incoming, incoming.peer, report))
-        elif kind == "execute":
-            call = self.execute(incoming, frame.execute)
-            self.start(incoming, frame.execute.call_id, call)
-        elif kind == "coordinate":
-            call = self.coordinate(incoming, frame.coordinate)
-            self.start(incoming, frame.coordinate.call_id, call)
-        elif kind == "revoke":
-            self.start(incoming, frame.revoke.call_id, self.revoke(incoming, frame.revoke))
-        elif kind == "reject":
-            self.start(incoming, frame.reject.call_id, self.reject(frame.reject))
         elif kind == "suspects":
             reports = encoding.decode_suspects(frame.suspects)
             receive_reports(self.node, reports, from_service=True)
+        elif kind in HANDLERS:
+            self.start(incoming, getattr(frame, kind), HANDLERS[kind])
         elif kind == "cancel":
             task = incoming.calls.get(frame.cancel.call_id)
             if task is not None:
@@ -109,20 +105,24 @@
 
     def excess_ms(self, incoming: IncomingStream, sent_ms: int) -> int:
         """Return how much longer than usual a message was on its way, for example in a pause."""
+        if self.node.disabled("deadline-check"):
+            return 0
         return socket_wait_ms(self.node, incoming.transits, sent_ms)
 
-    def start(self, incoming: IncomingStream, call_id: int, call) -> None:
-        """Run a call as a task that replies on its stream."""
-        task = self.node.spawn(self.reply(incoming, call_id, call))
+    def start(self, incoming: IncomingStream, message, handler) -> None:
+        """Run the handler of a call as a task that replies on its stream."""
+        call_id = message.call_id
+        task = self.node.spawn(self.reply(incoming, message, handler))
         incoming.calls[call_id] = task
         task.add_done_callback(lambda _: incoming.calls.pop(call_id, None))
 
-    async def reply(self, incoming: IncomingStream, call_id: int, call) -> None:
+    async def reply(self, incoming: IncomingStream, message, handler) -> None:
         """Wait for a call and send its reply."""
         with self.node.open_call():
-            reply = await call
+            reply = await handler(self, incoming, message)
+            frame = wire.Frame(reply=encoding.encode_reply(message.call_id, reply))
             try:
-                await incoming.sender.send(wire.Frame(reply=encoding.encode_reply(call_id, reply)))
+                await incoming.sender.send(frame)
             except STREAM_ERRORS as error:
                 self.node.log.record("peer", "", f"lost {incoming.peer}", type(error).__name__)
 
@@ -151,7 +151,7 @@
         request = encoding.decode_request(message.request)
         return await coordinate_copy(self.node, token.ok, message.attempt, context, request)
 
-    async def reject(self, message: wire.Reject) -> CallReply:
+    async def reject(self, incoming: IncomingStream, message: wire.Reject) -> CallReply:
         """Reject the key of a token that this node issued, for a peer that refuses a copy."""
         token = parse_token(message.token)
         if token.is_error():
@@ -186,4 +186,18 @@
         """Send a frame on every incoming stream whose peer reads."""
         for incoming in tuple(self.streams):
             incoming.sender.drop_heartbeats()
-            incoming.sender.submit_control(frame)
+            incoming.sender.submit(frame)
+
+
+def end_reading(reader: asyncio.Task, writer: asyncio.Task) -> None:
+    """End the task that reads a stream whose writer broke, so that the peer opens another."""
+    if not writer.cancelled():
+        reader.cancel()
+
+
+HANDLERS = {
+    "execute": PeerService.execute,
+    "coordinate": PeerService.coordinate,
+    "revoke": PeerService.revoke,
+    "reject": PeerService.reject,
+}
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -5,7 +5,6 @@
 
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest
-from basilhill.clocks import Clock
 from basilhill.commands.fleet import (
     end_lease,
     record_heartbeat,
@@ -19,95 +18,21 @@
 from basilhill.verdicts import CallReply, Refusal
 from expression import Error, Ok, Result
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node import encoding
 from basilhill_node.commands.exchange_sections import receive_batch, receive_report
 from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.commands.wake_up import receive_batch_time, socket_wait_ms
+from basilhill_node.frames import STREAM_ERRORS, FrameSender, call_id_of, until_reachable
 from basilhill_node.headers import token_text
-from basilhill_node.network import Network
 from basilhill_node.state import LostReply, NodeState
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerStub
 
-CUT_POLL_S = 0.05
 # A failed connection is tried again after a time that doubles up to this many times the first.
 RECONNECT_FACTOR_MAX = 16
 # A stream that carried no call is closed after this many digest intervals.
 CONTROL_IDLE_DIGESTS = 3
-# Control frames are dropped when a peer has left this many frames unread.
-CONTROL_FRAMES_MAX = 100
-
-STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
-
-
-@define(eq=False)
-class FrameSender:
-    """Send frames over one stream; frames that are ready together go as one message.
-
-    Only the task of `run` writes, so that a cancelled call never leaves half a message behind.
-    """
-
-    stream: object
-    clock: Clock
-    network: Network
-    peer: str = ""
-    incarnation: str = ""
-    frames: list[wire.Frame] = field(factory=list)
-    ready: asyncio.Event = field(factory=asyncio.Event)
-
-    async def run(self) -> None:
-        """Write frames until the stream breaks."""
-        try:
-            while True:
-                await self.ready.wait()
-                await until_reachable(self.network, self.peer)
-                batch, self.frames = self.frames, []
-                self.ready.clear()
-                if batch:
-                    message = wire.Batch(frames=batch, sent_ms=self.clock.now_ms())
-                    await self.stream.send_message(message)
-        except STREAM_ERRORS:
-            return
-
-    async def send(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox."""
-        self.submit(frame)
-
-    def submit(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox."""
-        self.frames.append(frame)
-        self.ready.set()
-
-    def submit_control(self, frame: wire.Frame) -> bool:
-        """Put a frame that has no reply into the outbox, unless the peer has stopped reading."""
-        if len(self.frames) >= CONTROL_FRAMES_MAX:
-            return False
-        self.submit(frame)
-        return True
-
-    def drop_heartbeats(self) -> None:
-        """Drop heartbeats that still wait, because a newer one follows."""
-        self.frames = [frame for frame in self.frames if not frame.HasField("heartbeat")]
-
-    def withdraw(self, call_id: int) -> bool:
-        """Take the frame of a call back; return whether it was still in the outbox."""
-        kept = [frame for frame in self.frames if call_id_of(frame) != call_id]
-        withdrawn = len(kept) < len(self.frames)
-        self.frames = kept
-        return withdrawn
-
-
-def call_id_of(frame: wire.Frame) -> int:
-    """Return the call id of a frame, 0 for a frame without one."""
-    return getattr(getattr(frame, frame.WhichOneof("body")), "call_id", 0)
-
-
-async def until_reachable(network: Network, peer: str) -> None:
-    """Hold messages back while the network does not pass them, as TCP does."""
-    while not network.reachable(peer):  # noqa: ASYNC110 - a network offers no event to wait for
-        await asyncio.sleep(CUT_POLL_S)
 
 
 @define(eq=False)
@@ -125,6 +50,7 @@
     next_call_id: int = 0
     used_ms: int = 0
     touched_ms: int = 0
+    refused: bool = False
 
     async def run(self) -> None:
         """Keep the stream open until cancelled."""
@@ -151,13 +77,16 @@
         writer = None
         try:
             if not self.node.network.reachable(self.peer):
-                raise ConnectionRefusedError(self.peer)
+                raise ConnectionAbortedError(self.peer)
             async with PeerStub(channel).Exchange.open() as stream:
                 await stream.send_request()
-                sender = FrameSender(stream, self.node.clock, self.node.network, self.peer)
+                limit = self.node.settings.peer_outbox_limit
+                sender = FrameSender(stream, self.node.clock, self.node.network, limit, self.peer)
                 self.transits = TransitMeter()
                 sender.submit(hello_frame(self.node))
                 writer = self.node.spawn(sender.run())
+                # Without its writer the stream is of no use; closing it ends the reading too.
+                writer.add_done_callback(lambda _: channel.close())
                 async for batch in stream:
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
@@ -166,6 +95,7 @@
                     for frame in batch.frames:
                         self.receive(sender, frame, waited_ms)
         except STREAM_ERRORS as error:
+            self.refused = isinstance(error, ConnectionRefusedError)
             self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
         finally:
             if writer is not None:
@@ -188,6 +118,7 @@
                 self.node.log.record("fleet", "", f"{self.peer} restarted")
             sender.incarnation = frame.hello.incarnation
             self.sender = sender
+            self.refused = False
             self.connected.set()
         elif kind == "suspects":
             receive_reports(self.node, encoding.decode_suspects(frame.suspects))
@@ -246,7 +177,7 @@
             async with asyncio.timeout(connect_ms / 1000):
                 await self.connected.wait()
         await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
-        return self.sender is not None and self.sender.submit_control(frame)
+        return self.sender is not None and self.sender.submit(frame)
 
     def idle_at(self, now_ms: int) -> bool:
         """Tell whether nothing used the stream lately; one that carries calls stays longer."""
@@ -274,20 +205,23 @@
                         await self.connected.wait()
                 await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                 sender = self.sender
-                if sender is None or len(sender.frames) >= self.node.settings.peer_outbox_limit:
-                    sender = None
+                if sender is None:
                     return Error(LostReply(False))
                 if incarnation not in ("", sender.incarnation):
                     current, sender = sender.incarnation, None
                     return Error(LostReply(False, current))
                 self.pending[call_id] = waiter
-                sender.submit(frame)
+                if not sender.submit(frame):
+                    sender = None
+                    return Error(LostReply(False))
                 result = await waiter
                 done = True
                 return result
         except TimeoutError:
             done = sender is None or sender.withdraw(call_id)
-            return Error(LostReply(not done, "" if done else sender.incarnation))
+            if done:
+                return Error(LostReply(False, refused=self.refused))
+            return Error(LostReply(True, sender.incarnation))
         finally:
             self.pending.pop(call_id, None)
             if sender is not None and not done and not sender.withdraw(call_id):
