--- a/packages/basilhill_fakes/src/basilhill_fakes/caller.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/caller.py
@@ -1,7 +1,6 @@
 """Callers that perform customer actions."""
 
 import asyncio
-import uuid
 from collections import defaultdict, deque
 from collections.abc import Mapping
 from random import Random
@@ -81,7 +80,9 @@
     async def perform(self, full_name: str, order: str = "", round_: int = 0) -> Event:
         """Send a call until it is answered or the tries are spent; return the last event."""
         call = find_fake_call(self.workload, full_name)
-        copy = self.with_token(Copy(full_name, call, order or uuid.uuid4().hex, round_))
+        copy = self.with_token(
+            Copy(full_name, call, order or f"{self.random.getrandbits(64):016x}", round_)
+        )
         tries = 0
         while True:
             event = await self.send_patiently(copy)
--- a/packages/basilhill_fakes/src/basilhill_fakes/scenarios/overhead.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/overhead.py
@@ -52,6 +52,7 @@
         fleet.distances = False
         history = HistoryWriter(fleet.history / "caller.jsonl")
         caller = Caller(measurement.workload, fleet.topology, history)
+        caller.random.seed(measurement.seed)
         try:
             measurement.say(f"starting {len(fleet.topology.vms)} VMs without added distance")
             await fleet.start(measurement.document)
--- a/packages/basilhill_fakes/src/basilhill_fakes/scenarios/storm.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/storm.py
@@ -69,6 +69,7 @@
     """Return goodput, recovery and waste."""
     workload = measurement.workload
     transactions = completions_ms(run.events, workload.transaction)
+    browses = completions_ms(run.events, workload.browse)
     everything = completions_ms(run.events)
     before_ms, trigger_ms = run.span_ms("before")
     storm_ms = run.span_ms("storm")
@@ -84,6 +85,7 @@
         "recovery_window_ms": WINDOW_MS,
         "wasted_ratio": round(wasted_ratio(run.events, *storm_ms), 3),
         "storm_transactions_per_s": round(storm_per_s, 1),
+        "storm_browses_per_s": round(rate_per_s(browses, *storm_ms), 1),
         "storm_best_transactions_per_s": round(best_per_s, 1),
         "goodput_before_per_s": round(before_per_s, 1),
         "goodput_after_per_s": round(rate_per_s(everything, *after_ms), 1),
--- a/packages/basilhill_fakes/tests/test_faults.py
+++ b/packages/basilhill_fakes/tests/test_faults.py
@@ -1,7 +1,8 @@
 """Random faults on a small fleet break no promise about single calls.
 
 Guards against double runs, false refusals, wrong answers and excess retries that only show when
-faults and copies of calls meet. SEED chooses other schedules.
+faults and copies of calls meet. SEED chooses other schedules,
+EXAMPLES how many.
 """
 
 import asyncio
@@ -21,7 +22,7 @@
 ROOT = Path(__file__).parents[3]
 SEED = int(os.environ.get("SEED", "1"))
 COUNTS = {"calendar": 2, "reservations": 2, "deposits": 1, "flavours": 2}
-EXAMPLES = 2
+EXAMPLES = int(os.environ.get("EXAMPLES", "2"))
 LOAD_S = 4.0
 ACTIONS_PER_S = 12
 
@@ -64,6 +65,7 @@
     print(f"seed {SEED}: {schedule}")
     history = HistoryWriter(fleet.history / "caller.jsonl")
     caller = Caller(DEGUSTARI, fleet.topology, history, timeout_ms=2000, patience_ms=500)
+    caller.random.seed(f"{SEED} {schedule}")
     try:
         events, _ = await asyncio.gather(
             send_actions(caller), bring_about_all(fleet, list(schedule))
