--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SCENARIO ?= storm
 MODE ?= basilhill
 SEED ?= 1
+DISABLE ?=
 
 # The sources of this checkout go before installed packages, also in processes that tests start.
 empty :=
@@ -29,7 +30,8 @@
 	$(BIN)/python tools/run_tests.py
 
 measure: setup
-	$(BIN)/python tools/measure.py --scenario $(SCENARIO) --workload $(WORKLOAD) --mode $(MODE) --seed $(SEED)
+	$(BIN)/python tools/measure.py --scenario $(SCENARIO) --workload $(WORKLOAD) --mode $(MODE) --seed $(SEED) \
+		--disable $(DISABLE)
 
 lint: setup
 	$(BIN)/black --check -q packages tools
--- a/packages/basilhill_fakes/tests/test_faults.py
+++ b/packages/basilhill_fakes/tests/test_faults.py
@@ -2,7 +2,8 @@
 
 Guards against double runs, false refusals, wrong answers and excess retries that only show when
 faults and copies of calls meet. SEED chooses other schedules,
-EXAMPLES how many.
+EXAMPLES how many, DISABLE
+mechanisms of the nodes to switch off.
 """
 
 import asyncio
@@ -30,6 +31,7 @@
 @pytest.fixture
 async def fleet(tmp_path):
     fleet = new_fleet(DEGUSTARI, tmp_path, counts=COUNTS)
+    fleet.settings["disabled_mechanisms"] = os.environ.get("DISABLE", "").split()
     try:
         await fleet.start((ROOT / DEGUSTARI.document).read_text())
         yield fleet
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -32,6 +32,7 @@
     measurement = new_measurement(
         workload, arguments.mode, arguments.seed, ROOT, directory, console
     )
+    measurement.fleet.settings["disabled_mechanisms"] = arguments.disable
     measurement.say(f"{names}: seed {arguments.seed}")
     started = time.monotonic()
     fields = await SCENARIOS[arguments.scenario].run(measurement)
@@ -41,6 +42,7 @@
         "mode": arguments.mode,
         "seed": arguments.seed,
         "revision": revision(),
+        "disabled": arguments.disable,
         "run_s": round(time.monotonic() - started, 1),
         **fields,
     }
@@ -56,6 +58,7 @@
     parser.add_argument("--workload", choices=sorted(WORKLOADS), default="degustari")
     parser.add_argument("--mode", choices=MODES, default="basilhill")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--disable", nargs="*", default=[], help="mechanisms of the nodes")
     result = uvloop.run(run(parser.parse_args()))
     sys.stdout.write(orjson.dumps(result).decode() + "\n")
 
