--- a/packages/basilhill_fakes/src/basilhill_fakes/scenarios/faults.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scenarios/faults.py
@@ -11,7 +11,7 @@
     common_fields,
     run_load,
 )
-from basilhill_fakes.queries.fleets import cut_off
+from basilhill_fakes.queries.fleets import cut_off, failed_after_start
 from basilhill_fakes.queries.goodput import (
     completions_ms,
     mixed_rate_per_s,
@@ -49,6 +49,7 @@
     return {
         **goodput,
         "cut_off": cut_off(run.events, *run.span_ms("during")),
+        "failed_after_start": failed_after_start(run.events, *run.span_ms("during")),
         "trigger_start_s": BEFORE_S,
         "trigger_end_s": BEFORE_S + DURING_S,
     }
