Show that a late first copy is told "not run" although a later copy ran

A paused node holds attempt 0 while attempt 1 runs at the coordinator; once the coordinator has restarted, the resumed node answers attempt 0 as not run.

--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_late_copies.py
@@ -0,0 +1,48 @@
+"""A late first copy of a token is not told "not run" after a later copy has run."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+from attrs import evolve
+from basilhill_fakes.caller import Caller, Copy
+from basilhill_fakes.history import HistoryWriter, read_history
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.queries.histories import false_refusals
+from basilhill_fakes.workloads import DEGUSTARI, find_fake_call
+
+ROOT = Path(__file__).parents[3]
+COUNTS = {"calendar": 1, "reservations": 2, "deposits": 1, "flavours": 1}
+BOOK = "reservations.book"
+
+
+async def test_a_copy_held_by_a_paused_node_is_not_refused_as_not_run_after_another_ran(tmp_path):
+    """Guards the rule that attempt 0 was the only copy so far.
+
+    The caller does not wait for the paused node: its second copy reaches the coordinator and
+    runs, and the coordinator restarts before the node with the first copy resumes.
+    """
+    fleet = new_fleet(DEGUSTARI, tmp_path, counts=COUNTS)
+    caller = Caller(DEGUSTARI, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"))
+    caller.timeout_ms = 20_000
+    front, coordinator = fleet.topology.servers_of("reservations")
+    try:
+        await fleet.start((ROOT / DEGUSTARI.document).read_text())
+        copy = Copy(BOOK, find_fake_call(DEGUSTARI, BOOK), "o1", vm=coordinator)
+        await caller.send(copy)
+        token = caller.tokens[coordinator.address].popleft().text
+        copy = evolve(copy, round=1, token=token)
+        fleet.signal(f"node-{front.address}", signal.SIGSTOP)
+        first = asyncio.create_task(caller.send(evolve(copy, vm=front)))
+        await asyncio.sleep(0.5)
+        second = await caller.send(evolve(copy, attempt=1))
+        fleet.signal(f"node-{coordinator.address}", signal.SIGKILL)
+        await fleet.wait_ended(f"node-{coordinator.address}")
+        await fleet.start_node(coordinator)
+        fleet.signal(f"node-{front.address}", signal.SIGCONT)
+        late = await first
+    finally:
+        await caller.session.close()
+        await fleet.stop()
+    assert second.status == 200
+    assert false_refusals(read_history(fleet.history)) == [], late.reason
