--- a/packages/basilhill_fakes/tests/test_faults.py
+++ b/packages/basilhill_fakes/tests/test_faults.py
@@ -1,7 +1,9 @@
 """Random faults on a small fleet break no promise about single calls.
 
 Guards against double runs, false refusals, wrong answers and excess retries that only show when
-faults and copies of calls meet. SEED chooses other schedules.
+faults and copies of calls meet. SEED chooses other schedules,
+EXAMPLES how many, DISABLE
+mechanisms of the nodes to switch off.
 """
 
 import asyncio
@@ -21,7 +23,7 @@
 ROOT = Path(__file__).parents[3]
 SEED = int(os.environ.get("SEED", "1"))
 COUNTS = {"calendar": 2, "reservations": 2, "deposits": 1, "flavours": 2}
-EXAMPLES = 2
+EXAMPLES = int(os.environ.get("EXAMPLES", "2"))
 LOAD_S = 4.0
 ACTIONS_PER_S = 12
 
@@ -29,6 +31,7 @@
 @pytest.fixture
 async def fleet(tmp_path):
     fleet = new_fleet(DEGUSTARI, tmp_path, counts=COUNTS)
+    fleet.settings["disabled_mechanisms"] = os.environ.get("DISABLE", "").split()
     try:
         await fleet.start((ROOT / DEGUSTARI.document).read_text())
         yield fleet
@@ -64,6 +67,7 @@
     print(f"seed {SEED}: {schedule}")
     history = HistoryWriter(fleet.history / "caller.jsonl")
     caller = Caller(DEGUSTARI, fleet.topology, history, timeout_ms=2000, patience_ms=500)
+    caller.random.seed(f"{SEED} {schedule}")
     try:
         events, _ = await asyncio.gather(
             send_actions(caller), bring_about_all(fleet, list(schedule))
