Refuse bad input with a true verdict, report outcomes and add the operators' command

Sanic's own errors carried no verdict, a header or body sent byte by byte was never timed out (each byte renewed sanic's timer), the number of connections had no limit, a path such as /stock/../reservations ran under the policy of /stock, queries never matched a call, and answers with non-UTF-8 headers could not pass between nodes. Fuzzing found two more faults of error pages: text that cannot be encoded, and an invalid URL that fails again while the page is built; both closed the connection without an answer.

Latency is recorded from a nanosecond counter; whole milliseconds of the node's clock hid what a node adds. Percentiles count answers only.

--- a/packages/basilhill/src/basilhill/queries/cross_checking.py
+++ b/packages/basilhill/src/basilhill/queries/cross_checking.py
@@ -1,5 +1,6 @@
 """Check sections against each other."""
 
+import tomllib
 from collections.abc import Iterable, Iterator
 
 from attrs import frozen
@@ -13,9 +14,9 @@
     ServicePolicy,
     Severity,
 )
-from basilhill.queries.checking import Fault
+from basilhill.queries.checking import Fault, tables
 from basilhill.queries.documents import build_document, parse_section, split_sections
-from basilhill.queries.parsing import located
+from basilhill.queries.parsing import located, value_at
 
 
 @frozen
@@ -37,24 +38,43 @@
     parsed = [parse_section(section) for section in sections]
     policies = tuple(result.ok for result in parsed if result.is_ok())
     problems = [problem for result in parsed if result.is_error() for problem in result.error]
-    # With sections missing, every reference to them would be reported as unknown as well.
-    unparsed = any(result.is_error() for result in parsed)
-    problems += cross_problems(policies, sections, unparsed)
+    # Calls of refused sections are named, so that references to them are not unknown.
+    refused = [s for s, result in zip(sections, parsed, strict=True) if result.is_error()]
+    problems += cross_problems(policies, sections, named_calls(refused))
     return CheckedDocument(policies, tuple(sorted(problems, key=lambda problem: problem.line)))
 
 
+def named_calls(refused: Iterable[Section]) -> frozenset[str] | None:
+    """Return the names of the calls of refused sections, None if they cannot be read."""
+    names: set[str] = set()
+    for section in refused:
+        try:
+            teams = tomllib.loads(section.text)
+        except (tomllib.TOMLDecodeError, RecursionError):
+            return None
+        for service, table in tables(value_at(teams, ("team", section.team)), "service"):
+            names.update(f"{service}.{call}" for call, _ in tables(table, "call"))
+    return frozenset(names)
+
+
 def cross_problems(
-    policies: Iterable[SectionPolicy], sections: Iterable[Section], partial: bool = False
+    policies: Iterable[SectionPolicy],
+    sections: Iterable[Section],
+    named: frozenset[str] | None = frozenset(),
 ) -> tuple[Problem, ...]:
-    """Return what is wrong between valid sections; partial if some sections are not known."""
+    """Return what is wrong between valid sections.
+
+    Calls that are only named, in sections not given, are not reported as unknown; with None, no
+    call is.
+    """
     policies = tuple(policies)
     document = build_document(policies)
     by_team = {section.team: section for section in sections}
     faults: dict[str, list[Fault]] = {}
     for team, fault in (
         *owner_faults(policies),
-        *call_faults(document, partial),
-        *action_faults(policies, document, partial),
+        *call_faults(document, named),
+        *action_faults(policies, document, named),
         *cycle_faults(document),
     ):
         faults.setdefault(team, []).append(fault)
@@ -90,14 +110,14 @@
             yield service, call
 
 
-def call_faults(document: Document, partial: bool) -> Iterator[tuple[str, Fault]]:
+def call_faults(document: Document, named: frozenset[str] | None) -> Iterator[tuple[str, Fault]]:
     """Yield the internal calls that do not exist or that their caller may not make."""
     for service, call in each_call(document):
         path = call_path(call)
         for name in call.calls:
             inner = document.calls.get(name)
             if inner is None:
-                if not partial:
+                if named is not None and name not in named:
                     yield service.team, Fault(path, *unknown_call(document, name))
                 continue
             if call.idempotent and not inner.idempotent:
@@ -124,14 +144,15 @@
 
 
 def action_faults(
-    policies: tuple[SectionPolicy, ...], document: Document, partial: bool
+    policies: tuple[SectionPolicy, ...], document: Document, named: frozenset[str] | None
 ) -> Iterator[tuple[str, Fault]]:
     """Yield the actions whose entry does not exist or belongs to another action."""
     owners: dict[str, str] = {}
     for policy in policies:
         for action in policy.actions.values():
             path = ("action", action.name, "entry")
-            if action.entry not in document.calls and not partial:
+            known = named is None or action.entry in document.calls or action.entry in named
+            if not known:
                 yield policy.team, Fault(path, *unknown_call(document, action.entry))
             owner = owners.setdefault(action.entry, action.name)
             if owner != action.name:
--- a/packages/basilhill/src/basilhill/settings.py
+++ b/packages/basilhill/src/basilhill/settings.py
@@ -41,6 +41,7 @@
     "digest_ms": 1_000,
     "platform_poll_ms": 2_000,
     "body_limit": 1_000_000,
+    "request_ms": 10_000,
     "grace_ms": 50,
     "shutdown_ms": 30_000,
     "disabled_mechanisms": (),
@@ -86,6 +87,7 @@
     digest_ms: int
     platform_poll_ms: int
     body_limit: int
+    request_ms: int
     grace_ms: int
     shutdown_ms: int
     disabled_mechanisms: tuple[str, ...]
--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -109,6 +109,12 @@
     assert lines == [5, 9, 28]
 
 
+def test_references_are_checked_while_another_section_is_refused():
+    text = SOUND.replace("timeout_ms = 900", "timeout_ms = 0")
+    assert len(check_document(text).problems) == 1
+    assert len(check_document(text.replace("back.take", "back.tke")).problems) == 2
+
+
 def test_longer_inner_timeout_warns_and_does_not_refuse():
     checked = check_document(SOUND.replace("timeout_ms = 900", "timeout_ms = 2000"))
     assert [problem.severity for problem in checked.problems] == [Severity.WARNING]
--- /dev/null
+++ b/packages/basilhill_cli/src/basilhill_cli/commands/plot_run.py
@@ -0,0 +1,32 @@
+"""Draw a measurement run into a file."""
+
+from pathlib import Path
+
+from expression import Error, Ok, Result
+
+from basilhill_cli.queries.runs import MeasuredRun
+
+
+def plot_run(run: MeasuredRun, output: Path) -> Result[None, str]:
+    """Draw goodput and recovery over time; return why that is not possible."""
+    try:
+        from matplotlib.backends.backend_agg import FigureCanvasAgg
+        from matplotlib.figure import Figure
+    except ImportError:
+        return Error("plot needs matplotlib: pip install 'basilhill-cli[plot]'")
+    figure = Figure(figsize=(9, 4.5), layout="constrained")
+    FigureCanvasAgg(figure)
+    axes = figure.add_subplot()
+    seconds = [point.second for point in run.series]
+    axes.plot(seconds, [point.completed for point in run.series], label="completed")
+    axes.plot(seconds, [point.refused for point in run.series], label="refused", linestyle="--")
+    axes.axvspan(run.trigger_start_s, run.trigger_end_s, alpha=0.15, label="trigger")
+    axes.set(xlabel="second of the run", ylabel="customer actions per second")
+    axes.set_title(f"{run.scenario}, mode {run.mode}")
+    axes.set_ylim(bottom=0)
+    axes.legend(loc="upper right")
+    try:
+        figure.savefig(output, dpi=120)
+    except (OSError, ValueError) as error:
+        return Error(f"cannot write {output}: {error}")
+    return Ok(None)
--- /dev/null
+++ b/packages/basilhill_cli/src/basilhill_cli/tables.py
@@ -0,0 +1,91 @@
+"""Tables for people."""
+
+from typing import Any
+
+from basilhill.documents import Problem
+from rich.console import Console
+from rich.table import Table
+from rich.text import Text
+
+from basilhill_cli.queries.differences import Difference
+
+
+def table_of(title: str, columns: tuple[str, ...], rows: list[tuple[Any, ...]]) -> Table:
+    """Return a table; cells are plain text, because documents may contain markup."""
+    table = Table(title=title, title_justify="left", show_edge=False)
+    for number, column in enumerate(columns):
+        numeric = bool(rows) and all(type(row[number]) in (int, float) for row in rows)
+        table.add_column(column, justify="right" if numeric else "left", overflow="fold")
+    for row in rows:
+        table.add_row(*(Text(f"{cell:g}" if type(cell) is float else str(cell)) for cell in row))
+    return table
+
+
+def problem_table(problems: tuple[Problem, ...]) -> Table:
+    """Return the problems of a document."""
+    columns = ("line", "team", "key", "severity", "problem", "correction")
+    rows = [(p.line, p.team, p.key, p.severity.value, p.text, p.correction) for p in problems]
+    return table_of("problems", columns, rows)
+
+
+def difference_table(found: tuple[Difference, ...]) -> Table:
+    """Return the differences of two documents."""
+    rows = [(d.team, d.key, d.old or "-", d.new or "-") for d in found]
+    return table_of("changes", ("team", "key", "old", "new"), rows)
+
+
+def status_table(nodes: list[dict[str, Any]]) -> Table:
+    """Return the state of each node."""
+    columns = ("node", "service", "data centre", "state", "level", "running", "queued", "limit")
+    rows = [
+        (
+            node["node"],
+            node["service"],
+            node["data_centre"],
+            "leaving" if node["leaving"] else "ready" if node["ready"] else "not ready",
+            *(node[key] for key in ("level", "in_flight", "queued", "limit")),
+            ", ".join(f"{team}@{number}" for team, number in sorted(node["sections"].items())),
+        )
+        for node in nodes
+    ]
+    return table_of("nodes", (*columns, "sections in force"), rows)
+
+
+def refused_table(refused: list[dict[str, Any]]) -> Table:
+    """Return the refused sections with their problems."""
+    rows = [
+        (entry["team"], entry["revision"], entry["nodes"], "\n".join(entry["problems"]))
+        for entry in refused
+    ]
+    return table_of("refused sections", ("team", "revision", "nodes", "problems"), rows)
+
+
+def outcome_table(outcomes: dict[str, dict[str, Any]]) -> Table:
+    """Return the outcomes per kind of action."""
+    columns = ("action", "service", "class", "completed", "failed", "not run", "may have run")
+    percentiles = ("p50", "p90", "p99")
+    rows = [
+        (
+            action,
+            *(row[key] for key in ("service", "class", "completed", "failed")),
+            *(row[key] for key in ("not_run", "may_have_run", "retries")),
+            *(round(row["latency_ms"].get(name, 0.0), 1) for name in percentiles),
+            ", ".join(f"{reason} {number}" for reason, number in sorted(row["reasons"].items())),
+        )
+        for action, row in outcomes.items()
+    ]
+    latency = tuple(f"{name} ms" for name in percentiles)
+    return table_of("customer actions", (*columns, "retries", *latency, "refused because"), rows)
+
+
+def decision_table(decisions: list[dict[str, Any]]) -> Table:
+    """Return the decisions for one action."""
+    columns = ("ms ago", "node", "service", "part", "choice", "reason")
+    keys = ("age_ms", "node", "service", "part", "choice", "reason")
+    return table_of("decisions", columns, [tuple(d[key] for key in keys) for d in decisions])
+
+
+def print_unreached(console: Console, nodes: dict[str, str]) -> None:
+    """Print each node that gave no report."""
+    for url, reason in nodes.items():
+        console.print(Text(f"{url}: {reason}"))
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_bad_input.py
@@ -0,0 +1,202 @@
+"""Tests of bad input at a running node: a true verdict, a bound, and service goes on."""
+
+import asyncio
+import select
+import socket
+import time
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from basilhill_fakes.history import EventKind, read_history
+from basilhill_fakes.processes import Fleet, new_fleet
+from basilhill_fakes.topology import ADMINISTRATION_PORT, FRONT_PORT, PEER_PORT
+from basilhill_fakes.workloads import WORKLOADS
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+ROOT = Path(__file__).parents[3]
+CONNECTIONS = 12
+REQUEST_MS = 700
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(loop_scope="module", scope="module")
+async def fleet(tmp_path_factory):
+    workload = WORKLOADS["webshop"]
+    counts = {"catalogue": 0, "checkout": 0, "warehouse": 1, "ledger": 0}
+    limits = {"request_ms": REQUEST_MS, "body_limit": 20_000, "administration_token": "secret"}
+    fleet = new_fleet(workload, tmp_path_factory.mktemp("fleet"), counts=counts, settings=limits)
+    document = (ROOT / workload.document).read_text()
+    document = document.replace("connections = 1400", f"connections = {CONNECTIONS}")
+    try:
+        await fleet.start(document)
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+def address(fleet: Fleet, port: int = FRONT_PORT) -> tuple[str, int]:
+    return fleet.topology.vms[0].address, port
+
+
+def exchange(
+    place: tuple[str, int], *parts: bytes, pause_s: float = 0.0, timeout_s: float = 5.0
+) -> bytes:
+    """Send parts of a request until an answer comes; return all of it."""
+    with socket.create_connection(place, timeout=timeout_s) as connection:
+        answer = b""
+        try:
+            for part in parts:
+                connection.sendall(part)
+                # Sending on after the answer would reset the connection and lose the answer.
+                if select.select([connection], [], [], pause_s)[0]:
+                    break
+            while received := connection.recv(65_536):
+                answer += received
+        except (ConnectionError, TimeoutError):
+            pass
+        return answer
+
+
+def request_of(line: bytes, *headers: bytes, body: bytes = b"") -> bytes:
+    return b"\r\n".join([line + b" HTTP/1.1", b"connection: close", *headers, b"", body])
+
+
+def status_and_verdict(answer: bytes) -> tuple[int, str]:
+    head = answer.partition(b"\r\n\r\n")[0].decode("latin-1").lower().split("\r\n")
+    fields = dict(line.split(": ", 1) for line in head[1:] if ": " in line)
+    return int(head[0].split()[1]), fields.get("basilhill-verdict", "")
+
+
+REFUSED = {
+    "unknown service": (request_of(b"GET /none/stock"), 404),
+    "unknown path": (request_of(b"GET /warehouse/none"), 404),
+    "no path": (request_of(b"GET /warehouse"), 404),
+    "not an entry": (request_of(b"POST /warehouse/reservations"), 404),
+    "method": (request_of(b"BREW /warehouse/stock"), 405),
+    "traversal": (request_of(b"GET /warehouse/stock/../reservations"), 400),
+    "encoded traversal": (request_of(b"GET /warehouse/stock/%2e%2e/reservations"), 400),
+    "encoded slash": (request_of(b"GET /warehouse/stock%2Fx"), 400),
+    "broken escape": (request_of(b"GET /warehouse/stock/%zz"), 400),
+    "path not ASCII": (request_of(b"GET /warehouse/\xff\xfe"), 400),
+    "header not UTF-8": (request_of(b"GET /warehouse/stock", b"x-a: \xff\xfe"), 400),
+    "control character": (request_of(b"GET /warehouse/stock", b"x-a: b\nx-c: d"), 400),
+    "token": (request_of(b"GET /warehouse/stock", b"basilhill-token: x" + b"y" * 400), 400),
+    "context": (request_of(b"GET /warehouse/stock", b"basilhill-context: a/b"), 400),
+    "gone parent": (request_of(b"GET /warehouse/stock", b"basilhill-context: a/b/c"), 503),
+    "attempt": (request_of(b"GET /warehouse/stock", b"basilhill-attempt: -1"), 400),
+    "timeout": (request_of(b"GET /warehouse/stock", b"basilhill-timeout-ms: 9999999999"), 400),
+    "large header": (request_of(b"GET /warehouse/stock", b"x-a: " + b"y" * 9_000), 431),
+    "large body": (request_of(b"GET /warehouse/stock", b"content-length: 30000"), 413),
+    "two lengths": (
+        request_of(b"GET /warehouse/stock", b"content-length: 1", b"content-length: 2"),
+        400,
+    ),
+    "length": (request_of(b"GET /warehouse/stock", b"content-length: -5"), 400),
+    "no HTTP": (b"hello\r\n\r\n", 400),
+    "version": (b"GET /warehouse/stock HTTP/9.9\r\n\r\n", 400),
+}
+
+
+@pytest.mark.parametrize("case", REFUSED)
+async def test_bad_request_is_refused_as_not_run(fleet, case):
+    request, status = REFUSED[case]
+    answer = await asyncio.to_thread(exchange, address(fleet), request)
+    assert status_and_verdict(answer) == (status, "not-run")
+
+
+async def test_chunked_body_beyond_the_limit_is_refused(fleet):
+    head = request_of(b"GET /warehouse/stock", b"transfer-encoding: chunked")
+    chunks = [b"1000\r\n" + b"x" * 4_096 + b"\r\n"] * 8
+    answer = await asyncio.to_thread(exchange, address(fleet), head, *chunks)
+    assert status_and_verdict(answer) == (413, "not-run")
+
+
+@pytest.mark.parametrize(
+    "first", [b"GET /ware", request_of(b"GET /warehouse/stock", b"content-length: 99")]
+)
+async def test_caller_that_sends_byte_by_byte_gets_no_more_time_for_it(fleet, first):
+    started = time.monotonic()
+    slow = [b"x"] * 40
+    answer = await asyncio.to_thread(exchange, address(fleet), first, *slow, pause_s=0.1)
+    assert status_and_verdict(answer) == (408, "not-run")
+    assert time.monotonic() - started < 5
+
+
+async def test_connections_beyond_the_document_are_refused_until_others_end(fleet):
+    place = address(fleet)
+    idle = [socket.create_connection(place) for _ in range(CONNECTIONS)]
+    await asyncio.sleep(0.2)
+    refused = await asyncio.to_thread(exchange, place, request_of(b"GET /warehouse/stock"))
+    idle[0].shutdown(socket.SHUT_WR)  # a half-closed connection ends
+    await asyncio.sleep(0.2)
+    served = await asyncio.to_thread(exchange, place, request_of(b"GET /warehouse/stock"))
+    for connection in idle:
+        connection.close()
+    await asyncio.sleep(0.2)
+    assert status_and_verdict(refused) == (503, "not-run")
+    assert status_and_verdict(served) == (200, "answered")
+
+
+async def test_administration_needs_the_token_and_survives_bad_input(fleet):
+    place = address(fleet, ADMINISTRATION_PORT)
+    for headers, status in (
+        ((), b"401"),
+        ((b"authorization: Bearer \xff",), b"401"),
+        ((b"authorization: Bearer secret",), b"200"),
+        ((b"authorization: Bearer secret", b"x-a: " + b"y" * 9_000), b"401"),
+    ):
+        request = request_of(b"GET /status", *headers)
+        answer = await asyncio.to_thread(exchange, place, request)
+        assert answer.split()[1] == status
+
+
+TOKENS = st.binary(min_size=1, max_size=40).map(lambda value: value.replace(b"\r\n", b""))
+LINES = st.one_of(
+    st.sampled_from(
+        [b"GET /warehouse/stock", b"POST /warehouse/reservations", b"HEAD /warehouse/stock"]
+    ),
+    st.builds(lambda a, b: a + b" /warehouse/" + b, st.sampled_from([b"GET", b"PUT"]), TOKENS),
+)
+NAMES = st.sampled_from(
+    [b"basilhill-token", b"basilhill-context", b"basilhill-attempt", b"basilhill-call-number",
+     b"basilhill-timeout-ms", b"content-length", b"transfer-encoding", b"expect", b"x-a", b"host"]
+)  # fmt: skip
+REQUESTS = st.builds(
+    lambda line, headers, body: request_of(line, *(n + b": " + v for n, v in headers), body=body),
+    LINES,
+    st.lists(st.tuples(NAMES, TOKENS), max_size=4),
+    st.binary(max_size=60),
+)
+
+
+async def test_no_input_stops_a_node_or_gets_an_answer_without_verdict(fleet):
+    place = address(fleet)
+
+    @settings(max_examples=100, deadline=None, suppress_health_check=list(HealthCheck))
+    @given(st.one_of(REQUESTS, st.binary(min_size=1, max_size=200)))
+    def send(data: bytes) -> None:
+        # Requests that lack their end get no answer; waiting for the rest of them is not the test.
+        answer = exchange(place, data, timeout_s=0.2)
+        if answer:
+            assert status_and_verdict(answer.removeprefix(b"HTTP/1.1 100 Continue\r\n\r\n"))[1]
+
+    await asyncio.to_thread(send)
+    answer = await asyncio.to_thread(exchange, place, request_of(b"GET /warehouse/stock"))
+    assert status_and_verdict(answer) == (200, "answered")
+    runs = [e for e in read_history(fleet.history) if e.kind is EventKind.RUN_STARTED]
+    assert not [event for event in runs if event.call == "warehouse.reserve"]
+
+
+async def test_garbage_at_the_port_between_nodes_does_not_stop_service(fleet):
+    for garbage in (
+        b"\x00" * 5_000,
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\xff" * 20,
+    ):
+        await asyncio.to_thread(exchange, address(fleet, PEER_PORT), garbage, timeout_s=0.3)
+    request = request_of(b"GET /warehouse/stock")
+    answer = await asyncio.to_thread(exchange, address(fleet), request)
+    assert status_and_verdict(answer) == (200, "answered")
--- a/packages/basilhill_node/src/basilhill_node/administration.py
+++ b/packages/basilhill_node/src/basilhill_node/administration.py
@@ -1,32 +1,65 @@
 """HTTP administration API; nothing in it changes state."""
 
 from hmac import compare_digest
+from http import HTTPStatus
 
+from prometheus_client import CONTENT_TYPE_PLAIN_0_0_4
 from sanic import Request, Sanic
-from sanic.response import HTTPResponse, json, text
+from sanic.exceptions import SanicException
+from sanic.response import HTTPResponse, json, raw, text
 
-from basilhill_node.queries.status import is_ready, node_status
+from basilhill_node.openapi import OPEN_PATHS, openapi
+from basilhill_node.queries.decisions import decisions_of
+from basilhill_node.queries.exposition import exposition
+from basilhill_node.queries.outcomes import outcomes
+from basilhill_node.queries.status import configuration, is_ready, node_status
 from basilhill_node.state import NodeState
 
-OPEN_PATHS = frozenset({"/healthz", "/readyz"})
+ADMINISTRATION_CONNECTIONS = 100
+REQUEST_S = 10
+BODY_LIMIT = 1_000
 
 
 def build_administration(node: NodeState) -> Sanic:
     """Return the application that serves operators."""
     app = Sanic(f"administration-{node.incarnation}", configure_logging=False)
     app.config.ACCESS_LOG = False
+    app.config.REQUEST_MAX_SIZE = BODY_LIMIT
+    app.config.REQUEST_TIMEOUT = REQUEST_S
+    app.config.RESPONSE_TIMEOUT = REQUEST_S
     # Sanic rewrites its protocol class once per process; the front has done so already.
     app.config.TOUCHUP = False
-    expected = f"Bearer {node.settings.administration_token}"
+    app.on_request(lambda request: authorise(node, request))
+    app.exception(Exception)(answer_error)
+    add_probes(app, node)
+    add_reports(app, node)
+    return app
+
+
+def authorise(node: NodeState, request: Request) -> HTTPResponse | None:
+    """Return a refusal unless the request may read."""
+    token = node.settings.administration_token
+    if request.path in OPEN_PATHS or not token:
+        return None
+    given = request.headers.get("authorization", "").encode(errors="surrogateescape")
+    if compare_digest(given, f"Bearer {token}".encode()):
+        return None
+    return text(
+        "a bearer token is needed\n",
+        status=HTTPStatus.UNAUTHORIZED,
+        headers={"www-authenticate": "Bearer"},
+    )
+
 
-    @app.on_request
-    async def authorise(request: Request) -> HTTPResponse | None:
-        if request.path in OPEN_PATHS or not node.settings.administration_token:
-            return None
-        given = request.headers.get("authorization", "")
-        if compare_digest(given.encode(), expected.encode()):
-            return None
-        return text("a bearer token is needed\n", status=401)
+async def answer_error(_request: Request, error: Exception) -> HTTPResponse:
+    """Answer a request that cannot be served in one line."""
+    if isinstance(error, SanicException):
+        return text(f"{error}\n", status=error.status_code or HTTPStatus.INTERNAL_SERVER_ERROR)
+    return text(f"{type(error).__name__}\n", status=HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+def add_probes(app: Sanic, node: NodeState) -> None:
+    """Add the paths that need no token."""
 
     @app.get("/healthz")
     async def healthz(_request: Request) -> HTTPResponse:
@@ -34,10 +67,34 @@
 
     @app.get("/readyz")
     async def readyz(_request: Request) -> HTTPResponse:
-        return text("ready\n") if is_ready(node) else text("not ready\n", status=503)
+        if is_ready(node):
+            return text("ready\n")
+        return text("not ready\n", status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+
+def add_reports(app: Sanic, node: NodeState) -> None:
+    """Add the paths that report on the node."""
 
     @app.get("/status")
     async def status(_request: Request) -> HTTPResponse:
         return json(node_status(node))
 
-    return app
+    @app.get("/outcomes")
+    async def get_outcomes(request: Request) -> HTTPResponse:
+        return json(outcomes(node, request.args.get("service", "")))
+
+    @app.get("/decisions/<action:str>")
+    async def decisions(_request: Request, action: str) -> HTTPResponse:
+        return json(decisions_of(node, action))
+
+    @app.get("/configuration")
+    async def get_configuration(_request: Request) -> HTTPResponse:
+        return json(configuration(node))
+
+    @app.get("/metrics")
+    async def metrics(_request: Request) -> HTTPResponse:
+        return raw(exposition(node), content_type=CONTENT_TYPE_PLAIN_0_0_4)
+
+    @app.get("/openapi.json")
+    async def describe(_request: Request) -> HTTPResponse:
+        return json(openapi())
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -6,11 +6,11 @@
 import aiohttp
 from basilhill.calls import CallRequest, ParentReference
 from basilhill.settings import NodeSettings
-from basilhill.verdicts import Answer, Outcome, Reason, may_have_run, not_run
+from basilhill.verdicts import Answer, Header, Outcome, Reason, may_have_run, not_run
 from expression import Error, Ok
 from yarl import URL
 
-from basilhill_node.headers import CONTEXT, TIMEOUT, forwarded_headers, reference_text
+from basilhill_node.headers import CONTEXT, TIMEOUT, answer_headers, reference_text
 
 
 class BackendServer(Protocol):
@@ -69,7 +69,11 @@
             if not framed and body:
                 # Without a length the end of the connection is no proof of a whole answer.
                 return Error(may_have_run(Reason.TRUNCATED, "the answer has no length"))
-            return Ok(Answer(response.status, forwarded_headers(response.headers), body))
+            forwarded = answer_headers(response.raw_headers)
+            if request.method == "HEAD" and "Content-Length" in response.headers:
+                # The length of the body that GET would get, the only header about this answer.
+                forwarded += (Header("content-length", response.headers["Content-Length"]),)
+            return Ok(Answer(response.status, forwarded, body))
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from hashlib import blake2b
+from time import perf_counter_ns
 
 from attrs import evolve, frozen
 from basilhill.budgets import RetryBudget
@@ -67,13 +68,13 @@
     if opened.is_error():
         return served(node, CallReply(Error(opened.error)))
     call = opened.ok
-    started_ms = node.clock.now_ms()
+    started_ns = perf_counter_ns()
     if policy.idempotent:
         reply = await dispatch_call(node, call)
     else:
         reply = await serve_token(node, call, arrival)
     reply = evolve(reply, retries_spent=call.budget.spent or reply.retries_spent)
-    duration_us = (node.clock.now_ms() - started_ms) * 1000
+    duration_us = (perf_counter_ns() - started_ns) // 1000
     node.metrics.record_action(call.context.action, reply, duration_us)
     return served(node, reply, call.context.action_id)
 
--- a/packages/basilhill_node/src/basilhill_node/front.py
+++ b/packages/basilhill_node/src/basilhill_node/front.py
@@ -1,17 +1,27 @@
 """HTTP front for callers and for the backend server beside the node."""
 
+import asyncio
 from http import HTTPStatus
+from typing import Any
 
 from basilhill.calls import CallRequest
-from basilhill.verdicts import Reason, Refusal, Verdict, verdict_of
+from basilhill.queries.checking import MAX_TIMEOUT_MS, METHODS
+from basilhill.settings import NodeSettings
+from basilhill.verdicts import Reason, Refusal, Verdict, may_have_run, not_run, verdict_of
+from expression import Error, Ok, Result
 from sanic import Request, Sanic
+from sanic.exceptions import BadURL, PayloadTooLarge
 from sanic.response import HTTPResponse
 
 from basilhill_node import headers
 from basilhill_node.commands.serve_call import ServedCall, serve_call
 from basilhill_node.state import NodeState
+from basilhill_node.targets import parse_target
 
-METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+HEADER_LIMIT = 8_192
+REFUSED_URL = b"/.."
+# Callers may open this many connections before the document is known.
+UNKNOWN_CONNECTIONS = 1_000
 
 STATUS_OF_REASON = {
     Reason.TOKEN_REQUIRED: HTTPStatus.PRECONDITION_REQUIRED,
@@ -20,32 +30,117 @@
     Reason.UNKNOWN_CALL: HTTPStatus.NOT_FOUND,
     Reason.CUSTOMER_LIMIT: HTTPStatus.TOO_MANY_REQUESTS,
     Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    Reason.TOO_SLOW: HTTPStatus.REQUEST_TIMEOUT,
     Reason.DEADLINE: HTTPStatus.GATEWAY_TIMEOUT,
 }
 
+REASON_OF_STATUS = {
+    HTTPStatus.NOT_FOUND: Reason.UNKNOWN_CALL,
+    HTTPStatus.METHOD_NOT_ALLOWED: Reason.UNKNOWN_CALL,
+    HTTPStatus.REQUEST_TIMEOUT: Reason.TOO_SLOW,
+    HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: Reason.TOO_LARGE,
+    HTTPStatus.INTERNAL_SERVER_ERROR: Reason.INTERNAL,
+    HTTPStatus.SERVICE_UNAVAILABLE: Reason.OVERLOADED,
+}
+
+
+class LenientRequest(Request):
+    """Read a request whose URL is invalid as one for a path that is refused.
+
+    Sanic builds a second request for its error page from the same URL, which fails again and
+    closes the connection without an answer.
+    """
+
+    def __init__(self, url_bytes: bytes, *args: Any, **kwargs: Any) -> None:
+        try:
+            super().__init__(url_bytes, *args, **kwargs)
+        except BadURL:
+            super().__init__(REFUSED_URL, *args, **kwargs)
+
 
 def build_front(node: NodeState) -> Sanic:
     """Return the application that serves callers."""
-    app = Sanic(f"front-{node.incarnation}", configure_logging=False)
-    app.config.REQUEST_MAX_SIZE = node.settings.body_limit
+    app = Sanic(f"front-{node.incarnation}", configure_logging=False, request_class=LenientRequest)
+    app.config.REQUEST_MAX_HEADER_SIZE = HEADER_LIMIT
+    app.config.REQUEST_TIMEOUT = node.settings.request_ms / 1000
+    # The call's own deadline ends it; sanic's answer could not tell whether it may have run.
+    app.config.RESPONSE_TIMEOUT = (MAX_TIMEOUT_MS + node.settings.request_ms) / 1000
     app.config.ACCESS_LOG = False
 
-    async def handle(request: Request, service: str, path: str) -> HTTPResponse:
+    async def handle(request: Request, target: str) -> HTTPResponse:
+        refusal = await receive_body(request, node.settings)
+        if refusal is not None:
+            return refused(node, refusal)
+        call = parse_call(request)
         arrival = headers.parse_arrival(request.headers, request.ip)
-        if arrival.is_error():
-            return refusal_response(arrival.error)
-        query = f"?{request.query_string}" if request.query_string else ""
-        call = CallRequest(
-            service,
+        for parsed in (call, arrival):
+            if parsed.is_error():
+                return refused(node, parsed.error)
+        request.ctx.started = True
+        return served_response(await serve_call(node, call.ok, arrival.ok))
+
+    async def handle_error(request: Request, error: Exception) -> HTTPResponse:
+        return error_response(node, request, error)
+
+    app.add_route(handle, "/<target:path>", methods=METHODS, stream=True)
+    app.exception(Exception)(handle_error)
+    return app
+
+
+async def receive_body(request: Request, settings: NodeSettings) -> Refusal | None:
+    """Read the body of a request; return a refusal if it is too large or comes too slowly."""
+    limit = request.stream.request_max_size = settings.body_limit
+    try:
+        async with asyncio.timeout(settings.request_ms / 1000):
+            await request.receive_body()
+        return None
+    except TimeoutError:
+        refusal = not_run(Reason.TOO_SLOW, "the body did not arrive in time")
+    except PayloadTooLarge:
+        refusal = not_run(Reason.TOO_LARGE, f"the body has more than {limit} bytes")
+    # Sanic would wait for the rest of the body before it closes the connection.
+    request.stream.request_body = None
+    request.stream.keep_alive = False
+    return refusal
+
+
+def parse_call(request: Request) -> Result[CallRequest, Refusal]:
+    """Return the call that a request asks for."""
+    parsed = parse_target(request.path, request.query_string)
+    if parsed.is_error():
+        return Error(parsed.error)
+    return Ok(
+        CallRequest(
+            parsed.ok.service,
             request.method,
-            f"/{path}{query}",
+            parsed.ok.path,
             headers.forwarded_headers(request.headers),
             request.body,
         )
-        return served_response(await serve_call(node, call, arrival.ok))
+    )
 
-    app.add_route(handle, "/<service:str>/<path:path>", methods=METHODS)
-    return app
+
+def refused(node: NodeState, refusal: Refusal) -> HTTPResponse:
+    """Count a request that was no call and return the response to it."""
+    node.metrics.record_refusal(refusal)
+    return refusal_response(refusal)
+
+
+def error_response(node: NodeState, request: Request, error: Exception) -> HTTPResponse:
+    """Return the response to a request that sanic or a fault of this program ended."""
+    status = getattr(error, "status_code", HTTPStatus.INTERNAL_SERVER_ERROR)
+    if getattr(request.ctx, "started", False):
+        node.log.record("front", "", f"{request.method} {request.path} failed", repr(error))
+        return refused(node, may_have_run(Reason.INTERNAL, "the node failed while the call ran"))
+    if isinstance(error, PayloadTooLarge):
+        status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    reason = REASON_OF_STATUS.get(status, Reason.MALFORMED)
+    if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+        node.log.record("front", "", f"{request.method} {request.path} failed", repr(error))
+        return refused(node, not_run(reason, "the node failed before the call ran"))
+    response = refused(node, not_run(reason, str(error) or HTTPStatus(status).phrase))
+    response.status = status
+    return response
 
 
 def served_response(served: ServedCall) -> HTTPResponse:
@@ -68,9 +163,9 @@
 
 def refusal_response(refusal: Refusal) -> HTTPResponse:
     """Return the response that tells why a call got no answer."""
-    response = HTTPResponse(
-        f"{refusal.text}\n", refusal_status(refusal), content_type="text/plain; charset=utf-8"
-    )
+    # The text may quote what the caller sent, which need not be valid UTF-8.
+    body = f"{refusal.text}\n".encode("ascii", "backslashreplace")
+    response = HTTPResponse(body, refusal_status(refusal), content_type="text/plain; charset=utf-8")
     response.headers[headers.VERDICT] = refusal.verdict.value
     response.headers[headers.REASON] = refusal.reason.value
     if refusal.retry_after_ms:
@@ -86,3 +181,9 @@
         else HTTPStatus.BAD_GATEWAY
     )
     return STATUS_OF_REASON.get(refusal.reason, default)
+
+
+def connection_limit(node: NodeState) -> int:
+    """Return how many connections the front serves at a time."""
+    service = node.document.services.get(node.settings.service)
+    return service.connections if service is not None else UNKNOWN_CONNECTIONS
--- a/packages/basilhill_node/src/basilhill_node/headers.py
+++ b/packages/basilhill_node/src/basilhill_node/headers.py
@@ -1,12 +1,14 @@
 """Records as HTTP headers and back."""
 
+import re
 from base64 import urlsafe_b64decode, urlsafe_b64encode
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from basilhill.calls import Arrival, ParentReference
 from basilhill.tokens import IdempotencyToken
 from basilhill.verdicts import Header, Reason, Refusal, not_run
 from expression import Error, Ok, Result
+from multidict import MultiDict
 
 TOKEN = "basilhill-token"
 ATTEMPT = "basilhill-attempt"
@@ -19,7 +21,12 @@
 ACTION = "basilhill-action"
 RETRIES = "basilhill-retries"
 
+HEADER_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+# Control characters could end a header early at the backend server; surrogates stand for bytes
+# that are no UTF-8, which the messages between nodes cannot hold.
+UNSAFE_VALUE = re.compile("[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
 TOKEN_TEXT_LIMIT = 300
+REFERENCE_TEXT_LIMIT = 300
 MAX_NUMBER = 10_000_000
 
 # Headers of one connection, which RFC 9110 forbids to forward, and those that the HTTP
@@ -51,6 +58,19 @@
     )
 
 
+def answer_headers(raw: Iterable[tuple[bytes, bytes]]) -> tuple[Header, ...]:
+    """Return the headers of an answer that a node passes on, duplicates included."""
+    return forwarded_headers(MultiDict((decoded(name), decoded(value)) for name, value in raw))
+
+
+def decoded(raw: bytes) -> str:
+    """Return a header name or value as text; bytes that are no UTF-8 are read as Latin-1."""
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode("latin-1")
+
+
 def token_text(token: IdempotencyToken) -> str:
     """Return a token as header text."""
     fields = f"{token.node}/{token.incarnation}/{token.sequence}/{token.issued_ms}"
@@ -84,7 +104,7 @@
 def parse_reference(text: str) -> Result[ParentReference, Refusal]:
     """Return the parent reference that a header text holds."""
     parts = text.split("/")
-    if len(parts) != 3 or not all(parts):
+    if len(text) > REFERENCE_TEXT_LIMIT or len(parts) != 3 or not all(parts):
         return Error(not_run(Reason.MALFORMED, f"{CONTEXT} is not a context"))
     return Ok(ParentReference(*parts))
 
@@ -94,13 +114,16 @@
     text = headers.get(name)
     if text is None:
         return Ok(None)
-    if not (text.isascii() and text.isdigit()) or int(text[:9]) > MAX_NUMBER or len(text) > 9:
+    if not (text.isascii() and text.isdigit() and len(text) <= 9) or int(text) > MAX_NUMBER:
         return Error(not_run(Reason.MALFORMED, f"{name} is not a number up to {MAX_NUMBER}"))
     return Ok(int(text))
 
 
 def parse_arrival(headers: Mapping[str, str], peer: str) -> Result[Arrival, Refusal]:
     """Return what the headers of a call say besides the request."""
+    for name, value in headers.items():
+        if not HEADER_NAME.fullmatch(name) or UNSAFE_VALUE.search(value):
+            return Error(not_run(Reason.MALFORMED, "a header is malformed or not UTF-8"))
     numbers = [parse_number(headers, name) for name in (ATTEMPT, TIMEOUT, CALL_NUMBER)]
     token_header, context_header = headers.get(TOKEN), headers.get(CONTEXT)
     token = parse_token(token_header) if token_header is not None else Ok(None)
--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -1,10 +1,13 @@
 """Counters and latencies per kind of customer action."""
 
+from collections import Counter
+
 from attrs import define, field
-from basilhill.verdicts import CallReply, Verdict, verdict_of
+from basilhill.verdicts import CallReply, Reason, Refusal, Verdict, verdict_of
 from hdrh.histogram import HdrHistogram
 
-HIGHEST_US = 120_000_000
+HIGHEST_US = 600_000_000
+SERVER_ERROR = 500
 
 
 def new_histogram() -> HdrHistogram:
@@ -17,8 +20,13 @@
     """Count the outcomes of one kind of customer action."""
 
     verdicts: dict[Verdict, int] = field(factory=lambda: dict.fromkeys(Verdict, 0))
+    reasons: Counter[Reason] = field(factory=Counter)
+    # Answers with a status from 500: the action ran and did not complete.
+    failed: int = 0
     retries: int = 0
+    # Of answers only: refusals are fast and would hide how long callers wait.
     latency_us: HdrHistogram = field(factory=new_histogram)
+    latency_sum_us: int = 0
 
 
 @define
@@ -26,10 +34,23 @@
     """Hold the metrics of one node."""
 
     actions: dict[str, ActionMetrics] = field(factory=dict)
+    refusals: Counter[Reason] = field(factory=Counter)
 
     def record_action(self, action: str, reply: CallReply, duration_us: int) -> None:
-        """Count one finished customer action."""
-        metrics = self.actions.setdefault(action, ActionMetrics())
+        """Count one finished customer action and its duration in microseconds."""
+        metrics = self.actions.get(action)
+        if metrics is None:
+            metrics = self.actions[action] = ActionMetrics()
         metrics.verdicts[verdict_of(reply.outcome)] += 1
         metrics.retries += reply.retries_spent
-        metrics.latency_us.record_value(min(duration_us, HIGHEST_US))
+        if reply.outcome.is_error():
+            metrics.reasons[reply.outcome.error.reason] += 1
+            return
+        if reply.outcome.ok.status >= SERVER_ERROR:
+            metrics.failed += 1
+        metrics.latency_us.record_value(min(max(1, duration_us), HIGHEST_US))
+        metrics.latency_sum_us += duration_us
+
+    def record_refusal(self, refusal: Refusal) -> None:
+        """Count one request that was refused before it was a customer action."""
+        self.refusals[refusal.reason] += 1
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -8,12 +8,14 @@
 from basilhill.settings import NodeSettings
 from grpclib.server import Server
 from sanic import Sanic
+from sanic.server.protocols.http_protocol import HttpProtocol
 
-from basilhill_node.administration import build_administration
+from basilhill_node.administration import ADMINISTRATION_CONNECTIONS, build_administration
 from basilhill_node.backend_servers import HttpBackendServer
 from basilhill_node.commands.leave_fleet import finish_calls, start_leaving
 from basilhill_node.commands.read_platform import follow_document, follow_fleet
-from basilhill_node.front import build_front
+from basilhill_node.connections import limited_protocol
+from basilhill_node.front import build_front, connection_limit
 from basilhill_node.network import DirectNetwork, Network
 from basilhill_node.peer_server import PeerService
 from basilhill_node.peers import PeerClients
@@ -32,9 +34,17 @@
     service = PeerService(node)
     peer_server = Server([service])
     await peer_server.start(settings.address, settings.peer_port)
-    front = await serve_http(build_front(node), settings.address, settings.front_port)
+    front = await serve_http(
+        build_front(node),
+        settings.address,
+        settings.front_port,
+        limited_protocol(lambda: connection_limit(node)),
+    )
     administration = await serve_http(
-        build_administration(node), settings.administration_address, settings.administration_port
+        build_administration(node),
+        settings.administration_address,
+        settings.administration_port,
+        limited_protocol(lambda: ADMINISTRATION_CONNECTIONS),
     )
     platform = HttpPlatformClient(settings)
     background = [
@@ -57,9 +67,11 @@
     await node.backend.close()
 
 
-async def serve_http(app: Sanic, address: str, port: int):
+async def serve_http(app: Sanic, address: str, port: int, protocol: type[HttpProtocol]):
     """Serve an application in this event loop; return its server."""
-    server = await app.create_server(address, port, return_asyncio_server=True, access_log=False)
+    server = await app.create_server(
+        address, port, protocol=protocol, return_asyncio_server=True, access_log=False
+    )
     await server.startup()
     await server.start_serving()
     return server
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/queries/outcomes.py
@@ -0,0 +1,56 @@
+"""Report what became of customer actions."""
+
+from typing import Any
+
+from basilhill.verdicts import Verdict
+
+from basilhill_node.metrics import ActionMetrics
+from basilhill_node.state import NodeState
+
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+def outcomes(node: NodeState, service: str = "") -> dict[str, Any]:
+    """Return the outcomes per kind of action since the start, of one service or of all."""
+    return {
+        "node": node.settings.node,
+        "incarnation": node.incarnation,
+        "actions": {
+            action: action_outcomes(node, action, metrics)
+            for action, metrics in sorted(node.metrics.actions.items())
+            if not service or entry_service(node, action) == service
+        },
+        "refused_requests": {
+            reason.value: count for reason, count in node.metrics.refusals.items()
+        },
+    }
+
+
+def entry_service(node: NodeState, action: str) -> str:
+    """Return the service at which an action starts, empty when the document lost it."""
+    policy = node.document.actions.get(action)
+    return policy.entry.split(".")[0] if policy is not None else ""
+
+
+def action_outcomes(node: NodeState, action: str, metrics: ActionMetrics) -> dict[str, Any]:
+    """Return the outcomes of one kind of action; latencies are in milliseconds."""
+    policy = node.document.actions.get(action)
+    return {
+        "service": entry_service(node, action),
+        "class": policy.priority_class.name.lower() if policy is not None else "",
+        "completed": metrics.verdicts[Verdict.ANSWERED] - metrics.failed,
+        "failed": metrics.failed,
+        "not_run": metrics.verdicts[Verdict.NOT_RUN],
+        "may_have_run": metrics.verdicts[Verdict.MAY_HAVE_RUN],
+        "retries": metrics.retries,
+        "reasons": {reason.value: count for reason, count in metrics.reasons.items()},
+        "latency_ms": latencies_ms(metrics),
+    }
+
+
+def latencies_ms(metrics: ActionMetrics) -> dict[str, float]:
+    """Return percentiles of the time to an answer, in milliseconds."""
+    if not metrics.latency_us.get_total_count():
+        return {}
+    values = metrics.latency_us.get_percentile_to_value_dict(PERCENTILES)
+    return {f"p{percentile:g}": value / 1000 for percentile, value in values.items()}
--- a/packages/basilhill_node/src/basilhill_node/queries/status.py
+++ b/packages/basilhill_node/src/basilhill_node/queries/status.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from basilhill.documents import Problem
+
 from basilhill_node.state import NodeState
 
 
@@ -17,14 +19,50 @@
         "incarnation": node.incarnation,
         "service": node.settings.service,
         "data_centre": node.settings.data_centre,
+        "ready": is_ready(node),
         "leaving": node.leaving,
         "level": node.admission.level,
         "in_flight": node.admission.in_flight,
         "queued": len(node.admission.queue),
         "limit": node.admission.limit,
+        "open_calls": node.open_calls,
         "sections": {team: section.revision for team, section in node.sections.items()},
         "refused": {
-            team: [str(problem) for problem in refused.problems]
+            team: {
+                "revision": refused.section.revision,
+                "problems": [str(problem) for problem in refused.problems],
+            }
             for team, refused in node.refused.items()
         },
     }
+
+
+def configuration(node: NodeState) -> dict[str, Any]:
+    """Return the sections in force and those refused."""
+    return {
+        "node": node.settings.node,
+        "sections": {
+            team: {"revision": section.revision, "text": section.text}
+            for team, section in sorted(node.sections.items())
+        },
+        "refused": {
+            team: {
+                "revision": refused.section.revision,
+                "text": refused.section.text,
+                "problems": [problem_fields(problem) for problem in refused.problems],
+            }
+            for team, refused in sorted(node.refused.items())
+        },
+    }
+
+
+def problem_fields(problem: Problem) -> dict[str, Any]:
+    """Return a problem with one field for each part."""
+    return {
+        "team": problem.team,
+        "key": problem.key,
+        "line": problem.line,
+        "text": problem.text,
+        "correction": problem.correction,
+        "severity": problem.severity.value,
+    }
