Test the operators' command against a fleet and mark recovery in plots

Refuse an administration API beyond loopback without a token: it would show sections and decisions to everyone.

--- a/packages/basilhill_cli/src/basilhill_cli/commands/plot_run.py
+++ b/packages/basilhill_cli/src/basilhill_cli/commands/plot_run.py
@@ -4,7 +4,7 @@
 
 from expression import Error, Ok, Result
 
-from basilhill_cli.queries.runs import MeasuredRun
+from basilhill_cli.queries.runs import MeasuredRun, recovered_s
 
 
 def plot_run(run: MeasuredRun, output: Path) -> Result[None, str]:
@@ -21,6 +21,10 @@
     axes.plot(seconds, [point.completed for point in run.series], label="completed")
     axes.plot(seconds, [point.refused for point in run.series], label="refused", linestyle="--")
     axes.axvspan(run.trigger_start_s, run.trigger_end_s, alpha=0.15, label="trigger")
+    recovered = recovered_s(run)
+    if recovered is not None:
+        label = f"recovered {recovered - run.trigger_end_s:g} s after the trigger"
+        axes.axvline(recovered, color="green", linestyle=":", label=label)
     axes.set(xlabel="second of the run", ylabel="customer actions per second")
     axes.set_title(f"{run.scenario}, mode {run.mode}")
     axes.set_ylim(bottom=0)
--- a/packages/basilhill_cli/src/basilhill_cli/queries/runs.py
+++ b/packages/basilhill_cli/src/basilhill_cli/queries/runs.py
@@ -8,6 +8,9 @@
 from cattrs import transform_error
 from expression import Error, Ok, Result
 
+# Goodput counts as recovered at this part of what it was before the trigger.
+RECOVERED = 0.9
+
 
 @frozen
 class Second:
@@ -40,3 +43,15 @@
     except cattrs.BaseValidationError as error:
         return Error(f"{file} is not a measurement run: {'; '.join(transform_error(error))}")
     return Ok(run) if run.series else Error(f"{file} has an empty series")
+
+
+def recovered_s(run: MeasuredRun) -> float | None:
+    """Return the second from which goodput is back to stay, None if it is not or not known."""
+    before = [point.completed for point in run.series if point.second < run.trigger_start_s]
+    if not before:
+        return None
+    wanted = RECOVERED * sum(before) / len(before)
+    after = [point for point in run.series if point.second >= run.trigger_end_s]
+    low = [point.second for point in after if point.completed < wanted]
+    back = [point.second for point in after if not low or point.second > max(low)]
+    return min(back, default=None)
--- /dev/null
+++ b/packages/basilhill_cli/tests/test_command.py
@@ -0,0 +1,140 @@
+"""Tests of the operators' command, on files and against a small real fleet."""
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import aiohttp
+import pytest
+from basilhill_cli import main
+from basilhill_cli.queries.runs import MeasuredRun, Second, recovered_s
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.workloads import WORKLOADS
+
+ROOT = Path(__file__).parents[3]
+WEBSHOP = ROOT / "examples/webshop.toml"
+
+
+@pytest.fixture
+def broken(tmp_path):
+    file = tmp_path / "broken.toml"
+    file.write_text(WEBSHOP.read_text().replace("slots = 25", "slots = 0"))
+    return file
+
+
+def test_check_accepts_an_example_and_refuses_a_broken_document(broken, capsys):
+    assert main.check(WEBSHOP) == 0
+    capsys.readouterr()
+    assert main.check(broken, as_json=True) == 1
+    problem = json.loads(capsys.readouterr().out)["problems"][0]
+    assert problem["key"] == "service.ledger.slots"
+    assert problem["line"] == 77
+
+
+def test_unreadable_files_are_failures_and_not_findings(tmp_path, broken, capsys):
+    assert main.check(tmp_path / "none.toml") == 2
+    assert main.diff(WEBSHOP, tmp_path / "none.toml") == 2
+    assert main.diff(WEBSHOP, broken) == 1
+    assert main.plot(broken, output=tmp_path / "x.png") == 2
+    assert main.status(nodes=broken) == 2
+    assert main.status() == 2
+    assert "Traceback" not in capsys.readouterr().err
+
+
+def test_diff_names_the_team_and_the_key(tmp_path, capsys):
+    new = tmp_path / "new.toml"
+    new.write_text(WEBSHOP.read_text().replace("slots = 25", "slots = 30"))
+    assert main.diff(WEBSHOP, new, as_json=True) == 0
+    assert json.loads(capsys.readouterr().out) == [
+        {"team": "ledger", "key": "service.ledger.slots", "old": "25", "new": "30"}
+    ]
+
+
+def write_run(file: Path) -> None:
+    series = [{"second": s, "completed": 10 - s, "refused": s} for s in range(5)]
+    run = {"series": series, "trigger_start_s": 1, "trigger_end_s": 2}
+    file.write_text(json.dumps(run | {"scenario": "storm", "mode": "basilhill"}))
+
+
+def test_plot_writes_a_picture(tmp_path):
+    write_run(tmp_path / "run.json")
+    assert main.plot(tmp_path / "run.json", output=tmp_path / "run.png") == 0
+    assert (tmp_path / "run.png").read_bytes().startswith(b"\x89PNG")
+
+
+def test_recovery_starts_when_goodput_stays_back(tmp_path):
+    completed = [10, 10, 2, 9, 3, 10, 9]
+    series = [Second(number, count, 0) for number, count in enumerate(completed)]
+    assert recovered_s(MeasuredRun(series, 2, 3, "storm", "basilhill")) == 5
+    assert recovered_s(MeasuredRun(series[:5], 2, 3, "storm", "basilhill")) is None
+
+
+def test_plot_without_matplotlib_says_what_to_install(tmp_path, monkeypatch, capsys):
+    write_run(tmp_path / "run.json")
+    monkeypatch.setitem(sys.modules, "matplotlib.figure", None)
+    monkeypatch.setitem(sys.modules, "matplotlib.backends.backend_agg", None)
+    assert main.plot(tmp_path / "run.json", output=tmp_path / "run.png") == 2
+    assert "basilhill-cli[plot]" in capsys.readouterr().err
+
+
+async def run_command(*arguments: str) -> tuple[int, str, str]:
+    """Run the program; return its exit status and output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "basilhill_cli.main",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+    out, err = await process.communicate()
+    return process.returncode, out.decode(), err.decode()
+
+
+async def test_command_reports_a_fleet_and_each_node_that_it_cannot_reach(tmp_path):
+    workload = WORKLOADS["webshop"]
+    counts = {"catalogue": 1, "checkout": 0, "warehouse": 1, "ledger": 0}
+    fleet = new_fleet(workload, tmp_path, counts=counts, settings={"administration_token": "s"})
+    unreachable = "http://127.0.0.1:9"
+    try:
+        await fleet.start(WEBSHOP.read_text())
+        urls = [vm.administration_url for vm in fleet.topology.vms]
+        nodes = tmp_path / "nodes.toml"
+        nodes.write_text(f'nodes = {json.dumps(urls)}\ntoken = "s"\n')
+        front = fleet.topology.servers_of("catalogue")[0].front_url
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"{front}/catalogue/straps") as answer,
+        ):
+            assert answer.status == 200
+            action = answer.headers["Basilhill-Action"]
+        everything = await asyncio.gather(
+            run_command("status", "--nodes", str(nodes), "--json"),
+            run_command("status", "--nodes", str(nodes), "--node", unreachable, "--json"),
+            run_command("outcomes", "--nodes", str(nodes), "--service", "catalogue", "--json"),
+            run_command("outcomes", "--nodes", str(nodes), "--service", "ledger", "--json"),
+            run_command("explain", action, "--nodes", str(nodes), "--json"),
+            run_command("explain", "0000", "--nodes", str(nodes)),
+            run_command("status", "--node", urls[0]),
+        )
+    finally:
+        await fleet.stop()
+    status, partly, catalogue, ledger, explained, unknown, no_token = everything
+    assert status[0] == 0
+    assert {node["service"] for node in json.loads(status[1])["nodes"]} == {
+        "catalogue",
+        "warehouse",
+    }
+    assert partly[0] == 2
+    assert len(json.loads(partly[1])["nodes"]) == 2
+    assert unreachable in partly[2]
+    assert catalogue[0] == 0
+    assert json.loads(catalogue[1])["actions"]["browse-straps"]["completed"] == 1
+    assert json.loads(ledger[1])["actions"] == {}
+    assert explained[0] == 0
+    decisions = json.loads(explained[1])["decisions"]
+    assert {decision["service"] for decision in decisions} == {"catalogue", "warehouse"}
+    assert unknown[0] == 1
+    assert no_token[0] == 2
+    assert "401" in no_token[2]
--- a/packages/basilhill_fakes/tests/test_bad_input.py
+++ b/packages/basilhill_fakes/tests/test_bad_input.py
@@ -153,6 +153,20 @@
         assert answer.split()[1] == status
 
 
+async def test_administration_describes_what_it_serves_and_changes_nothing(fleet):
+    url = fleet.topology.vms[0].administration_url
+    headers = {"Authorization": "Bearer secret"}
+    async with fleet.session.get(f"{url}/openapi.json", headers=headers) as response:
+        paths = (await response.json())["paths"]
+    for path in paths:
+        place = url + path.replace("{action}", "0123")
+        async with fleet.session.get(place, headers=headers) as response:
+            assert response.status == 200
+        for method in ("POST", "PUT", "DELETE"):
+            async with fleet.session.request(method, place, headers=headers) as response:
+                assert response.status == 405
+
+
 TOKENS = st.binary(min_size=1, max_size=40).map(lambda value: value.replace(b"\r\n", b""))
 LINES = st.one_of(
     st.sampled_from(
--- a/packages/basilhill_node/src/basilhill_node/main.py
+++ b/packages/basilhill_node/src/basilhill_node/main.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated
 
@@ -95,11 +96,23 @@
 
 
 def allowed(settings: SettingsResult, disabling: bool) -> SettingsResult:
-    """Return settings unless they switch a mechanism off outside tests."""
-    if settings.is_ok() and settings.ok.disabled_mechanisms and not disabling:
-        text = "disabled_mechanisms is for tests and needs --allow-disabled-mechanisms"
-        return Error((text,))
-    return settings
+    """Return settings unless they switch a mechanism off or show the node to everyone."""
+    if settings.is_error():
+        return settings
+    problems = []
+    if settings.ok.disabled_mechanisms and not disabling:
+        problems.append("disabled_mechanisms is for tests and needs --allow-disabled-mechanisms")
+    if not settings.ok.administration_token and not is_loopback(settings.ok.administration_address):
+        problems.append("administration_token is needed for an address that is not loopback")
+    return Error(tuple(problems)) if problems else settings
+
+
+def is_loopback(address: str) -> bool:
+    """Tell whether only this VM reaches an address."""
+    try:
+        return ip_address(address).is_loopback
+    except ValueError:
+        return address == "localhost"
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/basilhill_node/tests/test_metrics.py
@@ -0,0 +1,25 @@
+"""Tests of the counts of outcomes."""
+
+from basilhill.verdicts import Answer, CallReply, Reason, Verdict, not_run
+from basilhill_node.metrics import Metrics
+from basilhill_node.queries.outcomes import latencies_ms
+from expression import Error, Ok
+
+
+def test_latency_below_a_millisecond_is_not_lost_and_refusals_do_not_count_in_it():
+    metrics = Metrics()
+    for duration_us in (250, 350, 450):
+        metrics.record_action("buy", CallReply(Ok(Answer(200))), duration_us)
+    metrics.record_action("buy", CallReply(Error(not_run(Reason.OVERLOADED, ""))), 9)
+    assert 0.34 < latencies_ms(metrics.actions["buy"])["p50"] < 0.36
+
+
+def test_outcomes_are_counted_by_verdict_and_reason():
+    metrics = Metrics()
+    metrics.record_action("buy", CallReply(Ok(Answer(200)), 2), 10)
+    metrics.record_action("buy", CallReply(Ok(Answer(503)), 1), 10)
+    metrics.record_action("buy", CallReply(Error(not_run(Reason.OVERLOADED, ""))), 10)
+    found = metrics.actions["buy"]
+    assert found.verdicts[Verdict.ANSWERED] == 2
+    assert (found.failed, found.retries) == (1, 3)
+    assert found.reasons == {Reason.OVERLOADED: 1}
