Bound answers, foreign tokens and library logs

An answer of any size was held in memory, a token that names any address made the node dial it and keep a client for it for ever, and libraries logged tracebacks to standard error, which blocks the event loop when nobody reads it. A refusal as may-have-run never has a status from 400 to 499 now. Ruled out: refusing foreign tokens in the parser, which does not know the fleet.

--- a/packages/basilhill_fakes/tests/test_bad_input.py
+++ b/packages/basilhill_fakes/tests/test_bad_input.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import time
+from base64 import urlsafe_b64encode
 from pathlib import Path
 
 import pytest
@@ -70,6 +71,8 @@
     return int(head[0].split()[1]), fields.get("basilhill-verdict", "")
 
 
+FOREIGN_TOKEN = b"basilhill-token: " + urlsafe_b64encode(b"203.0.113.1:80/abc/1/2/00ff")
+
 REFUSED = {
     "unknown service": (request_of(b"GET /none/stock"), 404),
     "unknown path": (request_of(b"GET /warehouse/none"), 404),
@@ -85,6 +88,7 @@
     "control character": (request_of(b"GET /warehouse/stock", b"x-a: b\nx-c: d"), 400),
     "token": (request_of(b"GET /warehouse/stock", b"basilhill-token: x" + b"y" * 400), 400),
     "context": (request_of(b"GET /warehouse/stock", b"basilhill-context: a/b"), 400),
+    "foreign token": (request_of(b"POST /warehouse/reservations", FOREIGN_TOKEN), 503),
     "gone parent": (request_of(b"GET /warehouse/stock", b"basilhill-context: a/b/c"), 503),
     "attempt": (request_of(b"GET /warehouse/stock", b"basilhill-attempt: -1"), 400),
     "timeout": (request_of(b"GET /warehouse/stock", b"basilhill-timeout-ms: 9999999999"), 400),
@@ -107,6 +111,13 @@
     assert status_and_verdict(answer) == (status, "not-run")
 
 
+async def test_copy_with_a_token_of_an_unknown_node_may_have_run(fleet):
+    headers = (FOREIGN_TOKEN, b"basilhill-attempt: 1")
+    request = request_of(b"POST /warehouse/reservations", *headers)
+    answer = await asyncio.to_thread(exchange, address(fleet), request)
+    assert status_and_verdict(answer) == (502, "may-have-run")
+
+
 async def test_chunked_body_beyond_the_limit_is_refused(fleet):
     head = request_of(b"GET /warehouse/stock", b"transfer-encoding: chunked")
     chunks = [b"1000\r\n" + b"x" * 4_096 + b"\r\n"] * 8
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -65,7 +65,11 @@
             framed = "Content-Length" in response.headers or response.headers.get(
                 "Transfer-Encoding"
             )
-            body = await response.read()
+            body = await self.read_body(response)
+            if body is None:
+                response.close()
+                text = f"the answer has more than {self.body_limit} bytes"
+                return Error(may_have_run(Reason.TOO_LARGE, text))
             if not framed and body:
                 # Without a length the end of the connection is no proof of a whole answer.
                 return Error(may_have_run(Reason.TRUNCATED, "the answer has no length"))
@@ -75,6 +79,15 @@
                 forwarded += (Header("content-length", response.headers["Content-Length"]),)
             return Ok(Answer(response.status, forwarded, body))
 
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes | None:
+        """Return the whole body, None if it is larger than the limit."""
+        body = bytearray()
+        async for part in response.content.iter_any():
+            body += part
+            if len(body) > self.body_limit:
+                return None
+        return bytes(body)
+
     async def close(self) -> None:
         """Close all connections."""
         await self.session.close()
--- a/packages/basilhill_node/src/basilhill_node/front.py
+++ b/packages/basilhill_node/src/basilhill_node/front.py
@@ -4,17 +4,26 @@
 from http import HTTPStatus
 from typing import Any
 
-from basilhill.calls import CallRequest
+from basilhill.calls import Arrival, CallRequest
 from basilhill.queries.checking import MAX_TIMEOUT_MS, METHODS
+from basilhill.queries.documents import find_call
 from basilhill.settings import NodeSettings
-from basilhill.verdicts import Reason, Refusal, Verdict, may_have_run, not_run, verdict_of
+from basilhill.verdicts import (
+    CallReply,
+    Reason,
+    Refusal,
+    Verdict,
+    may_have_run,
+    not_run,
+    verdict_of,
+)
 from expression import Error, Ok, Result
 from sanic import Request, Sanic
 from sanic.exceptions import BadURL, PayloadTooLarge
 from sanic.response import HTTPResponse
 
 from basilhill_node import headers
-from basilhill_node.commands.serve_call import ServedCall, serve_call
+from basilhill_node.commands.serve_call import ServedCall, serve_call, served
 from basilhill_node.state import NodeState
 from basilhill_node.targets import parse_target
 
@@ -76,6 +85,9 @@
         for parsed in (call, arrival):
             if parsed.is_error():
                 return refused(node, parsed.error)
+        gone = gone_coordinator(node, call.ok, arrival.ok)
+        if gone is not None:
+            return served_response(served(node, CallReply(Error(gone))))
         request.ctx.started = True
         return served_response(await serve_call(node, call.ok, arrival.ok))
 
@@ -120,6 +132,23 @@
     )
 
 
+def gone_coordinator(node: NodeState, call: CallRequest, arrival: Arrival) -> Refusal | None:
+    """Return a refusal for a token of a node that is not in the fleet.
+
+    Anyone can write such a token; the node would dial whatever address it names, without bound.
+    """
+    token = arrival.token
+    if token is None or token.node == node.settings.node or token.node in node.fleet.vms:
+        return None
+    policy = find_call(node.document, call.service, call.method, call.path)
+    if policy is None or policy.idempotent or arrival.parent is not None:
+        return None
+    text = f"{token.node[:64]} is not in the fleet"
+    if arrival.attempt == 0:
+        return not_run(Reason.COORDINATOR_GONE, text)
+    return may_have_run(Reason.COORDINATOR_GONE, text)
+
+
 def refused(node: NodeState, refusal: Refusal) -> HTTPResponse:
     """Count a request that was no call and return the response to it."""
     node.metrics.record_refusal(refusal)
@@ -175,12 +204,11 @@
 
 def refusal_status(refusal: Refusal) -> HTTPStatus:
     """Return the status code of a refusal."""
-    default = (
-        HTTPStatus.SERVICE_UNAVAILABLE
-        if refusal.verdict is Verdict.NOT_RUN
-        else HTTPStatus.BAD_GATEWAY
-    )
-    return STATUS_OF_REASON.get(refusal.reason, default)
+    if refusal.verdict is Verdict.NOT_RUN:
+        return STATUS_OF_REASON.get(refusal.reason, HTTPStatus.SERVICE_UNAVAILABLE)
+    # Statuses from 400 to 499 would tell clients that the request had no effect.
+    timed_out = refusal.reason is Reason.DEADLINE
+    return HTTPStatus.GATEWAY_TIMEOUT if timed_out else HTTPStatus.BAD_GATEWAY
 
 
 def connection_limit(node: NodeState) -> int:
--- a/packages/basilhill_node/src/basilhill_node/logs.py
+++ b/packages/basilhill_node/src/basilhill_node/logs.py
@@ -1,6 +1,7 @@
 """Log lines for routing and placement decisions."""
 
 import atexit
+import logging
 import os
 import sys
 import time
@@ -21,6 +22,7 @@
 BATCH_LINES = 500
 BATCH_S = 0.02
 CLOSE_S = 1.0
+LIBRARY_TEXT_LIMIT = 500
 
 
 @define
@@ -137,8 +139,25 @@
         self.thread.join(CLOSE_S)
 
 
+class LibraryHandler(logging.Handler):
+    """Write what libraries log as one line each; standard error could block the event loop."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__(logging.WARNING)
+        self.writer = writer
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, of an exception its type and text."""
+        text = record.getMessage()
+        if record.exc_info and record.exc_info[1] is not None:
+            text = f"{text}: {record.exc_info[1]!r}"
+        line = " ".join(text.split())[:LIBRARY_TEXT_LIMIT]
+        self.writer.write({"timestamp": record.created, "message_type": record.name, "text": line})
+
+
 def start_logging() -> None:
     """Log to standard output, because VMs have no disks."""
     writer = LineWriter(sys.stdout.fileno())
     eliot.add_destinations(writer.write)
+    logging.getLogger().addHandler(LibraryHandler(writer))
     atexit.register(writer.close)
--- a/packages/basilhill_node/tests/test_front.py
+++ b/packages/basilhill_node/tests/test_front.py
@@ -62,6 +62,15 @@
     assert (b"content-length", b"321") in await answer_of("HEAD", handler)
 
 
+async def test_answer_beyond_the_limit_takes_no_more_memory_and_may_have_run():
+    async def handler(_request: web.Request) -> web.Response:
+        return web.Response(body=b"x" * 1_000_001)
+
+    headers = await answer_of("GET", handler)
+    assert (b"basilhill-verdict", b"may-have-run") in headers
+    assert (b"basilhill-reason", b"too-large") in headers
+
+
 async def test_header_of_an_answer_that_is_not_utf_8_can_pass_between_nodes():
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
--- a/packages/basilhill_node/tests/test_logs.py
+++ b/packages/basilhill_node/tests/test_logs.py
@@ -1,10 +1,11 @@
 """Tests of the decision log."""
 
+import logging
 import os
 import time
 
 from basilhill.clocks import ManualClock
-from basilhill_node.logs import LINES_PER_S, DecisionLog, LineWriter
+from basilhill_node.logs import LINES_PER_S, DecisionLog, LibraryHandler, LineWriter
 
 
 class ListLogger:
@@ -30,6 +31,23 @@
     assert len(logger.texts) == LINES_PER_S + 2
 
 
+def test_what_a_library_logs_is_one_bounded_line():
+    reader, writer = os.pipe()
+    lines = LineWriter(writer)
+    logger = logging.Logger("library")
+    logger.addHandler(LibraryHandler(lines))
+    try:
+        raise ValueError("x\ny" * 1_000)
+    except ValueError:
+        logger.exception("failed\nhere")
+    lines.close()
+    os.close(writer)
+    with os.fdopen(reader) as read:
+        (line,) = read.read().splitlines()
+    assert "library: failed here: ValueError" in line
+    assert len(line) < 600
+
+
 def test_blocked_output_neither_stalls_calls_nor_takes_memory_without_bound():
     reader, writer = os.pipe()
     lines = LineWriter(writer, waiting=100)
