Keep latency histograms small

A front keeps one histogram per kind of action and there are 870 services, against 32 MB for control. Measured with tracemalloc over 20 kinds: 26.5 kB each before, 12.7 kB after, counters included; about 6 us per recorded action.

--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -6,13 +6,16 @@
 from basilhill.verdicts import CallReply, Reason, Refusal, Verdict, verdict_of
 from hdrh.histogram import HdrHistogram
 
+# Steps of 8 us and 4-byte counters take 12 kB per kind of action; 1 us and 8 bytes took 26 kB.
+LOWEST_US = 8
 HIGHEST_US = 600_000_000
+COUNTER_BYTES = 4
 SERVER_ERROR = 500
 
 
 def new_histogram() -> HdrHistogram:
     """Return an empty histogram of microseconds."""
-    return HdrHistogram(1, HIGHEST_US, 2)
+    return HdrHistogram(LOWEST_US, HIGHEST_US, 2, word_size=COUNTER_BYTES)
 
 
 @define
