Split long lines in linear time

A string that is not closed was scanned again from each of its quotes, and blanks after a list item matched in two ways; both took quadratic time in the length of a line.

--- a/packages/basilhill/src/basilhill/queries/document_lines.py
+++ b/packages/basilhill/src/basilhill/queries/document_lines.py
@@ -14,12 +14,13 @@
 # Most lines are a bare key with a value that ends on the line.
 SIMPLE_STATEMENT = re.compile(
     r"""\s*([A-Za-z0-9_\-]+(?:\.[A-Za-z0-9_\-]+)*)\s*=\s*(?:"[^"\\]*"|'[^']*'|[\w.+:\-]+|\[[^\[\]"'#{}]*\]"""
-    r"""|\[\s*(?:"[^"\\]*"\s*,?\s*)*\])\s*(?:\#.*)?"""
+    r"""|\[\s*(?:"[^"\\]*"\s*(?:,\s*)?)*\])\s*(?:\#.*)?"""
 )
 BARE_KEY = re.compile(r"[\w\-]+(?:\.[\w\-]+)*", re.ASCII)
 TABLE_HEADER = re.compile(r"""\[((?:[^"'\[\]\#]|"(?:[^"\\]|\\.)*"|'[^']*')*)\]\s*(?:\#.*)?""")
 QUOTED_PART = re.compile(r"""[^"'=]+|"(?:[^"\\]|\\.)*"|'[^']*'""")
-TOKEN = re.compile(r'"""|\'\'\'|"(?:[^"\\]|\\.)*"|\'[^\']*\'|\#.*|[\[\]{}]')
+# An unclosed string takes the rest of its line, so that no part of a line is read twice.
+TOKEN = re.compile(r'"""|\'\'\'|"(?:[^"\\]|\\.)*"?|\'[^\']*\'?|\#.*|[\[\]{}]')
 STRING_END = {'"""': re.compile(r'(?:[^"\\]|\\.|"(?!""))*"{3,5}'), "'''": re.compile(r".*?'{3,5}")}
 
 
--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -1,5 +1,6 @@
 """Tests of the document check and of splitting a document into sections."""
 
+import time
 import tomllib
 from pathlib import Path
 
@@ -146,6 +147,16 @@
     assert find_call(document, "front", "GET", "/listing") is None
 
 
+@pytest.mark.parametrize(
+    "line", ['x = ["a"' + " " * 100_000, "x = " + '\\"' * 50_000, '["' * 50_000]
+)
+def test_long_lines_are_split_in_linear_time(line):
+    started = time.monotonic()
+    split_sections(f"[team.a]\n{line}\n", 1)
+    # Quadratic scanning of 100 kB takes minutes.
+    assert time.monotonic() - started < 2
+
+
 FORMS = (
     '[team."{team}"]\ncontact = "x # no"',
     "[ team . '{team}' ] # [team.other]\ncontact = '''\n [a]\n# b\n'''",
