--- a/packages/basilhill_node/src/basilhill_node/front.py
+++ b/packages/basilhill_node/src/basilhill_node/front.py
@@ -101,6 +101,8 @@
 
 async def receive_body(request: Request, settings: NodeSettings) -> Refusal | None:
     """Read the body of a request; return a refusal if it is too large or comes too slowly."""
+    if not request.stream.request_body:
+        return None
     limit = request.stream.request_max_size = settings.body_limit
     try:
         async with asyncio.timeout(settings.request_ms / 1000):
--- a/packages/basilhill_node/src/basilhill_node/headers.py
+++ b/packages/basilhill_node/src/basilhill_node/headers.py
@@ -28,6 +28,8 @@
 TOKEN_TEXT_LIMIT = 300
 REFERENCE_TEXT_LIMIT = 300
 MAX_NUMBER = 10_000_000
+# Building a result takes microseconds, and most calls lack most of the headers.
+ABSENT: Result[None, Refusal] = Ok(None)
 
 # Headers of one connection, which RFC 9110 forbids to forward, and those that the HTTP
 # libraries set themselves.
@@ -113,7 +115,7 @@
     """Return the natural number in a header, or None without the header."""
     text = headers.get(name)
     if text is None:
-        return Ok(None)
+        return ABSENT
     if not (text.isascii() and text.isdigit() and len(text) <= 9) or int(text) > MAX_NUMBER:
         return Error(not_run(Reason.MALFORMED, f"{name} is not a number up to {MAX_NUMBER}"))
     return Ok(int(text))
@@ -126,8 +128,8 @@
             return Error(not_run(Reason.MALFORMED, "a header is malformed or not UTF-8"))
     numbers = [parse_number(headers, name) for name in (ATTEMPT, TIMEOUT, CALL_NUMBER)]
     token_header, context_header = headers.get(TOKEN), headers.get(CONTEXT)
-    token = parse_token(token_header) if token_header is not None else Ok(None)
-    parent = parse_reference(context_header) if context_header is not None else Ok(None)
+    token = parse_token(token_header) if token_header is not None else ABSENT
+    parent = parse_reference(context_header) if context_header is not None else ABSENT
     for parsed in (*numbers, token, parent):
         if parsed.is_error():
             return Error(parsed.error)
