--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -1,5 +1,6 @@
 """Tests of the document check and of splitting a document into sections."""
 
+import time
 import tomllib
 from pathlib import Path
 
@@ -109,6 +110,12 @@
     assert lines == [5, 9, 28]
 
 
+def test_references_are_checked_while_another_section_is_refused():
+    text = SOUND.replace("timeout_ms = 900", "timeout_ms = 0")
+    assert len(check_document(text).problems) == 1
+    assert len(check_document(text.replace("back.take", "back.tke")).problems) == 2
+
+
 def test_longer_inner_timeout_warns_and_does_not_refuse():
     checked = check_document(SOUND.replace("timeout_ms = 900", "timeout_ms = 2000"))
     assert [problem.severity for problem in checked.problems] == [Severity.WARNING]
@@ -140,6 +147,16 @@
     assert find_call(document, "front", "GET", "/listing") is None
 
 
+@pytest.mark.parametrize(
+    "line", ['x = ["a"' + " " * 100_000, "x = " + '\\"' * 50_000, '["' * 50_000]
+)
+def test_long_lines_are_split_in_linear_time(line):
+    started = time.monotonic()
+    split_sections(f"[team.a]\n{line}\n", 1)
+    # Quadratic scanning of 100 kB takes minutes.
+    assert time.monotonic() - started < 2
+
+
 FORMS = (
     '[team."{team}"]\ncontact = "x # no"',
     "[ team . '{team}' ] # [team.other]\ncontact = '''\n [a]\n# b\n'''",
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -8,11 +8,11 @@
 from basilhill.calls import CallRequest, ParentReference
 from basilhill.clocks import Clock, MonotonicClock
 from basilhill.settings import NodeSettings
-from basilhill.verdicts import Answer, Outcome, Reason, may_have_run, not_run
+from basilhill.verdicts import Answer, Header, Outcome, Reason, may_have_run, not_run
 from expression import Error, Ok
 from yarl import URL
 
-from basilhill_node.headers import CONTEXT, TIMEOUT, forwarded_headers, reference_text
+from basilhill_node.headers import CONTEXT, TIMEOUT, answer_headers, reference_text
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -124,11 +124,28 @@
             framed = "Content-Length" in response.headers or response.headers.get(
                 "Transfer-Encoding"
             )
-            body = await response.read()
+            body = await self.read_body(response)
+            if body is None:
+                response.close()
+                text = f"the answer has more than {self.body_limit} bytes"
+                return Error(may_have_run(Reason.TOO_LARGE, text))
             if not framed and body:
                 # Without a length the end of the connection is no proof of a whole answer.
                 return Error(may_have_run(Reason.TRUNCATED, "the answer has no length"))
-            return Ok(Answer(response.status, forwarded_headers(response.headers), body))
+            forwarded = answer_headers(response.raw_headers)
+            if request.method == "HEAD" and "Content-Length" in response.headers:
+                # The length of the body that GET would get, the only header about this answer.
+                forwarded += (Header("content-length", response.headers["Content-Length"]),)
+            return Ok(Answer(response.status, forwarded, body))
+
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes | None:
+        """Return the whole body, None if it is larger than the limit."""
+        body = bytearray()
+        async for part in response.content.iter_any():
+            body += part
+            if len(body) > self.body_limit:
+                return None
+        return bytes(body)
 
     async def probe(self) -> bool:
         """Tell whether the backend server accepts requests."""
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from hashlib import blake2b
+from time import perf_counter_ns
 
 from attrs import evolve, frozen
 from basilhill.budgets import RetryBudget
@@ -88,14 +89,14 @@
     refusal = leaving_refusal(node) if policy.idempotent else None
     if refusal is not None:
         return served(node, CallReply(Error(refusal)))
-    started_ms = node.clock.now_ms()
+    started_ns = perf_counter_ns()
     if policy.idempotent:
         reply = await dispatch_call(node, call)
     else:
         reply = await serve_token(node, call, arrival)
     if reply.outcome.is_ok() and takes_permit(arrival) and arrival.attempt == 0:
         return_permit(node.customers, arrival.customer)
-    duration_us = (node.clock.now_ms() - started_ms) * 1000
+    duration_us = (perf_counter_ns() - started_ns) // 1000
     node.metrics.record_action(call.context.action, reply, duration_us)
     return served(node, reply, call.context.action_id)
 
--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -7,15 +7,17 @@
 from basilhill.settings import NodeSettings
 from grpclib.server import Server
 from sanic import Sanic
+from sanic.server.protocols.http_protocol import HttpProtocol
 
-from basilhill_node.administration import build_administration
+from basilhill_node.administration import ADMINISTRATION_CONNECTIONS, build_administration
 from basilhill_node.backend_servers import HttpBackendServer
 from basilhill_node.commands.adjust_admission import adjust_admission
 from basilhill_node.commands.exchange_sections import exchange_digests
 from basilhill_node.commands.keep_streams import keep_streams
 from basilhill_node.commands.leave_fleet import finish_calls, follow_drain, start_leaving
 from basilhill_node.commands.read_platform import follow_document, follow_fleet
-from basilhill_node.front import build_front
+from basilhill_node.connections import limited_protocol
+from basilhill_node.front import build_front, connection_limit
 from basilhill_node.network import DirectNetwork, Network
 from basilhill_node.peer_pool import PeerClients
 from basilhill_node.peer_server import PeerService
@@ -37,9 +39,17 @@
     service = node.callers = PeerService(node)
     peer_server = Server([service])
     await peer_server.start(settings.address, settings.peer_port)
-    front = await serve_http(build_front(node), settings.address, settings.front_port)
+    front = await serve_http(
+        build_front(node),
+        settings.address,
+        settings.front_port,
+        limited_protocol(lambda: connection_limit(node)),
+    )
     administration = await serve_http(
-        build_administration(node), settings.administration_address, settings.administration_port
+        build_administration(node),
+        settings.administration_address,
+        settings.administration_port,
+        limited_protocol(lambda: ADMINISTRATION_CONNECTIONS),
     )
     platform = HttpPlatformClient(settings)
     background = [
@@ -65,9 +75,11 @@
     await node.backend.close()
 
 
-async def serve_http(app: Sanic, address: str, port: int):
+async def serve_http(app: Sanic, address: str, port: int, protocol: type[HttpProtocol]):
     """Serve an application in this event loop; return its server."""
-    server = await app.create_server(address, port, return_asyncio_server=True, access_log=False)
+    server = await app.create_server(
+        address, port, protocol=protocol, return_asyncio_server=True, access_log=False
+    )
     await server.startup()
     await server.start_serving()
     return server
