Take levels from downstream services only

A node recorded the levels in its own heartbeat as a report, so the median of the report and the true level stayed at 0 and no source refused anything; siblings could keep a level alive in the same way.

--- a/packages/basilhill/src/basilhill/commands/routing.py
+++ b/packages/basilhill/src/basilhill/commands/routing.py
@@ -60,11 +60,13 @@
 ) -> None:
     """Store the admission levels that a peer reported, its own and those it knows."""
     server = table.servers.get(reporter)
+    own = table.servers.get(table.node)
+    sibling = server is not None and own is not None and server.service == own.service
     for level in levels:
         if server is not None and server.service == level.service:
             server.level, server.level_ms = level.level, now_ms
-        else:
-            report = LevelReport(level.level, now_ms)
+        elif reporter != table.node:
+            report = LevelReport(level.level, now_ms, sibling)
             table.levels.setdefault(level.service, {})[reporter] = report
 
 
--- a/packages/basilhill/src/basilhill/loads.py
+++ b/packages/basilhill/src/basilhill/loads.py
@@ -32,10 +32,15 @@
 
 @define
 class LevelReport:
-    """Hold the level of a service as one peer reported it."""
+    """Hold the level of a service as one peer reported it.
+
+    A report of a sibling, a node of this node's own service, is not passed on: siblings that
+    repeat each other's reports would keep a level alive for ever.
+    """
 
     level: int
     reported_ms: int
+    sibling: bool = False
 
 
 @define
--- a/packages/basilhill/src/basilhill/queries/routing.py
+++ b/packages/basilhill/src/basilhill/queries/routing.py
@@ -114,7 +114,9 @@
     return ejected + 1 <= len(subset.servers) * EJECTED_SHARE
 
 
-def service_level(table: RoutingTable, service: str, now_ms: int, lifetime_ms: int) -> int | None:
+def service_level(
+    table: RoutingTable, service: str, now_ms: int, lifetime_ms: int, siblings: bool = True
+) -> int | None:
     """Return the admission level of a service, by its own servers or by reports, if known."""
     subset = table.subsets.get(service)
     own = [
@@ -127,17 +129,21 @@
     reports = [
         report.level
         for report in table.levels.get(service, {}).values()
-        if now_ms - report.reported_ms < lifetime_ms
+        if now_ms - report.reported_ms < lifetime_ms and (siblings or not report.sibling)
     ]
     levels = own or reports
     return median_low(levels) if levels else None
 
 
 def known_levels(
-    table: RoutingTable, services: Iterable[str], now_ms: int, lifetime_ms: int
+    table: RoutingTable,
+    services: Iterable[str],
+    now_ms: int,
+    lifetime_ms: int,
+    siblings: bool = False,
 ) -> tuple[ServiceLevel, ...]:
     """Return the known levels of some services; level 0 too, which ends an older report."""
-    known = ((name, service_level(table, name, now_ms, lifetime_ms)) for name in services)
+    known = ((name, service_level(table, name, now_ms, lifetime_ms, siblings)) for name in services)
     return tuple(ServiceLevel(name, level) for name, level in known if level is not None)
 
 
@@ -146,5 +152,5 @@
 ) -> ServiceLevel:
     """Return the highest admission level on a call's way."""
     services = (call.service, *called_services(document, call))
-    levels = known_levels(table, services, now_ms, lifetime_ms)
+    levels = known_levels(table, services, now_ms, lifetime_ms, siblings=True)
     return max(levels, key=lambda level: level.level, default=ServiceLevel(call.service, 0))
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_overload.py
@@ -0,0 +1,103 @@
+"""Tests of overload with real processes: a small storm, a crashed server, an ejected one."""
+
+import asyncio
+import time
+from pathlib import Path
+
+from basilhill_fakes.caller import Caller
+from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
+from basilhill_fakes.processes import Fleet, new_fleet
+from basilhill_fakes.workloads import WORKLOADS
+
+ROOT = Path(__file__).parents[3]
+WORKLOAD = WORKLOADS["degustari"]
+COUNTS = {"calendar": 1, "reservations": 1, "deposits": 1, "flavours": 1}
+TRANSACTIONS_PER_S = 30
+BROWSES_PER_S = 60
+STORM_S = 6.0
+SLOW_FACTOR = 4
+# Between a decision at one node and the sight of its effect in a history of another process.
+SIGHT_MS = 250
+
+
+def new_caller(fleet: Fleet) -> Caller:
+    history = HistoryWriter(fleet.history / "caller.jsonl")
+    return Caller(WORKLOAD, fleet.topology, history, tries=1)
+
+
+async def send_at_rate(perform, rate: float, duration_s: float) -> list[Event]:
+    """Perform actions at a fixed rate, whatever becomes of the earlier ones."""
+    tasks = []
+    started = time.monotonic()
+    for number in range(int(rate * duration_s)):
+        await asyncio.sleep(max(0.0, started + number / rate - time.monotonic()))
+        tasks.append(asyncio.create_task(perform()))
+    return list(await asyncio.gather(*tasks))
+
+
+async def storm(fleet: Fleet, caller: Caller) -> tuple[float, list[dict]]:
+    """Slow the bottleneck for a while; return when that ended and its states right after."""
+    flavours = fleet.topology.servers_of("flavours")[0]
+    faults = f"{flavours.backend_url}/test/faults"
+    await send_at_rate(caller.transact, 10, 1.0)
+    await fleet.put(faults, {"slow_factor": SLOW_FACTOR})
+    await asyncio.gather(
+        send_at_rate(caller.transact, TRANSACTIONS_PER_S, STORM_S),
+        send_at_rate(caller.browse, BROWSES_PER_S, STORM_S),
+    )
+    await fleet.put(faults, {"slow_factor": 1})
+    ended_ms = time.monotonic() * 1000
+    statuses = []
+    calm = asyncio.gather(
+        send_at_rate(caller.transact, 20, 3.0), send_at_rate(caller.browse, 40, 3.0)
+    )
+    for _ in range(30):
+        await asyncio.sleep(0.1)
+        statuses.append(await fleet.get(f"{flavours.administration_url}/status"))
+    await calm
+    return ended_ms, statuses
+
+
+async def run_storm(tmp_path: Path, disabled: tuple[str, ...] = ()):
+    fleet = new_fleet(WORKLOAD, tmp_path, counts=COUNTS)
+    fleet.settings["disabled_mechanisms"] = disabled
+    caller = new_caller(fleet)
+    try:
+        await fleet.start((ROOT / WORKLOAD.document).read_text())
+        ended_ms, statuses = await storm(fleet, caller)
+    finally:
+        await caller.session.close()
+        await fleet.stop()
+    return read_history(fleet.history), ended_ms, statuses
+
+
+def refused_below_browsing(history: list[Event]) -> list[Event]:
+    """Return the transactions refused for overload within reach of a browse that then ran."""
+    browsing = [
+        event.time_ms
+        for event in history
+        if event.kind is EventKind.RUN_STARTED and event.call == "calendar.slots"
+    ]
+    refused = [
+        event
+        for event in history
+        if event.kind is EventKind.ANSWER_RECEIVED
+        and event.call == WORKLOAD.transaction
+        and event.reason == "overloaded"
+    ]
+    return [
+        event
+        for event in refused
+        if sum(abs(event.time_ms - started_ms) < SIGHT_MS for started_ms in browsing) > 1
+    ]
+
+
+def completed(history: list[Event], from_ms: float, to_ms: float, call: str) -> int:
+    """Count the runs of a call that ended well within a time."""
+    return sum(
+        event.kind is EventKind.RUN_ENDED
+        and event.call == call
+        and event.status == 200
+        and from_ms <= event.time_ms < to_ms
+        for event in history
+    )
