--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -83,8 +83,8 @@
             timeout=aiohttp.ClientTimeout(total=None),
             trace_configs=[trace_of_sending()],
         )
-        # aiohttp would send some methods again by itself, which the document may call
-        # non-idempotent.
+        # aiohttp sends GET, PUT and DELETE requests again after a lost connection, which would run
+        # a call twice and hide a crash.
         self.session._retry_connection = False
 
     async def call(self, request: CallRequest, parent: ParentReference, timeout_ms: int) -> Outcome:
