--- a/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
@@ -19,8 +19,9 @@
     while True:
         await asyncio.sleep(node.settings.level_interval_ms / 1000)
         now_ms = node.clock.now_ms()
-        if not node.disabled("levels"):
-            adjust_level(node.admission, now_ms)
+        adjust_level(node.admission, now_ms)
+        if node.disabled("levels"):
+            node.admission.level = 0
         if not node.disabled("limit"):
             adjust_limit(node.admission, now_ms)
         expire_levels(node.routing, now_ms, node.settings.level_lifetime_ms)
