Treat a first copy as a repeat after the node was paused

Cause: a paused node that resumed told attempt 0 of a token 'not run' although a later copy had run through another node and the coordinator had restarted since. For the longest timeout after a pause, first copies now count as repeats. Ruled out: 'may have run' for every copy whose coordinator is gone, which would cost each caller that holds a token of a replaced node.

--- a/packages/basilhill_fakes/src/basilhill_fakes/caller.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/caller.py
@@ -68,6 +68,7 @@
         factory=lambda: defaultdict(lambda: deque(maxlen=TOKENS_KEPT))
     )
     copies: set[asyncio.Task] = field(factory=set)
+    customer: str = ""
 
     async def transact(self) -> Event:
         """Perform one transaction of the workload."""
@@ -151,7 +152,7 @@
         headers = {
             "X-Order": copy.order,
             "X-Token-Round": str(copy.round),
-            "Basilhill-Customer": copy.order,
+            "Basilhill-Customer": self.customer or copy.order,
             "Basilhill-Timeout-Ms": str(self.timeout_ms),
             "Basilhill-Attempt": str(copy.attempt),
         }
--- a/packages/basilhill_fakes/tests/test_at_most_once.py
+++ b/packages/basilhill_fakes/tests/test_at_most_once.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from attrs import define
-from basilhill_fakes.caller import Caller
+from basilhill_fakes.caller import Caller, Copy
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
 from basilhill_fakes.processes import Fleet, new_fleet
 from basilhill_fakes.queries.histories import (
@@ -36,23 +36,15 @@
 class CopySender(Caller):
     """Send single copies through chosen nodes."""
 
-    via: Vm | None = None
-
-    def pick_server(self, service: str) -> Vm:
-        return self.via or super().pick_server(service)
-
     async def new_token(self, coordinator: Vm) -> str:
         call = find_fake_call(self.workload, CALL)
-        self.via = coordinator
-        event, token = await self.send(CALL, call, "", "", 0)
+        event = await self.send(Copy(CALL, call, order="", vm=coordinator))
         assert event.status == 428
-        return token
+        return self.tokens[coordinator.address].pop().text
 
     async def copy(self, front: Vm, order: str, token: str, attempt: int = 0) -> Event:
-        self.via = front
-        # The front is chosen before the first await inside `send`.
-        event, _ = await self.send(CALL, find_fake_call(self.workload, CALL), order, token, attempt)
-        return event
+        call = find_fake_call(self.workload, CALL)
+        return await self.send(Copy(CALL, call, order, token=token, attempt=attempt, vm=front))
 
 
 @define
@@ -304,7 +296,7 @@
 async def refuse_then_repeat(stage: Scene) -> tuple[Event, Event]:
     """Let a node refuse one copy for its customer's limit, and send another copy elsewhere."""
     other = stage.executors[0]
-    stage.sender.session.headers["Basilhill-Customer"] = "hasty"
+    stage.sender.customer = "hasty"
     for vm in stage.executors:
         await stage.faults(vm, truncate_order="spent")
     await stage.sender.copy(other, "spent", await stage.sender.new_token(stage.front))
@@ -322,7 +314,10 @@
         assert [event.status for event in copies] == [429, 429]
         assert verdicts(copies) == ["not-run"] * 2
         assert stage.judge() == []
-        assert [violation.check for violation in broken.judge()] == ["refused-and-run"]
+        assert {violation.check for violation in broken.judge()} == {
+            "false-refusal",
+            "refused-and-run",
+        }
 
 
 async def retries_of_refused_call(directory: Path, **settings) -> int:
--- a/packages/basilhill_fakes/tests/test_configuration.py
+++ b/packages/basilhill_fakes/tests/test_configuration.py
@@ -92,7 +92,7 @@
         status = await status_of(fleet, vm)
         assert status["limit"] == 61
         assert status["sections"]["deposits"] == 1
-        assert "deposits" in status["refused"]["deposits"][0]
+        assert "deposits" in status["refused"]["deposits"]["problems"][0]
     good = await fleet.publish_document(with_slots(changed, "deposits", 90))
     assert await until_everywhere(fleet, {"calendar": number, "deposits": good}) < IN_FORCE_S
     statuses = [await status_of(fleet, vm) for vm in fleet.topology.vms]
--- a/packages/basilhill_fakes/tests/test_overload.py
+++ b/packages/basilhill_fakes/tests/test_overload.py
@@ -7,7 +7,7 @@
 from basilhill_fakes.caller import Caller
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
 from basilhill_fakes.processes import Fleet, new_fleet
-from basilhill_fakes.workloads import WORKLOADS
+from basilhill_fakes.workloads import WORKLOADS, find_fake_call
 
 ROOT = Path(__file__).parents[3]
 WORKLOAD = WORKLOADS["degustari"]
@@ -15,6 +15,9 @@
 TRANSACTIONS_PER_S = 30
 BROWSES_PER_S = 60
 STORM_S = 6.0
+PICK_MS = 200
+# The stand-in's service time is scaled to PICK_MS, for which one server carries these rates.
+USUAL_FACTOR = PICK_MS / find_fake_call(WORKLOAD, "flavours.pick").service_ms
 SLOW_FACTOR = 4
 # A level moves every 100 ms, so browsing admitted that long before is no breach of order.
 SIGHT_MS = 100
@@ -39,13 +42,14 @@
     """Slow the bottleneck for a while; return when that ended and its states right after."""
     flavours = fleet.topology.servers_of("flavours")[0]
     faults = f"{flavours.backend_url}/test/faults"
+    await fleet.put(faults, {"slow_factor": USUAL_FACTOR})
     await send_at_rate(caller.transact, 10, 1.0)
-    await fleet.put(faults, {"slow_factor": SLOW_FACTOR})
+    await fleet.put(faults, {"slow_factor": USUAL_FACTOR * SLOW_FACTOR})
     await asyncio.gather(
         send_at_rate(caller.transact, TRANSACTIONS_PER_S, STORM_S),
         send_at_rate(caller.browse, BROWSES_PER_S, STORM_S),
     )
-    await fleet.put(faults, {"slow_factor": 1})
+    await fleet.put(faults, {"slow_factor": USUAL_FACTOR})
     ended_ms = time.monotonic() * 1000
     statuses = []
     calm = asyncio.gather(
@@ -111,7 +115,7 @@
     assert refused_below_browsing(history) == []
     assert [status["queued"] for status in statuses[4:]] == [0] * len(statuses[4:])
     done = completed(history, ended_ms - 4_000, ended_ms, "flavours.pick")
-    possible = 4_000 / (200 * SLOW_FACTOR) * 10
+    possible = 4_000 / (PICK_MS * SLOW_FACTOR) * 10
     assert done >= 0.7 * possible
     late = completed(history, ended_ms + 1_500, ended_ms + 3_000, WORKLOAD.transaction)
     assert late >= 0.9 * 1.5 * 20
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -31,7 +31,7 @@
     return_loan,
 )
 from basilhill_node.commands.leave_fleet import leaving_refusal
-from basilhill_node.commands.wake_up import check_pause, waited_ms
+from basilhill_node.commands.wake_up import check_pause, waited_ms, woke_lately
 from basilhill_node.state import NodeState, ParentCall
 
 
@@ -79,6 +79,9 @@
     node: NodeState, policy: CallPolicy, request: CallRequest, arrival: Arrival
 ) -> ServedCall:
     """Serve the first call of a customer action."""
+    if woke_lately(node) and arrival.attempt == 0:
+        # The caller may have sent a later copy elsewhere while this one waited for the node.
+        arrival = evolve(arrival, attempt=1)
     opened = open_action(node, policy, request, arrival)
     if opened.is_error():
         refusal = opened.error
--- a/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/wake_up.py
@@ -2,6 +2,7 @@
 
 from basilhill.commands.fleet import drop_reports
 from basilhill.commands.transits import record_transit
+from basilhill.queries.checking import MAX_TIMEOUT_MS
 from basilhill.queries.transits import excess_transit_ms
 from basilhill.transits import TransitMeter
 
@@ -47,3 +48,11 @@
     """Return how long a request that is read now may have waited for a paused process."""
     recent = node.woken_ms and node.clock.now_ms() - node.woken_ms <= BACKLOG_MS
     return node.paused_ms if recent else 0
+
+
+def woke_lately(node: NodeState) -> bool:
+    """Tell whether a call that this node serves may have been overtaken by a later copy.
+
+    A copy that waited during a pause is decided within its timeout after the node wakes.
+    """
+    return bool(node.woken_ms) and node.clock.now_ms() - node.woken_ms <= MAX_TIMEOUT_MS
--- a/packages/basilhill_node/tests/test_coordinate_call.py
+++ b/packages/basilhill_node/tests/test_coordinate_call.py
@@ -7,6 +7,7 @@
 from basilhill.budgets import RetryBudget
 from basilhill.calls import CallContext, CallRequest, PriorityClass
 from basilhill.clocks import MonotonicClock
+from basilhill.commands.routing import drop_subsets
 from basilhill.documents import Section
 from basilhill.executions import ExecutionState
 from basilhill.loads import ServerLoad
@@ -73,6 +74,9 @@
     def channel(self, node):
         return self
 
+    def touch(self):
+        pass
+
     async def execute(self, context, key, request):
         self.grants += 1
         if self.on_execute is not None:
@@ -97,7 +101,7 @@
     node.admission.slots = node.admission.limit = 1
     node.peers = peer
     for server in servers:
-        node.routing.servers[server] = ServerLoad(server, "deposits", "dc", 0, reported_limit=10)
+        new_server(node, server)
     return node
 
 
@@ -223,6 +227,7 @@
 
 def new_server(node, server):
     node.routing.servers[server] = ServerLoad(server, "deposits", "dc", 0, reported_limit=10)
+    drop_subsets(node.routing)
 
 
 async def test_ended_incarnation_of_the_executor_is_uncertain_and_not_retried():
@@ -250,6 +255,8 @@
     def refuse_all():
         for server in node.routing.servers.values():
             server.level, server.level_ms = 10_000, node.clock.now_ms()
+        # The level at the source is read anew only every few milliseconds.
+        node.routing.gates.clear()
 
     peer.on_execute = refuse_all
     reply = await dispatch_call(node, new_call(node, retries=3))
