Keep 'may have run' when a later server refuses an idempotent call

Cause: after a lost reply of an idempotent call the retry could be refused, and the refusal as 'not run' hid that the first server may have run the call. Ruled out: not retrying idempotent calls after a lost reply. The outbox has one way in; the capacity tool uses the stream itself. Conclusion: every final verdict covers all servers that got the call.

--- a/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
@@ -50,14 +50,14 @@
 async def dispatch_call(node: NodeState, call: OpenCall) -> CallReply:
     """Run a call on one server after another until it is answered or may not be retried."""
     excluded: frozenset[str] = frozenset()
-    last: CallReply | None = None
+    last = uncertain = None
     while True:
         refusal = refuse_at_source(node, call)
         if refusal is not None:
-            return total_reply(call, last or CallReply(Error(refusal)))
+            return total_reply(call, uncertain or last or CallReply(Error(refusal)))
         chosen = pick_server(node, call, excluded)
         if chosen.is_error():
-            return total_reply(call, last or CallReply(Error(chosen.error)))
+            return total_reply(call, uncertain or last or CallReply(Error(chosen.error)))
         # Spent only when a server is about to get the retry.
         if last is not None and not spend_retry(call.budget):
             call.budget.spent += 1
@@ -67,7 +67,11 @@
         )
         last = await send_to_server(node, call, server)
         if not retryable(node, call, last):
-            return total_reply(call, last)
+            refused = verdict_of(last.outcome) is Verdict.NOT_RUN
+            return total_reply(call, uncertain if refused and uncertain else last)
+        if verdict_of(last.outcome) is Verdict.MAY_HAVE_RUN:
+            # A later server that refuses the call does not make "not run" true.
+            uncertain = last
         excluded |= {server.node}
 
 
--- a/packages/basilhill_node/src/basilhill_node/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/frames.py
@@ -44,10 +44,6 @@
         except STREAM_ERRORS:
             return
 
-    async def send(self, frame: wire.Frame) -> None:
-        """Put a frame into the outbox, if there is room."""
-        self.submit(frame)
-
     def submit(self, frame: wire.Frame) -> bool:
         """Put a frame into the outbox; return whether there was room."""
         if len(self.frames) >= self.limit:
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -19,7 +19,7 @@
 from basilhill_node.commands.revoke_call import revoke_call
 from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.commands.wake_up import check_pause, receive_batch_time, socket_wait_ms
-from basilhill_node.frames import STREAM_ERRORS, FrameSender, until_reachable
+from basilhill_node.frames import FrameSender, until_reachable
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import hello_frame
 from basilhill_node.queries.loads import own_heartbeat
@@ -121,10 +121,8 @@
         with self.node.open_call():
             reply = await handler(self, incoming, message)
             frame = wire.Frame(reply=encoding.encode_reply(message.call_id, reply))
-            try:
-                await incoming.sender.send(frame)
-            except STREAM_ERRORS as error:
-                self.node.log.record("peer", "", f"lost {incoming.peer}", type(error).__name__)
+            if not incoming.sender.submit(frame):
+                self.node.log.record("peer", "", f"reply dropped, {incoming.peer} does not read")
 
     async def execute(self, incoming: IncomingStream, message: wire.Execute) -> CallReply:
         """Run a call on the backend server beside this node."""
--- a/packages/basilhill_node/tests/test_coordinate_call.py
+++ b/packages/basilhill_node/tests/test_coordinate_call.py
@@ -248,6 +248,21 @@
     assert (peer.grants, reply.retries_spent) == (2, 3)
 
 
+async def test_refusal_after_an_uncertain_run_is_not_told_as_not_run():
+    """Guards against "not run" for an idempotent call that an earlier server may have run."""
+    peer = ScriptedPeer()
+    node = new_node(peer, servers=(PEER, "127.0.0.3:7401"))
+
+    def refuse_next_time():
+        if peer.grants == 2:
+            peer.executed = REFUSED
+
+    peer.on_execute = refuse_next_time
+    reply = await dispatch_call(node, new_call(node, LIST, key=None, retries=9))
+    assert peer.grants == 2
+    assert verdict(reply) is Verdict.MAY_HAVE_RUN
+
+
 async def test_no_retry_is_spent_on_a_service_that_refuses_by_its_level():
     peer = ScriptedPeer(executed=REFUSED)
     node = new_node(peer, servers=(PEER, "127.0.0.3:7401"))
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -23,7 +23,6 @@
 from basilhill.verdicts import Answer
 from basilhill_fakes.processes import Fleet, new_fleet
 from basilhill_fakes.workloads import DEGUSTARI
-from basilhill_node.peers import FrameSender
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerStub
 from expression import Ok
@@ -173,7 +172,7 @@
     try:
         async with PeerStub(channel).Exchange.open() as stream:
             hello = wire.Hello(node=f"10.9.{number >> 8}.{number & 255}:7401", incarnation="0")
-            await FrameSender(stream).send(wire.Frame(hello=hello))
+            await stream.send_message(wire.Batch(frames=[wire.Frame(hello=hello)]))
             async for batch in stream:
                 received[0] += batch.ByteSize()
     finally:
