Do not blame a request beside the one that crashes two servers

Change: a suspect waits up to 500 ms for suspects that run there, a call that became a suspect in the queue does not start, cleared crashes are kept, only heartbeats replace heartbeats, and only servers that are up are named. The test of partial clearing now checks the state after each report, because a partial clearing counts for the crashes that it names.

--- a/packages/basilhill/src/basilhill/queries/suspects.py
+++ b/packages/basilhill/src/basilhill/queries/suspects.py
@@ -31,8 +31,10 @@
     record = table.records.get(fingerprint)
     if record is None or now_ms >= record.expires_ms:
         return Suspicion.NONE
-    refused = len(record.crashes) >= CRASHES_ALLOWED
-    return Suspicion.REFUSED if refused else Suspicion.SUSPECT
+    crashes = len(record.crashes - record.cleared)
+    if crashes == 0:
+        return Suspicion.NONE
+    return Suspicion.REFUSED if crashes >= CRASHES_ALLOWED else Suspicion.SUSPECT
 
 
 def suspect_server(table: SuspectTable, fingerprint: str, servers: Iterable[str]) -> str | None:
--- a/packages/basilhill/src/basilhill/suspects.py
+++ b/packages/basilhill/src/basilhill/suspects.py
@@ -15,10 +15,14 @@
 
 @define
 class SuspectRecord:
-    """Keep the crashes during which a request ran, each as node id and count on that node."""
+    """Keep the crashes during which a request ran, each as node id and count on that node.
+
+    Cleared crashes are kept too: their reports may still come from a peer that passes them on.
+    """
 
     fingerprint: str
     crashes: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
     expires_ms: int = 0
 
 
--- a/packages/basilhill/tests/test_suspects.py
+++ b/packages/basilhill/tests/test_suspects.py
@@ -1,5 +1,6 @@
 """Tests of the table of requests that crash servers."""
 
+import pytest
 from basilhill.calls import CallRequest
 from basilhill.commands.suspects import apply_report
 from basilhill.queries.suspects import fingerprint_of, suspect_server, suspicion_of
@@ -25,11 +26,26 @@
     table = SuspectTable(ttl_ms=100)
     apply_report(table, report("a/1"), 0)
     apply_report(table, report("b/1"), 0)
-    assert not apply_report(table, report("a/1", cleared=True), 1)
+    assert suspicion_of(table, "print", 1) is Suspicion.REFUSED
+    assert apply_report(table, report("a/1", cleared=True), 1)
+    assert suspicion_of(table, "print", 1) is Suspicion.SUSPECT
     assert apply_report(table, report("a/1", "b/1", cleared=True), 1)
     assert suspicion_of(table, "print", 1) is Suspicion.NONE
 
 
+@pytest.mark.parametrize("early", [True, False])
+def test_report_that_comes_again_does_not_undo_a_clean_run(early):
+    """Guards against a request that stays refused because a peer passed on an old report."""
+    table = SuspectTable(ttl_ms=100)
+    if early:
+        apply_report(table, report("a/1"), 0)
+    apply_report(table, report("a/1", cleared=True), 1)
+    apply_report(table, report("a/1"), 2)
+    assert suspicion_of(table, "print", 3) is Suspicion.NONE
+    apply_report(table, report("b/1"), 4)
+    assert suspicion_of(table, "print", 5) is Suspicion.SUSPECT
+
+
 def test_one_server_that_has_not_crashed_may_run_a_suspect():
     table = SuspectTable(ttl_ms=100)
     apply_report(table, report("a/1"), 0)
--- a/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/adjust_admission.py
@@ -6,6 +6,7 @@
 from basilhill.commands.fleet import record_heartbeat
 from basilhill.commands.limits import adjust_limit
 from basilhill.commands.routing import expire_levels
+from basilhill.commands.suspects import expire_suspects
 
 from basilhill_node.commands.wake_up import check_pause
 from basilhill_node.queries.loads import own_heartbeat
@@ -27,6 +28,7 @@
         if not node.disabled("limit"):
             adjust_limit(node.admission, now_ms)
         expire_levels(node.routing, now_ms, node.settings.level_lifetime_ms)
+        expire_suspects(node.suspects, now_ms)
         announce_changes(node, now_ms)
 
 
--- a/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/execute_call.py
@@ -24,6 +24,7 @@
 from basilhill.queries.admission import next_queued, wait_limit_ms
 from basilhill.queries.budgets import used_retries
 from basilhill.queries.documents import find_call
+from basilhill.suspects import Suspicion
 from basilhill.verdicts import (
     CallReply,
     Reason,
@@ -36,7 +37,12 @@
 from expression import Error, Ok, Result
 
 from basilhill_node.commands.revoke_call import revoke_waiting
-from basilhill_node.commands.screen_call import judge_run, screen_call
+from basilhill_node.commands.screen_call import (
+    judge_run,
+    screen_call,
+    suspect_refusal,
+    suspicion,
+)
 from basilhill_node.commands.watch_backend import note_outcome
 from basilhill_node.queries.loads import own_levels
 from basilhill_node.state import ExecutorRun, NodeState, ParentCall
@@ -100,6 +106,7 @@
     key: str | None = None,
 ) -> CallReply:
     """Wait for a slot, run the call and free the slot."""
+    screened = suspicion(node, request) is not Suspicion.NONE
     async with screen_call(node, request) as refusal:
         if refusal is not None:
             node.log.record("admit", context.action_id, f"refused {policy.full_name}", refusal.text)
@@ -109,6 +116,10 @@
             text = entered.error.text
             node.log.record("admit", context.action_id, f"refused {policy.full_name}", text)
             return CallReply(Error(entered.error), levels=own_levels(node, policy))
+        if not screened and suspicion(node, request) is not Suspicion.NONE:
+            # It became a suspect while it waited for its slot.
+            release_slot(node)
+            return CallReply(Error(suspect_refusal()))
         node.log.record("admit", context.action_id, f"started {policy.full_name}")
         try:
             reply = await run_parent(node, context, policy, request, key)
@@ -195,7 +206,7 @@
         return CallReply(Error(not_run(Reason.REJECTED, "the call was revoked")))
     # The start time lets this node tell a call whose records have expired from one that never ran.
     parent_call = f"{node.clock.now_ms():x}-{secrets.token_hex(16)}"
-    parent = ParentCall(context, policy, RetryBudget(context.retry_allotment))
+    parent = ParentCall(context, policy, request, RetryBudget(context.retry_allotment))
     node.parents[parent_call] = parent
     reference = ParentReference(node.settings.node, node.incarnation, parent_call)
     started_ms = node.clock.now_ms()
@@ -204,6 +215,7 @@
         outcome = await node.backend.call(request, reference, timeout_ms)
     finally:
         del node.parents[parent_call]
+        parent.ended.set()
         for task in parent.internal:
             task.cancel()
     if outcome.is_ok():
--- a/packages/basilhill_node/src/basilhill_node/commands/screen_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/screen_call.py
@@ -6,14 +6,16 @@
 
 from basilhill.calls import CallRequest
 from basilhill.commands.suspects import apply_report
+from basilhill.loads import ServerLoad
 from basilhill.queries.suspects import fingerprint_of, suspect_server, suspicion_of
 from basilhill.suspects import SuspectReport, Suspicion
 from basilhill.verdicts import CallReply, Reason, Refusal, not_run
 
-from basilhill_node.state import NodeState
+from basilhill_node.state import NodeState, ParentCall
 
 SUSPECTS_WAITING_MAX = 20
 SUSPECT_RETRY_AFTER_MS = 1_000
+RUNNING_SUSPECTS_MS = 500
 # A crash breaks the connections of all calls in flight within this time.
 ONE_CRASH_MS = 200
 # The reply to a crashed call waits at most this long until its peers know of the crash.
@@ -37,11 +39,18 @@
     servers = (
         server.node
         for server in node.routing.servers.values()
-        if server.service == request.service and not server.leaving
+        if server.service == request.service and not server.leaving and takes_work(node, server)
     )
     return suspect_server(node.suspects, own_fingerprint(node, request), servers)
 
 
+def takes_work(node: NodeState, server: ServerLoad) -> bool:
+    """Tell whether the backend server of a node is up, as far as this node knows."""
+    if server.node == node.settings.node:
+        return node.admission.able
+    return server.reported_limit > 0
+
+
 def suspect_refusal() -> Refusal:
     """Return the refusal of a request that may crash a server."""
     text = "backend servers crashed while this request ran"
@@ -60,17 +69,39 @@
     node.suspects_waiting += 1
     try:
         async with node.suspect_lock:
+            await wait_for_suspects(node)
             yield refuse_suspect(node, request)
     finally:
         node.suspects_waiting -= 1
 
 
+def running_suspects(node: NodeState) -> list[ParentCall]:
+    """Return the suspects that run here, which started before their crash was reported."""
+    return [
+        parent
+        for parent in node.parents.values()
+        if suspicion(node, parent.request) is not Suspicion.NONE
+    ]
+
+
+async def wait_for_suspects(node: NodeState) -> None:
+    """Wait for a bounded time until no other suspect runs here.
+
+    A crash counts for all requests in flight, so a request beside the one that causes two crashes
+    would be refused with it.
+    """
+    running = [node.spawn(parent.ended.wait()) for parent in running_suspects(node)]
+    if running:
+        await asyncio.wait(running, timeout=RUNNING_SUSPECTS_MS / 1000)
+
+
 def refuse_suspect(node: NodeState, request: CallRequest) -> Refusal | None:
     """Return the refusal of a suspect, unless it may run here now."""
     found = suspicion(node, request)
     if found is Suspicion.NONE:
         return None
-    if found is Suspicion.SUSPECT and named_server(node, request) == node.settings.node:
+    named = found is Suspicion.SUSPECT and named_server(node, request) == node.settings.node
+    if named and not running_suspects(node):
         return None
     return suspect_refusal()
 
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -174,16 +174,15 @@
                     await self.node.state_changed.wait()
             self.node.state_changed.clear()
             check_pause(self.node)
-            await self.send_to_all(self.heartbeat_frame())
+            frame = self.heartbeat_frame()
+            for incoming in tuple(self.streams):
+                incoming.sender.drop_heartbeats()
+                incoming.sender.submit(frame)
 
     async def send_suspects(self, reports: tuple[SuspectReport, ...]) -> None:
         """Tell all callers about requests that may crash servers."""
-        await self.send_to_all(wire.Frame(suspects=encoding.encode_suspects(reports)))
-
-    async def send_to_all(self, frame: wire.Frame) -> None:
-        """Send a frame on every incoming stream whose peer reads."""
+        frame = wire.Frame(suspects=encoding.encode_suspects(reports))
         for incoming in tuple(self.streams):
-            incoming.sender.drop_heartbeats()
             incoming.sender.submit(frame)
 
 
--- a/packages/basilhill_node/src/basilhill_node/state.py
+++ b/packages/basilhill_node/src/basilhill_node/state.py
@@ -121,7 +121,9 @@
 
     context: CallContext
     policy: CallPolicy
+    request: CallRequest
     budget: RetryBudget
+    ended: asyncio.Event = field(factory=asyncio.Event)
     internal: set[asyncio.Task] = field(factory=set)
     internal_open: int = 0
     internal_since_ms: int = 0
--- /dev/null
+++ b/packages/basilhill_node/tests/test_screen_call.py
@@ -0,0 +1,146 @@
+"""Tests of suspects on one node: what runs beside them, and how peers learn of them."""
+
+import asyncio
+
+from attrs import define, field
+from basilhill.calls import CallContext, CallRequest, PriorityClass
+from basilhill.clocks import MonotonicClock
+from basilhill.commands.suspects import apply_report
+from basilhill.documents import Section
+from basilhill.loads import ServerLoad
+from basilhill.queries.documents import build_document, parse_section
+from basilhill.settings import normalise_settings
+from basilhill.suspects import SuspectReport
+from basilhill.verdicts import Answer, Reason, Verdict, verdict_of
+from basilhill_node.commands.execute_call import execute_call
+from basilhill_node.commands.screen_call import named_server, own_fingerprint
+from basilhill_node.frames import FrameSender
+from basilhill_node.network import DirectNetwork
+from basilhill_node.peer_server import IncomingStream, PeerService
+from basilhill_node.state import new_state
+from expression import Ok
+
+SECTION = """
+[team.a.service.calendar]
+slots = 4
+connections = 10
+[team.a.service.calendar.call.slots]
+method = "GET"
+path = "/slots"
+idempotent = true
+timeout_ms = 1000
+usual_ms = 20
+"""
+OWN, PEER, CRASHED = "127.0.0.1:7401", "127.0.0.2:7401", "127.0.0.3:7401"
+FIRST = CallRequest("calendar", "GET", "/slots?day=1")
+SECOND = CallRequest("calendar", "GET", "/slots?day=2")
+
+
+@define(eq=False)
+class HeldBackend:
+    """Run calls until the test releases their paths."""
+
+    running: list[str] = field(factory=list)
+    released: dict[str, asyncio.Event] = field(factory=dict)
+
+    async def call(self, request, parent, timeout_ms):
+        self.running.append(request.path)
+        await self.released.setdefault(request.path, asyncio.Event()).wait()
+        self.running.remove(request.path)
+        return Ok(Answer(200, (), b"done"))
+
+
+class SilentPeers:
+    """Take suspect reports and drop them."""
+
+    def channel(self, node):
+        return self
+
+    async def send_suspects(self, reports):
+        return
+
+
+def new_node():
+    given = {"address": "127.0.0.1", "data_centre": "dc", "service": "calendar", "platform_url": ""}
+    settings = normalise_settings(given).ok
+    node = new_state(settings, MonotonicClock(), DirectNetwork(), HeldBackend())
+    node.document = build_document([parse_section(Section("a", 1, SECTION)).ok])
+    node.admission.slots = node.admission.limit = 4
+    node.peers = node.callers = SilentPeers()
+    for server in (OWN, PEER, CRASHED):
+        node.routing.servers[server] = ServerLoad(server, "calendar", "dc", 0)
+    return node
+
+
+def start(node, request):
+    deadline_ms = node.clock.now_ms() + 5_000
+    context = CallContext("action", "browse", PriorityClass.STANDARD, deadline_ms)
+    return asyncio.create_task(execute_call(node, context, None, request))
+
+
+def report(node, request, server=CRASHED):
+    crashes = frozenset({f"{server}/first-1"})
+    apply_report(
+        node.suspects,
+        SuspectReport(own_fingerprint(node, request), crashes),
+        node.clock.now_ms(),
+    )
+
+
+async def turns():
+    for _ in range(10):
+        await asyncio.sleep(0)
+
+
+async def test_suspect_waits_for_a_suspect_that_started_before_its_report():
+    """Guards against counting the second crash of one request for another one beside it."""
+    node = new_node()
+    node.routing.servers[PEER].reported_limit = 0
+    innocent = start(node, FIRST)
+    await turns()
+    report(node, FIRST)
+    report(node, SECOND)
+    suspect = start(node, SECOND)
+    await turns()
+    assert node.backend.running == [FIRST.path]
+    node.backend.released[FIRST.path].set()
+    assert verdict_of((await innocent).outcome) is Verdict.ANSWERED
+    await turns()
+    assert node.backend.running == [SECOND.path]
+    node.backend.released[SECOND.path].set()
+    assert verdict_of((await suspect).outcome) is Verdict.ANSWERED
+
+
+async def test_call_that_becomes_a_suspect_in_the_queue_does_not_start_there():
+    """Guards against a request that crashes a server while it waits for slots of others."""
+    node = new_node()
+    node.admission.slots = node.admission.limit = 1
+    first, second = start(node, FIRST), start(node, SECOND)
+    await turns()
+    report(node, SECOND)
+    node.backend.released[FIRST.path].set()
+    assert verdict_of((await first).outcome) is Verdict.ANSWERED
+    async with asyncio.timeout(1):
+        assert (await second).outcome.error.reason is Reason.SUSPECT
+    assert node.admission.in_flight == 0
+
+
+async def test_suspect_is_not_sent_to_a_server_that_is_down():
+    """Guards against refusing a suspect although a sound server could run it."""
+    node = new_node()
+    report(node, FIRST)
+    for down, other in ((OWN, PEER), (PEER, OWN)):
+        node.admission.able = down != OWN
+        node.routing.servers[PEER].reported_limit = 0 if down == PEER else 1
+        assert named_server(node, FIRST) == other
+
+
+async def test_suspect_report_does_not_replace_a_waiting_heartbeat():
+    """Guards against peers that do not learn in time that a backend server is down."""
+    node = new_node()
+    service = PeerService(node)
+    sender = FrameSender(None, node.clock, node.network, 10)
+    service.streams.add(IncomingStream(sender))
+    sender.submit(service.heartbeat_frame())
+    await service.send_suspects((SuspectReport("print", frozenset({"a/1"})),))
+    assert [frame.WhichOneof("body") for frame in sender.frames] == ["heartbeat", "suspects"]
