Draw the cohort of an action from its customer

With four tries each, actions passed the level by chance and were refused deep in the chain, where they had already cost slots of two services.

Change: the cohort is drawn at the first node from the customer that the caller names, for 60 s that start at another second for each customer, and is carried in the call context. Callers that name no customer keep the hash of the action id.

--- a/packages/basilhill/src/basilhill/calls.py
+++ b/packages/basilhill/src/basilhill/calls.py
@@ -3,7 +3,7 @@
 from enum import IntEnum
 from hashlib import blake2b
 
-from attrs import field, frozen
+from attrs import Factory, field, frozen
 
 from basilhill.tokens import IdempotencyToken
 from basilhill.verdicts import Header
@@ -57,7 +57,10 @@
 
 @frozen
 class CallContext:
-    """Describe the customer action that a call belongs to, from hop to hop."""
+    """Describe the customer action that a call belongs to, from hop to hop.
+
+    The cohort is the same at every hop, so that all hops refuse the same actions.
+    """
 
     action_id: str
     action: str
@@ -66,11 +69,7 @@
     customer: str = ""
     depth: int = 0
     retry_allotment: int = 0
-
-    @property
-    def cohort(self) -> int:
-        """Return the cohort, the same at every hop of an action."""
-        return cohort_of(self.action_id)
+    cohort: int = Factory(lambda self: cohort_of(self.action_id), takes_self=True)
 
     @property
     def priority(self) -> int:
@@ -78,6 +77,6 @@
         return self.priority_class * COHORTS + self.cohort
 
 
-def cohort_of(action_id: str) -> int:
-    """Return the cohort of an action, 0 to COHORTS - 1."""
-    return int.from_bytes(blake2b(action_id.encode(), digest_size=4).digest()) % COHORTS
+def cohort_of(name: str) -> int:
+    """Return the cohort of an action id or a customer, 0 to COHORTS - 1."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest()) % COHORTS
--- a/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/serve_call.py
@@ -2,12 +2,21 @@
 
 import asyncio
 import secrets
+import time
 from hashlib import blake2b
 from time import perf_counter_ns
 
 from attrs import evolve, frozen
 from basilhill.budgets import RetryBudget
-from basilhill.calls import Arrival, CallContext, CallRequest, ParentReference, PriorityClass
+from basilhill.calls import (
+    COHORTS,
+    Arrival,
+    CallContext,
+    CallRequest,
+    ParentReference,
+    PriorityClass,
+    cohort_of,
+)
 from basilhill.commands.budgets import return_permit
 from basilhill.commands.tokens import advance_sequence
 from basilhill.documents import CallPolicy
@@ -34,6 +43,9 @@
 from basilhill_node.commands.wake_up import check_pause, waited_ms, woke_lately
 from basilhill_node.state import NodeState, ParentCall
 
+# No customer stays in a refused cohort for longer, however long the overload lasts.
+COHORT_PERIOD_S = 60
+
 
 @frozen
 class ServedCall:
@@ -130,18 +142,33 @@
         if limit is not None:
             return Error(limit)
     timeout_ms = min(arrival.timeout_ms or action.timeout_ms, action.timeout_ms) - waited_ms(node)
+    action_id = action_id_of(arrival)
     context = CallContext(
-        action_id_of(arrival),
+        action_id,
         action.name,
         PriorityClass.STANDARD if node.disabled("class-order") else action.priority_class,
         node.clock.now_ms() + timeout_ms,
         arrival.customer,
         retry_allotment=action.retries,
+        cohort=cohort_of(cohort_name(arrival, action_id, time.time())),
     )
     key = None if policy.idempotent else arrival.token.key
     return Ok(OpenCall(context, policy, request, RetryBudget(action.retries), key))
 
 
+def cohort_name(arrival: Arrival, action_id: str, wall_s: float) -> str:
+    """Return what the cohort of an action is drawn from.
+
+    A customer keeps the cohort for a period. Drawn anew for each action, repeats of refused
+    actions would sooner or later pass the level and fill the bottleneck that it protects.
+    """
+    if not arrival.named_customer:
+        return action_id
+    # Customers change cohorts at different times, else all refused ones would come at once.
+    offset_s = cohort_of(arrival.customer) * COHORT_PERIOD_S / COHORTS
+    return f"{int((wall_s + offset_s) // COHORT_PERIOD_S)}/{arrival.customer}"
+
+
 def action_id_of(arrival: Arrival) -> str:
     """Return the action id, the same for all copies of a token."""
     if arrival.token is None:
--- a/packages/basilhill_node/src/basilhill_node/encoding.py
+++ b/packages/basilhill_node/src/basilhill_node/encoding.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from basilhill.calls import CallContext, CallRequest, PriorityClass
+from basilhill.calls import COHORTS, CallContext, CallRequest, PriorityClass
 from basilhill.documents import Section
 from basilhill.fleet import Heartbeat, VmState
 from basilhill.sections import DigestReport, SectionBatch, SectionVersion
@@ -31,6 +31,7 @@
         action_id=context.action_id,
         action=context.action,
         priority_class=context.priority_class,
+        cohort=context.cohort,
         depth=context.depth,
         remaining_ms=context.deadline_ms - now_ms,
         retry_allotment=context.retry_allotment,
@@ -49,6 +50,7 @@
         message.customer,
         message.depth,
         message.retry_allotment,
+        message.cohort % COHORTS,
     )
 
 
