Do not answer "not run" to requests that were not read

Recording the answers' headers showed that all of them came from the connection limit: a connection above it got 503 "not-run" before its request was read, but the request was a copy of a call that had run through another connection, or that ran afterwards.

Ruled out: two grants of one key (the decision logs name one for each action), expired records (600 s), answers given to the wrong request.

Change: a refused connection, a header that comes too slowly, and a slow body or a fault before the call for a request with a token are answered with 502 "may-have-run".

--- a/packages/basilhill_node/src/basilhill_node/connections.py
+++ b/packages/basilhill_node/src/basilhill_node/connections.py
@@ -10,9 +10,10 @@
 REFUSAL_S = 0.2
 REFUSALS_OPEN = 100
 REFUSAL_TEXT = b"too many connections\n"
+# The request is not read, so it may be a copy of a call that has run through another connection.
 REFUSAL = (
-    b"HTTP/1.1 503 Service Unavailable\r\n"
-    b"basilhill-verdict: not-run\r\n"
+    b"HTTP/1.1 502 Bad Gateway\r\n"
+    b"basilhill-verdict: may-have-run\r\n"
     b"basilhill-reason: overloaded\r\n"
     b"retry-after: 1\r\n"
     b"connection: close\r\n"
--- a/packages/basilhill_node/src/basilhill_node/front.py
+++ b/packages/basilhill_node/src/basilhill_node/front.py
@@ -109,7 +109,7 @@
             await request.receive_body()
         return None
     except TimeoutError:
-        refusal = not_run(Reason.TOO_SLOW, "the body did not arrive in time")
+        refusal = slow_refusal("the body did not arrive in time", headers.TOKEN in request.headers)
     except PayloadTooLarge:
         refusal = not_run(Reason.TOO_LARGE, f"the body has more than {limit} bytes")
     # Sanic would wait for the rest of the body before it closes the connection.
@@ -118,6 +118,11 @@
     return refusal
 
 
+def slow_refusal(text: str, maybe_copy: bool) -> Refusal:
+    """Return the refusal of a request that came too slowly; other copies of it may have run."""
+    return may_have_run(Reason.TOO_SLOW, text) if maybe_copy else not_run(Reason.TOO_SLOW, text)
+
+
 def parse_call(request: Request) -> Result[CallRequest, Refusal]:
     """Return the call that a request asks for."""
     parsed = parse_target(request.path, request.query_string)
@@ -168,7 +173,13 @@
     reason = REASON_OF_STATUS.get(status, Reason.MALFORMED)
     if status == HTTPStatus.INTERNAL_SERVER_ERROR:
         node.log.record("front", "", f"{request.method} {request.path} failed", repr(error))
-        return refused(node, not_run(reason, "the node failed before the call ran"))
+        text = "the node failed before the call ran"
+        if headers.TOKEN in request.headers:
+            return refused(node, may_have_run(reason, text))
+        return refused(node, not_run(reason, text))
+    if reason is Reason.TOO_SLOW:
+        # Nothing tells whether the rest of the header would have named a token.
+        return refused(node, slow_refusal("the header did not arrive in time", maybe_copy=True))
     response = refused(node, not_run(reason, str(error) or HTTPStatus(status).phrase))
     response.status = status
     return response
