--- a/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
@@ -42,6 +42,7 @@
     lying_health: bool = False
     crash_order: str = ""
     truncate_order: str = ""
+    failing: bool = False
     queue_limit: int | None = None
     waiting: int = 0
     slots: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(1))
@@ -123,7 +124,7 @@
     started_ms, status = now_ms(), 0
     try:
         await asyncio.sleep(run.call.service_ms * state.slow_factor / 1000)
-        status = await run_internal_calls(state, run)
+        status = 500 if state.failing else await run_internal_calls(state, run)
         return await respond(state, run, status)
     finally:
         state.in_flight -= 1
--- a/packages/basilhill_fakes/src/basilhill_fakes/node.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/node.py
@@ -15,13 +15,16 @@
 
 @define(eq=False)
 class FakeNetwork:
-    """Cut and delay what a node sends to its peers."""
+    """Cut and delay what a node sends to its peers, and break its streams to them."""
 
     cut: set[str] = field(factory=set)
+    broken: set[str] = field(factory=set)
     delays_ms: dict[str, float] = field(factory=dict)
 
     def reachable(self, node: str) -> bool:
-        """Tell whether messages to and from a peer pass."""
+        """Tell whether messages to and from a peer pass; break the stream that asks, if set."""
+        if node in self.broken:
+            raise ConnectionResetError(node)
         return node not in self.cut
 
     def delay_ms(self, node: str) -> float:
@@ -39,7 +42,12 @@
         network.cut = set(await request.json())
         return web.Response()
 
+    async def put_broken(request: web.Request) -> web.Response:
+        network.broken = set(await request.json())
+        return web.Response()
+
     app.router.add_put("/test/cut", put_cut)
+    app.router.add_put("/test/broken", put_broken)
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     await web.TCPSite(runner, settings.address, CONTROL_PORT).start()
--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/histories.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/histories.py
@@ -7,6 +7,8 @@
 
 from basilhill_fakes.history import Event, EventKind
 
+FAILED = 500
+
 
 @frozen
 class Violation:
@@ -70,6 +72,68 @@
     ]
 
 
+def refused_and_run(events: Iterable[Event]) -> list[Violation]:
+    """Return the orders of which one copy was told "not run" and any copy ran.
+
+    Stricter than `false_refusals`, for histories in which each order has only one token.
+    """
+    refused, ran = set(), set()
+    for event in events:
+        if event.kind is EventKind.ANSWER_RECEIVED and event.verdict == "not-run":
+            refused.add(event.order)
+        elif event.kind is EventKind.RUN_STARTED:
+            ran.add(event.order)
+    return [Violation("refused-and-run", order) for order in sorted((refused & ran) - {""})]
+
+
+def unresolved_requests(events: Iterable[Event]) -> list[Violation]:
+    """Return the requests that the last answer leaves uncertain.
+
+    They are violations only in histories that leave every asked process running to the end and
+    send a last copy after all faults: then the coordinator can learn what became of each.
+    """
+    last = {
+        (event.call, event.order, event.round): event
+        for event in events
+        if event.kind is EventKind.ANSWER_RECEIVED
+    }
+    return [
+        Violation("unresolved", f"{call} for {order} round {round_}: {event.reason}")
+        for (call, order, round_), event in last.items()
+        if event.verdict == "may-have-run"
+    ]
+
+
+def work_after_failures(
+    events: Iterable[Event], failures: int, from_ms: float, to_ms: float
+) -> list[Violation]:
+    """Return the runs that started at a server some time after it had failed often in a row.
+
+    A run failed if it ended with status 500. The span is counted from the first time at which the
+    last so many runs of a server had failed; one caller's node is assumed to have seen them all.
+    """
+    row: Counter[str] = Counter()
+    failed_ms: dict[str, float] = {}
+    violations = []
+    for event in events:
+        place = event.place
+        if event.kind is EventKind.RUN_ENDED:
+            row[place] = row[place] + 1 if event.status == FAILED else 0
+            if row[place] == failures:
+                failed_ms.setdefault(place, event.time_ms)
+        elif event.kind is EventKind.RUN_STARTED and place in failed_ms:
+            age_ms = event.time_ms - failed_ms[place]
+            if from_ms <= age_ms < to_ms:
+                text = f"{event.call} for {event.order} at {place} {age_ms:.0f} ms after failures"
+                violations.append(Violation("work-after-failures", text))
+    return violations
+
+
+def runs_of_orders(events: Iterable[Event], prefix: str) -> int:
+    """Return how many runs of orders with a prefix started."""
+    return sum(e.kind is EventKind.RUN_STARTED and e.order.startswith(prefix) for e in events)
+
+
 def excess_retries(events: Iterable[Event], retries: dict[str, int]) -> list[Violation]:
     """Return the requests whose retries exceed those that the document gives their action.
 
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scene.py
@@ -0,0 +1,140 @@
+"""A small fleet with one front and a few servers of one call, for tests of single calls."""
+
+import asyncio
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+from attrs import define
+
+from basilhill_fakes.caller import Caller, Copy
+from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
+from basilhill_fakes.processes import Fleet, new_fleet
+from basilhill_fakes.queries.histories import (
+    Violation,
+    double_runs,
+    false_refusals,
+    refused_and_run,
+    wrong_answers,
+)
+from basilhill_fakes.topology import Vm
+from basilhill_fakes.workloads import DEGUSTARI, find_fake_call
+
+ROOT = Path(__file__).parents[4]
+CALL = "deposits.take"
+ACTION = """
+[team.deposits.action.take-deposit]
+entry = "deposits.take"
+class = "transaction"
+timeout_ms = 3000
+retries = 1
+"""
+SLOW = 40
+
+
+@define(eq=False)
+class CopySender(Caller):
+    """Send single copies through chosen nodes."""
+
+    async def new_token(self, coordinator: Vm) -> str:
+        """Return a token that a node issues."""
+        call = find_fake_call(self.workload, CALL)
+        event = await self.send(Copy(CALL, call, order="", vm=coordinator))
+        assert event.status == 428
+        return self.tokens[coordinator.address].pop().text
+
+    async def copy(self, front: Vm, order: str, token: str, attempt: int = 0) -> Event:
+        """Send one copy of a token through a node; return what came back."""
+        call = find_fake_call(self.workload, CALL)
+        return await self.send(Copy(CALL, call, order, token=token, attempt=attempt, vm=front))
+
+
+@define
+class Scene:
+    """Hold a fleet with one calendar node as a pure front and the nodes of deposits."""
+
+    fleet: Fleet
+    sender: CopySender
+
+    @property
+    def front(self) -> Vm:
+        """Return the node that has no server of the call beside it."""
+        return self.fleet.topology.servers_of("calendar")[0]
+
+    @property
+    def executors(self) -> list[Vm]:
+        """Return the nodes that have servers of the call beside them."""
+        return self.fleet.topology.servers_of("deposits")
+
+    async def slow_down(self) -> None:
+        """Make all servers of the call slow."""
+        for vm in self.executors:
+            await self.faults(vm, slow_factor=SLOW)
+
+    async def faults(self, vm: Vm, **faults) -> None:
+        """Set faults of one backend server."""
+        await self.fleet.put(f"{vm.backend_url}/test/faults", faults)
+
+    async def cut(self, vm: Vm, *peers: Vm) -> None:
+        """Let no messages pass between a node and these peers, and all others pass."""
+        await self.fleet.put(f"{vm.control_url}/test/cut", [peer.node for peer in peers])
+
+    async def break_streams(self, vm: Vm, *peers: Vm) -> None:
+        """Break the streams between a node and these peers, and let all others open again."""
+        await self.fleet.put(f"{vm.control_url}/test/broken", [peer.node for peer in peers])
+
+    async def tokens(self, count: int) -> dict[str, str]:
+        """Return orders with tokens that the front coordinates."""
+        return {f"order-{n}": await self.sender.new_token(self.front) for n in range(count)}
+
+    def send_all(self, orders: dict[str, str], attempt: int = 0) -> asyncio.Future:
+        """Send a copy of each order through the front."""
+        copies = (self.sender.copy(self.front, o, t, attempt) for o, t in orders.items())
+        return asyncio.gather(*copies)
+
+    def events(self) -> list[Event]:
+        """Return the history so far."""
+        return read_history(self.fleet.history)
+
+    def judge(self) -> list[Violation]:
+        """Return what the checks of single calls find in the history so far."""
+        events = self.events()
+        found = double_runs(events) + false_refusals(events) + wrong_answers(events)
+        return found + refused_and_run(events)
+
+    def runs(self) -> Counter[str]:
+        """Return how often each order has run so far."""
+        return Counter(
+            event.order for event in self.events() if event.kind is EventKind.RUN_STARTED
+        )
+
+
+@asynccontextmanager
+async def scene(directory: Path, executors: int = 2, **settings) -> AsyncIterator[Scene]:
+    """Start a fleet with some settings, and stop it at the end."""
+    counts = {"calendar": 1, "reservations": 0, "flavours": 0, "deposits": executors}
+    fleet = new_fleet(DEGUSTARI, directory, counts=counts, settings=settings)
+    sender = CopySender(DEGUSTARI, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"))
+    try:
+        await fleet.start((ROOT / DEGUSTARI.document).read_text() + ACTION)
+        yield Scene(fleet, sender)
+    finally:
+        await sender.session.close()
+        await fleet.stop()
+
+
+@asynccontextmanager
+async def scenes(directory: Path, mechanism: str, **settings) -> AsyncIterator[list[Scene]]:
+    """Start two like fleets, the second one with a mechanism off."""
+    off = {"disabled_mechanisms": [mechanism], **settings}
+    async with AsyncExitStack() as stack:
+        yield await asyncio.gather(
+            stack.enter_async_context(scene(directory / "on", **settings)),
+            stack.enter_async_context(scene(directory / "off", **off)),
+        )
+
+
+def verdicts(events: list[Event]) -> list[str]:
+    """Return the verdicts of answers."""
+    return [event.verdict for event in events]
--- a/packages/basilhill_fakes/tests/test_at_most_once.py
+++ b/packages/basilhill_fakes/tests/test_at_most_once.py
@@ -2,134 +2,16 @@
 
 import asyncio
 import signal
-from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
-from attrs import define
-from basilhill_fakes.caller import Caller, Copy
-from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
-from basilhill_fakes.processes import Fleet, new_fleet
-from basilhill_fakes.queries.histories import (
-    Violation,
-    double_runs,
-    false_refusals,
-    wrong_answers,
-)
-from basilhill_fakes.topology import Vm
-from basilhill_fakes.workloads import DEGUSTARI, find_fake_call
-
-ROOT = Path(__file__).parents[3]
-CALL = "deposits.take"
-ACTION = """
-[team.deposits.action.take-deposit]
-entry = "deposits.take"
-class = "transaction"
-timeout_ms = 3000
-retries = 1
-"""
-SLOW = 40
+from basilhill_fakes.history import Event
+from basilhill_fakes.queries.histories import unresolved_requests
+from basilhill_fakes.scene import Scene, scene, scenes, verdicts
+
 # The lease must not hide the executor before the deadline shows what is under test.
 LONG_LEASE = {"lease_ms": 20_000}
 
 
-@define(eq=False)
-class CopySender(Caller):
-    """Send single copies through chosen nodes."""
-
-    async def new_token(self, coordinator: Vm) -> str:
-        call = find_fake_call(self.workload, CALL)
-        event = await self.send(Copy(CALL, call, order="", vm=coordinator))
-        assert event.status == 428
-        return self.tokens[coordinator.address].pop().text
-
-    async def copy(self, front: Vm, order: str, token: str, attempt: int = 0) -> Event:
-        call = find_fake_call(self.workload, CALL)
-        return await self.send(Copy(CALL, call, order, token=token, attempt=attempt, vm=front))
-
-
-@define
-class Scene:
-    """Hold a fleet with one calendar node as a pure front and the nodes of deposits."""
-
-    fleet: Fleet
-    sender: CopySender
-
-    @property
-    def front(self) -> Vm:
-        return self.fleet.topology.servers_of("calendar")[0]
-
-    @property
-    def executors(self) -> list[Vm]:
-        return self.fleet.topology.servers_of("deposits")
-
-    async def slow_down(self) -> None:
-        for vm in self.executors:
-            await self.faults(vm, slow_factor=SLOW)
-
-    async def faults(self, vm: Vm, **faults) -> None:
-        await self.fleet.put(f"{vm.backend_url}/test/faults", faults)
-
-    async def cut(self, vm: Vm, *peers: Vm) -> None:
-        await self.fleet.put(f"{vm.control_url}/test/cut", [peer.node for peer in peers])
-
-    async def tokens(self, count: int) -> dict[str, str]:
-        """Return orders with tokens that the front coordinates."""
-        return {f"order-{n}": await self.sender.new_token(self.front) for n in range(count)}
-
-    def send_all(self, orders: dict[str, str], attempt: int = 0) -> asyncio.Future:
-        copies = (self.sender.copy(self.front, o, t, attempt) for o, t in orders.items())
-        return asyncio.gather(*copies)
-
-    def judge(self) -> list[Violation]:
-        events = read_history(self.fleet.history)
-        found = double_runs(events) + false_refusals(events) + wrong_answers(events)
-        return found + refused_and_run(events)
-
-    def runs(self) -> dict[str, int]:
-        events = read_history(self.fleet.history)
-        started = [event.order for event in events if event.kind is EventKind.RUN_STARTED]
-        return {order: started.count(order) for order in started}
-
-
-def refused_and_run(events: list[Event]) -> list[Violation]:
-    """Return orders of which one copy was told "not run" and any copy ran.
-
-    Stricter than `false_refusals`: in this file each order has only one token.
-    """
-    received = [event for event in events if event.kind is EventKind.ANSWER_RECEIVED]
-    refused = {event.order for event in received if event.order and event.verdict == "not-run"}
-    ran = {event.order for event in events if event.kind is EventKind.RUN_STARTED}
-    return [Violation("refused-and-run", order) for order in sorted(refused & ran)]
-
-
-@asynccontextmanager
-async def scene(directory: Path, executors: int = 2, **settings):
-    counts = {"calendar": 1, "reservations": 0, "flavours": 0, "deposits": executors}
-    fleet = new_fleet(DEGUSTARI, directory, counts=counts, settings=settings)
-    sender = CopySender(DEGUSTARI, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"))
-    try:
-        await fleet.start((ROOT / DEGUSTARI.document).read_text() + ACTION)
-        yield Scene(fleet, sender)
-    finally:
-        await sender.session.close()
-        await fleet.stop()
-
-
-@asynccontextmanager
-async def scenes(directory: Path, mechanism: str, **settings):
-    """Start two like fleets, the second one with a mechanism off."""
-    off = {"disabled_mechanisms": [mechanism], **settings}
-    async with AsyncExitStack() as stack:
-        yield await asyncio.gather(
-            stack.enter_async_context(scene(directory / "on", **settings)),
-            stack.enter_async_context(scene(directory / "off", **off)),
-        )
-
-
-def verdicts(events: list[Event]) -> list[str]:
-    return [event.verdict for event in events]
-
-
 async def race_copies(stage: Scene) -> list[Event]:
     """Send copies of one token through every node at once, and late ones afterwards."""
     await stage.slow_down()
@@ -269,6 +151,34 @@
         assert stage.judge() == []
 
 
+async def lose_replies(stage: Scene) -> tuple[list[Event], list[Event]]:
+    """Break the streams to the executors while calls run; return what two copies of each get."""
+    await stage.slow_down()
+    orders = await stage.tokens(6)
+    sending = stage.send_all(orders)
+    await asyncio.sleep(0.2)
+    await stage.break_streams(stage.front, *stage.executors)
+    await asyncio.sleep(0.5)
+    await stage.break_streams(stage.front)
+    first = await sending
+    await asyncio.sleep(0.5)
+    return first, await stage.send_all(orders, attempt=1)
+
+
+async def test_lost_replies_are_asked_for_at_the_executor(tmp_path):
+    """Guards against calls that stay uncertain although their executor knows what became of them.
+
+    The streams break before the replies arrive, and the executors go on running.
+    """
+    async with scenes(tmp_path, "revocation") as (stage, broken):
+        (first, second), _ = await asyncio.gather(lose_replies(stage), lose_replies(broken))
+        assert verdicts(first) == verdicts(second) == ["answered"] * 6
+        assert stage.judge() == unresolved_requests(stage.events()) == []
+        # Without the question the verdict is still true, but it stays "may have run".
+        assert broken.judge() == []
+        assert len(unresolved_requests(broken.events())) == 6
+
+
 async def test_cut_coordinator_answers_by_whether_a_copy_was_sent(tmp_path):
     async with scene(tmp_path) as stage:
         other = stage.executors[0]
--- a/packages/basilhill_fakes/tests/test_histories.py
+++ b/packages/basilhill_fakes/tests/test_histories.py
@@ -6,6 +6,9 @@
     double_runs,
     excess_retries,
     false_refusals,
+    refused_and_run,
+    unresolved_requests,
+    work_after_failures,
     wrong_answers,
 )
 from basilhill_fakes.queries.refusals import class_inversions
@@ -66,6 +69,33 @@
     assert len(false_refusals([started(1), refusal(2, attempt=1), success(3)])) == 1
 
 
+def test_a_run_of_a_refused_order_is_found_whatever_the_round():
+    assert len(refused_and_run([refusal(1), started(2, round_=1)])) == 1
+    assert refused_and_run([refusal(1), started(2, order="o2"), success(3, order="o2")]) == []
+
+
+def test_a_request_that_the_last_answer_leaves_uncertain_is_unresolved():
+    uncertain = answer(2, status=502, verdict="may-have-run")
+    assert len(unresolved_requests([success(1), uncertain])) == 1
+    assert unresolved_requests([uncertain, success(3, attempt=1)]) == []
+
+
+def failure(time_ms, place="server"):
+    return Event(time_ms, EventKind.RUN_ENDED, place, BOOK, "o1", status=500)
+
+
+def test_work_at_a_server_that_failed_often_in_a_row_is_found():
+    failures = [failure(n) for n in range(5)]
+    assert len(work_after_failures([*failures, started(500)], 5, 300, 1600)) == 1
+
+
+def test_work_soon_or_long_after_failures_or_at_another_server_is_allowed():
+    failures = [failure(n) for n in range(5)]
+    others = [started(100), started(500, place="other"), started(1700)]
+    assert work_after_failures([*failures, *others], 5, 300, 1600) == []
+    assert work_after_failures([*failures[1:], started(500)], 5, 300, 1600) == []
+
+
 def test_a_refused_token_and_an_answer_under_a_new_one_keep_the_promise():
     assert false_refusals([refusal(1), started(2, round_=1), success(3, round_=1)]) == []
 
--- a/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/dispatch_call.py
@@ -169,10 +169,9 @@
     lost = result.error
     if not lost.sent:
         return CallReply(Error(not_run(Reason.UNREACHABLE, f"{server.node} is not reachable")))
-    if run is not None:
+    if run is not None and not node.disabled("revocation"):
         run.incarnation = lost.incarnation
-        if not node.disabled("revocation"):
-            return await ask_executor(node, run, call.key, context)
+        return await ask_executor(node, run, call.key, context)
     refusal = may_have_run(Reason.CONNECTION_LOST, f"no reply from {server.node}")
     return CallReply(Error(refusal), context.retry_allotment)
 
