Ramp the share of a server that has restarted

`ramp_share` looked at when a node first saw a server.

A heartbeat with a limit after one with limit 0 tells of the same: the backend server was down and has started since, beside a node that did not restart. It is ramped too, with a unit test.

Not covered: a node uses its own server first while that has free slots, cold or not.

--- a/packages/basilhill/src/basilhill/commands/fleet.py
+++ b/packages/basilhill/src/basilhill/commands/fleet.py
@@ -51,6 +51,9 @@
     server.level = heartbeat.level
     server.level_ms = now_ms
     server.reported_in_flight = heartbeat.in_flight
+    if server.reported_limit == 0 and heartbeat.limit > 0:
+        # The backend server was down, so the one that serves now has started since.
+        server.restarted_ms = now_ms
     server.reported_limit = heartbeat.limit
     server.in_flight_at_report = server.in_flight
     record_levels(routing, node, heartbeat.levels, now_ms)
@@ -80,7 +83,7 @@
 
 
 def record_incarnation(
-    fleet: FleetView, routing: RoutingTable, node: str, incarnation: str
+    fleet: FleetView, routing: RoutingTable, node: str, incarnation: str, now_ms: int
 ) -> bool:
     """Store the incarnation of a peer; tell whether it restarted, which voids its old reports."""
     earlier = fleet.incarnations.get(node)
@@ -92,6 +95,7 @@
     if server is not None:
         server.leaving, server.failures, server.ejected_until_ms = server.listed_leaving, 0, 0
         server.level = server.level_ms = server.reported_in_flight = 0
+        server.restarted_ms = now_ms
     return True
 
 
--- a/packages/basilhill/src/basilhill/loads.py
+++ b/packages/basilhill/src/basilhill/loads.py
@@ -10,13 +10,15 @@
 class ServerLoad:
     """Hold own measurements and reports of one backend server.
 
-    A reported limit of 0 means that the server cannot run calls at present.
+    A reported limit of 0 means that the server cannot run calls at present. The restart time is
+    when this node last noticed that the VM or its backend server had restarted, 0 for never.
     """
 
     node: str
     service: str
     data_centre: str
     first_seen_ms: int
+    restarted_ms: int = 0
     in_flight: int = 0
     in_flight_at_report: int = 0
     reported_in_flight: int = 0
--- a/packages/basilhill/src/basilhill/queries/routing.py
+++ b/packages/basilhill/src/basilhill/queries/routing.py
@@ -99,8 +99,8 @@
 
 
 def ramp_share(table: RoutingTable, subset: Subset, server: ServerLoad, now_ms: int) -> float:
-    """Return the share of its limit that a new or formerly ejected server may use."""
-    since_ms = server.ejected_until_ms
+    """Return the share of its limit that a new, restarted or formerly ejected server may use."""
+    since_ms = max(server.ejected_until_ms, server.restarted_ms)
     if server.first_seen_ms > subset.oldest_ms + WARM_MS:
         since_ms = max(since_ms, server.first_seen_ms)
     if since_ms == 0:
--- a/packages/basilhill/tests/test_fleet.py
+++ b/packages/basilhill/tests/test_fleet.py
@@ -72,9 +72,9 @@
 def test_restarted_peer_and_woken_node_forget_old_reports():
     """Guard against routing by the leases and levels of another incarnation or time."""
     fleet, routing = new_view()
-    record_incarnation(fleet, routing, "n1", "one")
+    record_incarnation(fleet, routing, "n1", "one", 0)
     record_heartbeat(routing, "n1", Heartbeat(VmState.LEAVING, 50, 9, 10), 100, 2_000)
-    assert record_incarnation(fleet, routing, "n1", "two")
+    assert record_incarnation(fleet, routing, "n1", "two", 8_000)
     assert usable(routing, 9_000) == ["n1", "n2"]
     assert routing.servers["n1"].level == 0
     renew_lease(fleet, "n1", "", 0, 2_000)
--- a/packages/basilhill/tests/test_loads.py
+++ b/packages/basilhill/tests/test_loads.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from basilhill.calls import CallContext, PriorityClass
-from basilhill.commands.fleet import apply_fleet_list, record_heartbeat
+from basilhill.commands.fleet import apply_fleet_list, record_heartbeat, record_incarnation
 from basilhill.commands.routing import begin_call, end_call, record_levels, use_subset
 from basilhill.fleet import FleetView, Heartbeat, VmEntry, VmState
 from basilhill.loads import RoutingTable, ServerLoad
@@ -103,6 +103,29 @@
     assert "10.0.0.4:1" in choices(table, NOW_MS + 10_000)
 
 
+def test_restarted_server_is_ramped_though_it_is_known_for_long():
+    """Guards against full load on a cold server that its callers take for a warm one."""
+    table, fleet = new_table([entry(2), entry(3)]), FleetView()
+    seen = {}
+    for incarnation, now_ms in (("one", NOW_MS), ("two", 2 * NOW_MS)):
+        record_incarnation(fleet, table, "10.0.0.2:1", incarnation, now_ms)
+        for node in table.servers:
+            record_heartbeat(table, node, heartbeat(in_flight=3), now_ms, 20_000)
+        seen[incarnation] = choices(table, now_ms)
+    assert seen == {"one": {"10.0.0.2:1", "10.0.0.3:1"}, "two": {"10.0.0.3:1"}}
+    assert "10.0.0.2:1" in choices(table, 2 * NOW_MS + 10_000)
+
+
+def test_server_whose_backend_was_down_is_ramped():
+    """Guards against full load on a backend server that restarted beside a node that did not."""
+    table = new_table([entry(2), entry(3)])
+    for limit, now_ms in ((10, NOW_MS), (0, NOW_MS + 100), (10, 2 * NOW_MS)):
+        for node, reported in (("10.0.0.2:1", limit), ("10.0.0.3:1", 10)):
+            record_heartbeat(table, node, heartbeat(3, reported), now_ms, 20_000)
+    assert choices(table, 2 * NOW_MS) == {"10.0.0.3:1"}
+    assert "10.0.0.2:1" in choices(table, 2 * NOW_MS + 10_000)
+
+
 def test_level_report_expires_and_level_zero_replaces_it_at_once():
     table = new_table([entry(1, "shop"), entry(2, "cart")])
     record_levels(table, "10.0.0.2:1", (ServiceLevel("ledger", 300),), NOW_MS)
--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/fleets.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/fleets.py
@@ -95,3 +95,20 @@
         and event.order == order
         and (event.place, event.round) not in ended
     ]
+
+
+def runs_in_flight(events: Iterable[Event], place: str, after_ms: float, duration_ms: float) -> int:
+    """Return the most runs in flight at a server during a time from its first run after a time."""
+    first_ms = None
+    in_flight = most = 0
+    for event in events:
+        if event.place != place or event.time_ms < after_ms:
+            continue
+        if event.kind is EventKind.RUN_STARTED:
+            first_ms = event.time_ms if first_ms is None else first_ms
+            in_flight += 1
+        elif event.kind is EventKind.RUN_ENDED:
+            in_flight -= 1
+        if first_ms is not None and event.time_ms < first_ms + duration_ms:
+            most = max(most, in_flight)
+    return most
--- a/packages/basilhill_fakes/src/basilhill_fakes/scene.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/scene.py
@@ -1,12 +1,14 @@
 """A small fleet with one front and a few servers of one call, for tests of single calls."""
 
 import asyncio
+import signal
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager
+from itertools import count
 from pathlib import Path
 
-from attrs import define
+from attrs import define, field
 
 from basilhill_fakes.caller import Caller, Copy
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
@@ -56,6 +58,7 @@
 
     fleet: Fleet
     sender: CopySender
+    numbers: Iterator[int] = field(factory=count)
 
     @property
     def front(self) -> Vm:
@@ -84,15 +87,34 @@
         """Break the streams between a node and these peers, and let all others open again."""
         await self.fleet.put(f"{vm.control_url}/test/broken", [peer.node for peer in peers])
 
-    async def tokens(self, count: int) -> dict[str, str]:
-        """Return orders with tokens that the front coordinates."""
-        return {f"order-{n}": await self.sender.new_token(self.front) for n in range(count)}
+    async def tokens(self, number: int) -> dict[str, str]:
+        """Return new orders with tokens that the front coordinates."""
+        tokens = (self.sender.new_token(self.front) for _ in range(number))
+        return {f"order-{next(self.numbers)}": token for token in await asyncio.gather(*tokens)}
 
     def send_all(self, orders: dict[str, str], attempt: int = 0) -> asyncio.Future:
         """Send a copy of each order through the front."""
         copies = (self.sender.copy(self.front, o, t, attempt) for o, t in orders.items())
         return asyncio.gather(*copies)
 
+    async def send_steadily(self, calls_per_s: float, duration_s: float) -> list[Event]:
+        """Send calls through the front at a fixed rate; return what came back."""
+        sending = []
+        for order, token in (await self.tokens(int(calls_per_s * duration_s))).items():
+            sending.append(asyncio.create_task(self.sender.copy(self.front, order, token)))
+            await asyncio.sleep(1 / calls_per_s)
+        return await asyncio.gather(*sending)
+
+    async def restart(self, vm: Vm) -> None:
+        """Kill a node and its backend server, and start both again."""
+        names = (f"node-{vm.address}", f"backend-{vm.address}")
+        for name in names:
+            self.fleet.signal(name, signal.SIGKILL)
+        for name in names:
+            await self.fleet.wait_ended(name)
+        await self.fleet.start_backend(vm)
+        await self.fleet.start_node(vm)
+
     def events(self) -> list[Event]:
         """Return the history so far."""
         return read_history(self.fleet.history)
--- a/packages/basilhill_fakes/tests/test_customers.py
+++ b/packages/basilhill_fakes/tests/test_customers.py
@@ -25,10 +25,6 @@
             await sending
 
 
-async def patient_orders(stage: Scene, number: int) -> dict[str, str]:
-    return {f"{number}-{order}": token for order, token in (await stage.tokens(BURST)).items()}
-
-
 async def repeat_hard(stage: Scene) -> list[Event]:
     """Abandon many calls of one customer; return what another customer gets meanwhile."""
     await stage.slow_down()
@@ -38,7 +34,7 @@
         await asyncio.gather(*(abandon(stage, o, n) for n, o in enumerate(orders)))
     stage.sender.customer = "patient"
     # An answer gives the permit back, so a customer who waits for answers is not bounded.
-    rounds = [await stage.send_all(await patient_orders(stage, n)) for n in range(2)]
+    rounds = [await stage.send_all(await stage.tokens(BURST)) for _ in range(2)]
     return rounds[0] + rounds[1]
 
 
--- a/packages/basilhill_fakes/tests/test_ejection.py
+++ b/packages/basilhill_fakes/tests/test_ejection.py
@@ -20,12 +20,7 @@
     for vm in sound:
         await stage.faults(vm, slow_factor=40)
     await stage.faults(failing, failing=True)
-    orders = await stage.tokens(int(LOAD_S * CALLS_PER_S))
-    sending = []
-    for order, token in orders.items():
-        sending.append(asyncio.create_task(stage.sender.copy(stage.front, order, token)))
-        await asyncio.sleep(1 / CALLS_PER_S)
-    await asyncio.gather(*sending)
+    await stage.send_steadily(CALLS_PER_S, LOAD_S)
 
 
 def failing_runs(stage: Scene) -> int:
@@ -40,7 +35,7 @@
 
 
 async def test_server_that_fails_fast_gets_no_work_for_a_while(tmp_path):
-    """Guards against a server that attracts all work because its failures make it look idle."""
+    """Guards against a near server that attracts all work because its failures keep it free."""
     async with scenes(tmp_path, "ejection", executors=3) as (stage, broken):
         await asyncio.gather(send_through_failure(stage), send_through_failure(broken))
         assert stage.judge() == broken.judge() == []
--- a/packages/basilhill_fakes/tests/test_histories.py
+++ b/packages/basilhill_fakes/tests/test_histories.py
@@ -1,7 +1,7 @@
 """Each check finds a history that breaks its promise and passes one that keeps it."""
 
 from basilhill_fakes.history import Event, EventKind
-from basilhill_fakes.queries.fleets import fallen_versions, late_work, late_work_ms
+from basilhill_fakes.queries.fleets import fallen_versions, late_work, late_work_ms, runs_in_flight
 from basilhill_fakes.queries.histories import (
     double_runs,
     excess_retries,
@@ -152,6 +152,13 @@
     assert late_work([leaving, started(2000), returned, started(9000)]) == []
 
 
+def test_runs_in_flight_are_counted_from_the_first_run_after_a_time():
+    ended = Event(30, EventKind.RUN_ENDED, "server", BOOK, "o1")
+    events = [started(1), started(20), started(25), ended, started(40), started(41), started(42)]
+    assert runs_in_flight(events, "server", 10, 15) == 2
+    assert runs_in_flight(events, "server", 10, 100) == 4
+
+
 def test_a_version_that_falls_on_a_node_is_found():
     seen = [Event(n, EventKind.SECTIONS, "a", note=note) for n, note in enumerate(VERSIONS)]
     assert len(fallen_versions(seen)) == 1
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -113,8 +113,8 @@
         elif kind == "hello":
             # Calls wait for the peer's Hello: it proves that the peer has seen this node's Hello,
             # and names the incarnation that will run the calls.
-            fleet, routing = self.node.fleet, self.node.routing
-            if record_incarnation(fleet, routing, self.peer, frame.hello.incarnation):
+            fleet, routing, now_ms = self.node.fleet, self.node.routing, self.node.clock.now_ms()
+            if record_incarnation(fleet, routing, self.peer, frame.hello.incarnation, now_ms):
                 self.node.log.record("fleet", "", f"{self.peer} restarted")
             sender.incarnation = frame.hello.incarnation
             self.sender = sender
