Show that wrong answers of a real run are noticed

`wrong_answers` had only been seen failing on made-up histories. The stand-in backend server can now hold each answer until the next one has left, and swap the two. In test_answers.py 20 calls in pairs go through two nodes: answered in reverse order each caller gets its own answer, and with the swap the check finds all 20 answers wrong and nothing else.

--- a/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
@@ -23,6 +23,8 @@
 ROUND = "X-Token-Round"
 DIRECT_TRIES = 3
 DEFAULT_TIMEOUT_MS = 3000
+# A held answer leaves this much later than the one that overtakes it.
+HOLD_S = 0.05
 
 
 @define(eq=False)
@@ -43,6 +45,10 @@
     crash_order: str = ""
     truncate_order: str = ""
     failing: bool = False
+    # Hold each answer until the next one has left; swap also confuses which is whose.
+    reverse_answers: bool = False
+    swap_answers: bool = False
+    held: "HeldAnswer | None" = None
     queue_limit: int | None = None
     waiting: int = 0
     slots: asyncio.Semaphore = field(factory=lambda: asyncio.Semaphore(1))
@@ -74,6 +80,14 @@
     return app
 
 
+@define(eq=False)
+class HeldAnswer:
+    """Hold an answer back until that of another run has left."""
+
+    run: "Run"
+    other: asyncio.Future["Run"] = field(factory=lambda: asyncio.get_running_loop().create_future())
+
+
 @frozen
 class Run:
     """Hold what a backend server knows of one request."""
@@ -143,8 +157,12 @@
 
 
 async def respond(state: BackendState, run: Run, status: int) -> web.StreamResponse:
-    """Answer with the order, whole unless a truncated answer was asked for."""
-    answer = {"order": run.order, "round": run.round, "call": f"{state.service}.{run.name}"}
+    """Answer with the order, whole and for the right run unless a fault was asked for."""
+    marked = run
+    if state.reverse_answers:
+        other = await wait_in_reverse(state, run)
+        marked = other if state.swap_answers else run
+    answer = {"order": marked.order, "round": marked.round, "call": f"{state.service}.{run.name}"}
     body = orjson.dumps({**answer, "filler": "x" * 500})
     if run.order and run.order == state.truncate_order:
         response = web.StreamResponse(headers={"Content-Length": str(len(body))})
@@ -155,6 +173,18 @@
     return web.Response(body=body, status=status, content_type="application/json")
 
 
+async def wait_in_reverse(state: BackendState, run: Run) -> Run:
+    """Return the run that this one makes a pair with; the first of the two answers last."""
+    if state.held is None:
+        state.held = held = HeldAnswer(run)
+        other = await held.other
+        await asyncio.sleep(HOLD_S)
+        return other
+    held, state.held = state.held, None
+    held.other.set_result(run)
+    return held.run
+
+
 async def run_internal_calls(state: BackendState, run: Run) -> int:
     """Make the internal calls of a call; return the status of the answer."""
     for number, full_name in enumerate(run.call.calls):
