--- a/packages/basilhill_fakes/src/basilhill_fakes/faults.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/faults.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import signal
+from itertools import combinations
+from random import Random
 from typing import Protocol
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from basilhill_fakes.processes import Fleet
 from basilhill_fakes.topology import Vm
@@ -88,6 +90,42 @@
             await fleet.put(f"{one.control_url}/test/cut", [])
 
 
+@frozen
+class LinkCut:
+    """Cut a node off every second one of the others in both directions for a time.
+
+    The node's own end holds all messages back, so it works while another node is paused or down.
+    """
+
+    target: int
+    at_s: float
+    duration_s: float
+
+    async def bring_about(self, fleet: Fleet) -> None:
+        """Bring the fault about and return once the node reaches all others again."""
+        vm = target_of(fleet, self.target)
+        others = [other.node for other in fleet.topology.vms if other != vm]
+        await fleet.put(f"{vm.control_url}/test/cut", others[self.target % 2 :: 2])
+        await asyncio.sleep(self.duration_s)
+        await fleet.put(f"{vm.control_url}/test/cut", [])
+
+
+@frozen
+class PlatformOutage:
+    """Let the platform answer nothing for a time."""
+
+    target: int
+    at_s: float
+    duration_s: float
+
+    async def bring_about(self, fleet: Fleet) -> None:
+        """Bring the fault about and return once the platform answers again."""
+        url = f"{fleet.topology.platform_url}/test/faults"
+        await fleet.put(url, {"down": True})
+        await asyncio.sleep(self.duration_s)
+        await fleet.put(url, {"down": False})
+
+
 @frozen
 class BackendSlowness:
     """Make a backend server five times slower for a time."""
@@ -105,6 +143,13 @@
 
 
 FAULT_TYPES = (NodeCrash, BackendCrash, NodePause, NodeCut, BackendSlowness)
+# Any two of these may be brought about at the same time.
+PAIRED_TYPES = (BackendCrash, NodeCrash, NodePause, LinkCut, PlatformOutage)
+NODE_TYPES = (NodeCrash, NodePause, LinkCut)
+FIRST_FAULT_S = (0.3, 1.0)
+PAUSE_S = (2.0, 5.0)
+# Shorter than a lease, about as long, and longer.
+DURATION_S = (0.2, 3.5)
 
 
 def target_of(fleet: Fleet, target: int) -> Vm:
@@ -126,3 +171,31 @@
     for fault in sorted(faults, key=lambda fault: fault.at_s):
         await asyncio.sleep(max(0.0, start_s + fault.at_s - loop.time()))
         await fault.bring_about(fleet)
+
+
+async def bring_about_together(fleet: Fleet, faults: list[Fault]) -> None:
+    """Bring faults about at their times, whether others still last or not."""
+
+    async def bring_about(fault: Fault) -> None:
+        await asyncio.sleep(fault.at_s)
+        await fault.bring_about(fleet)
+
+    await asyncio.gather(*(bring_about(fault) for fault in faults))
+
+
+def draw_pair(seed: int) -> list[Fault]:
+    """Return two faults of different kinds that overlap; ten seeds in a row cover all pairs."""
+    random = Random(seed)
+    pairs = list(combinations(PAIRED_TYPES, 2))
+    kinds = random.sample(pairs[seed % len(pairs)], 2)
+    at_s = random.uniform(*FIRST_FAULT_S)
+    faults: list[Fault] = []
+    for kind in kinds:
+        duration_s = random.uniform(*(PAUSE_S if kind is NodePause else DURATION_S))
+        target = random.randint(0, 99)
+        faults.append(kind(target, at_s, duration_s))
+        at_s += random.uniform(0, min(1.5, duration_s))
+    if all(kind in NODE_TYPES for kind in kinds):
+        # Two faults of one node cannot both be brought about; the next VM has the second.
+        faults[1] = evolve(faults[1], target=faults[0].target + 1)
+    return faults
