--- a/packages/basilhill/src/basilhill/queries/cross_checking.py
+++ b/packages/basilhill/src/basilhill/queries/cross_checking.py
@@ -3,7 +3,7 @@
 import tomllib
 from collections.abc import Iterable, Iterator
 
-from attrs import frozen
+from attrs import field, frozen
 
 from basilhill.documents import (
     CallPolicy,
@@ -15,6 +15,7 @@
     Severity,
 )
 from basilhill.queries.checking import Fault, tables
+from basilhill.queries.document_lines import KeyPath
 from basilhill.queries.documents import build_document, parse_section, split_sections
 from basilhill.queries.parsing import located, value_at
 
@@ -32,6 +33,15 @@
         return any(problem.severity is Severity.ERROR for problem in self.problems)
 
 
+@frozen
+class CrossFault:
+    """Describe what is wrong between sections, with the key that has a part in it by team."""
+
+    team: str
+    fault: Fault
+    keys: dict[str, KeyPath] = field(factory=dict)
+
+
 def check_document(text: str) -> CheckedDocument:
     """Check a whole document."""
     sections = split_sections(text, 0)
@@ -71,13 +81,13 @@
     document = build_document(policies)
     by_team = {section.team: section for section in sections}
     faults: dict[str, list[Fault]] = {}
-    for team, fault in (
+    for found in (
         *owner_faults(policies),
-        *call_faults(document, named),
+        *reference_faults(document, named),
         *action_faults(policies, document, named),
-        *cycle_faults(document),
+        *rule_faults(policies, document),
     ):
-        faults.setdefault(team, []).append(fault)
+        faults.setdefault(found.team, []).append(found.fault)
     return tuple(
         problem
         for team, found in faults.items()
@@ -85,7 +95,14 @@
     )
 
 
-def owner_faults(policies: tuple[SectionPolicy, ...]) -> Iterator[tuple[str, Fault]]:
+def rule_faults(policies: tuple[SectionPolicy, ...], document: Document) -> Iterator[CrossFault]:
+    """Yield what is wrong between calls and actions that all exist."""
+    yield from internal_call_faults(document)
+    yield from entry_faults(policies)
+    yield from cycle_faults(document)
+
+
+def owner_faults(policies: tuple[SectionPolicy, ...]) -> Iterator[CrossFault]:
     """Yield the services and actions that an earlier team has already."""
     owners: dict[tuple[str, str], str] = {}
     for policy in policies:
@@ -95,7 +112,8 @@
             owner = owners.setdefault(path, policy.team)
             if owner != policy.team:
                 text = f"team {owner} owns the {path[0]} {path[1]} already"
-                yield policy.team, Fault(path, text, "rename it, or remove it from one section")
+                fault = Fault(path, text, "rename it, or remove it from one section")
+                yield CrossFault(policy.team, fault)
 
 
 def call_path(call: CallPolicy) -> tuple[str, ...]:
@@ -110,27 +128,42 @@
             yield service, call
 
 
-def call_faults(document: Document, named: frozenset[str] | None) -> Iterator[tuple[str, Fault]]:
-    """Yield the internal calls that do not exist or that their caller may not make."""
+def reference_faults(document: Document, named: frozenset[str] | None) -> Iterator[CrossFault]:
+    """Yield the internal calls that do not exist."""
+    for service, call in each_call(document):
+        for name in call.calls:
+            if named is not None and name not in document.calls and name not in named:
+                fault = Fault(call_path(call), *unknown_call(document, name))
+                yield CrossFault(service.team, fault)
+
+
+def internal_call_faults(document: Document) -> Iterator[CrossFault]:
+    """Yield the internal calls that their caller may not make."""
     for service, call in each_call(document):
         path = call_path(call)
         for name in call.calls:
             inner = document.calls.get(name)
             if inner is None:
-                if named is not None and name not in named:
-                    yield service.team, Fault(path, *unknown_call(document, name))
                 continue
             if call.idempotent and not inner.idempotent:
-                text = f"an idempotent call makes the non-idempotent call {name}"
-                correction = "set idempotent = false, because a repeat would run it again"
-                yield service.team, Fault(path, text, correction)
+                text = f"the idempotent call {call.full_name} makes the non-idempotent call {name}"
+                correction = (
+                    f"set idempotent = false for {call.full_name}, because a repeat of it would "
+                    f"run {name} again"
+                )
+                keys = {
+                    document.services[inner.service].team: (*call_path(inner)[:-1], "idempotent"),
+                    service.team: path,
+                }
+                yield CrossFault(service.team, Fault(path, text, correction), keys)
             if inner.timeout_ms > call.timeout_ms:
                 text = (
                     f"{name} has timeout_ms = {inner.timeout_ms}, longer than {call.timeout_ms} "
                     f"of {call.full_name}"
                 )
                 correction = "the shorter one counts; lower the inner one or raise the outer one"
-                yield service.team, Fault(path, text, correction, Severity.WARNING)
+                fault = Fault(path, text, correction, Severity.WARNING)
+                yield CrossFault(service.team, fault)
 
 
 def unknown_call(document: Document, name: str) -> tuple[str, str]:
@@ -145,51 +178,55 @@
 
 def action_faults(
     policies: tuple[SectionPolicy, ...], document: Document, named: frozenset[str] | None
-) -> Iterator[tuple[str, Fault]]:
-    """Yield the actions whose entry does not exist or belongs to another action."""
-    owners: dict[str, str] = {}
+) -> Iterator[CrossFault]:
+    """Yield the actions whose entry does not exist."""
     for policy in policies:
         for action in policy.actions.values():
-            path = ("action", action.name, "entry")
             known = named is None or action.entry in document.calls or action.entry in named
             if not known:
-                yield policy.team, Fault(path, *unknown_call(document, action.entry))
-            owner = owners.setdefault(action.entry, action.name)
+                path = ("action", action.name, "entry")
+                yield CrossFault(policy.team, Fault(path, *unknown_call(document, action.entry)))
+
+
+def entry_faults(policies: tuple[SectionPolicy, ...]) -> Iterator[CrossFault]:
+    """Yield the actions whose entry belongs to another action."""
+    owners: dict[str, tuple[str, str]] = {}
+    for policy in policies:
+        for action in policy.actions.values():
+            team, owner = owners.setdefault(action.entry, (policy.team, action.name))
             if owner != action.name:
-                text = f"the action {owner} has the entry {action.entry} already"
-                yield policy.team, Fault(path, text, "give each action its own entry call")
+                path = ("action", action.name, "entry")
+                text = f"the actions {owner} and {action.name} have the entry {action.entry}"
+                fault = Fault(path, text, "give each action its own entry call")
+                keys = {team: ("action", owner, "entry"), policy.team: path}
+                yield CrossFault(policy.team, fault, keys)
 
 
-def cycle_faults(document: Document) -> Iterator[tuple[str, Fault]]:
-    """Yield each cycle of calls once, at the call where it was met first."""
+def cycle_faults(document: Document) -> Iterator[CrossFault]:
+    """Yield each call that closes a cycle, in time linear in the number of calls."""
     done: set[str] = set()
     for start in document.calls:
-        trail: list[str] = []
-        pending = [(start, 0)]
+        trail: dict[str, None] = {}
+        # A call is met again below its internal calls, to take it off the trail.
+        pending = [(start, False)]
         while pending:
-            name, depth = pending.pop()
-            del trail[depth:]
-            if name in trail:
-                call = document.calls[trail[-1]]
-                team = document.services[call.service].team
-                cycle = " -> ".join([*trail[trail.index(name) :], name])
-                text = f"the calls form a cycle: {cycle}"
-                yield team, Fault(call_path(call), text, f"remove {name} from this list")
-                continue
-            if name in done or name not in document.calls:
-                continue
-            trail.append(name)
-            pending.extend((inner, depth + 1) for inner in document.calls[name].calls)
-        done.update(reachable(document, start))
-
-
-def reachable(document: Document, start: str) -> set[str]:
-    """Return a call and all calls below it."""
-    found: set[str] = set()
-    pending = [start]
-    while pending:
-        name = pending.pop()
-        if name not in found and name in document.calls:
-            found.add(name)
-            pending.extend(document.calls[name].calls)
-    return found
+            name, left = pending.pop()
+            if left:
+                del trail[name]
+                done.add(name)
+            elif name in trail:
+                yield cycle_fault(document, list(trail), name)
+            elif name not in done and name in document.calls:
+                trail[name] = None
+                pending.append((name, True))
+                pending.extend((inner, False) for inner in document.calls[name].calls)
+
+
+def cycle_fault(document: Document, trail: list[str], name: str) -> CrossFault:
+    """Return the fault of a trail of calls whose last one makes a call of the trail."""
+    calls = [document.calls[met] for met in trail[trail.index(name) :]]
+    keys = {document.services[call.service].team: call_path(call) for call in calls}
+    cycle = " -> ".join([*(call.full_name for call in calls), name])
+    text, last = f"the calls form a cycle: {cycle}", calls[-1]
+    fault = Fault(call_path(last), text, "remove one of these calls from its list")
+    return CrossFault(document.services[last.service].team, fault, keys)
--- a/packages/basilhill/src/basilhill/queries/sections.py
+++ b/packages/basilhill/src/basilhill/queries/sections.py
@@ -3,9 +3,14 @@
 from collections.abc import Iterable, Iterator
 from hashlib import blake2b
 
-from attrs import frozen
-
-from basilhill.documents import Problem, RefusedSection, Section, SectionPolicy
+from attrs import evolve, frozen
+
+from basilhill.documents import RefusedSection, Section, SectionPolicy, Severity
+from basilhill.queries.checking import Fault
+from basilhill.queries.cross_checking import call_path, rule_faults
+from basilhill.queries.document_lines import KeyPath
+from basilhill.queries.documents import build_document
+from basilhill.queries.parsing import located
 from basilhill.sections import (
     DIGEST_BUCKETS,
     Resolution,
@@ -19,11 +24,10 @@
 
 @frozen
 class Conflict:
-    """Name the section to refuse because it conflicts with another team's."""
+    """Name the section to refuse because it conflicts with another team's, and its fault."""
 
     team: str
-    key: str
-    text: str
+    fault: Fault
 
 
 def changed_sections(
@@ -138,8 +142,8 @@
     }
     while (conflict := next_conflict(chosen, teams)) is not None:
         section, held = chosen[conflict.team].section, teams[conflict.team]
-        problem = Problem(conflict.team, conflict.key, line_of(section, conflict), conflict.text)
-        refused.setdefault(conflict.team, RefusedSection(section, (problem,)))
+        problems = located(section, [conflict.fault])
+        refused.setdefault(conflict.team, RefusedSection(section, problems))
         if chosen[conflict.team] is held.valid and held.fallback is not None:
             chosen[conflict.team] = held.fallback
         else:
@@ -147,19 +151,15 @@
     return Resolution(chosen, refused)
 
 
-def line_of(section: Section, conflict: Conflict) -> int:
-    """Return the first line of a section that mentions what a conflict is about."""
-    for number, line in enumerate(section.text.splitlines(), 1):
-        if conflict.key in line:
-            return number
-    return 0
-
-
 def next_conflict(
     chosen: dict[str, ValidSection], teams: dict[str, TeamVersions]
 ) -> Conflict | None:
     """Return one conflict between the chosen sections, the same on every node."""
-    return next(ownership_conflicts(chosen), None) or next(reference_conflicts(chosen, teams), None)
+    return (
+        next(ownership_conflicts(chosen), None)
+        or next(reference_conflicts(chosen, teams), None)
+        or next(rule_conflicts(chosen), None)
+    )
 
 
 def ownership_conflicts(chosen: dict[str, ValidSection]) -> Iterator[Conflict]:
@@ -174,7 +174,8 @@
                 owners[name] = min(other, claim)
                 kind, _, key = name.partition(" ")
                 text = f"the {kind} belongs to team {owners[name][1]}"
-                yield Conflict(max(other, claim)[1], key, text)
+                correction = "rename it, or remove it from one section"
+                yield Conflict(max(other, claim)[1], Fault((kind, key), text, correction))
 
 
 def claimed_names(policy: SectionPolicy | None) -> frozenset[str]:
@@ -191,14 +192,20 @@
     """Return the sections that call what no team has, or that removed what others call."""
     known = {name for valid in chosen.values() for name in defined_calls(valid)}
     for team in sorted(chosen):
-        for name in sorted(set(referred_calls(chosen[team])) - known):
-            yield blamed_section(chosen, teams, team, name)
+        referred = referred_calls(chosen[team])
+        for name in sorted(referred.keys() - known):
+            yield blamed_section(chosen, teams, team, name, referred[name])
 
 
 def blamed_section(
-    chosen: dict[str, ValidSection], teams: dict[str, TeamVersions], team: str, name: str
+    chosen: dict[str, ValidSection],
+    teams: dict[str, TeamVersions],
+    team: str,
+    name: str,
+    path: KeyPath,
 ) -> Conflict:
     """Return which of two sections came later: the one that refers or the one that removed."""
+    service, _, call = name.partition(".")
     for other in sorted(chosen):
         fallback = teams[other].fallback
         if (
@@ -207,8 +214,24 @@
             and name in defined_calls(fallback)
             and chosen[other].section.revision > chosen[team].section.revision
         ):
-            return Conflict(other, name, f"team {team} still calls {name}")
-    return Conflict(team, name, f"no team has the call {name}")
+            text = f"team {team} still calls {name}"
+            correction = f"keep it until team {team} has removed the call"
+            return Conflict(other, Fault(("service", service, "call", call), text, correction))
+    correction = "correct the name, or publish the section that has the call first"
+    return Conflict(team, Fault(path, f"no team has the call {name}", correction))
+
+
+def rule_conflicts(chosen: dict[str, ValidSection]) -> Iterator[Conflict]:
+    """Return the latest of the sections that break a rule together.
+
+    The others were in force without a fault, so they must not be refused for its change.
+    """
+    policies = tuple(valid.policy for _, valid in sorted(chosen.items()) if valid.policy)
+    for found in rule_faults(policies, build_document(policies)):
+        if found.fault.severity is Severity.ERROR:
+            revisions = {team: chosen[team].section.revision for team in found.keys}
+            team = max(found.keys, key=lambda team: (revisions[team], team == found.team, team))
+            yield Conflict(team, evolve(found.fault, path=found.keys[team]))
 
 
 def defined_calls(valid: ValidSection) -> Iterator[str]:
@@ -219,11 +242,13 @@
                 yield call.full_name
 
 
-def referred_calls(valid: ValidSection) -> Iterator[str]:
-    """Return the full names of the calls that a section refers to."""
+def referred_calls(valid: ValidSection) -> dict[str, KeyPath]:
+    """Return the full names of the calls that a section refers to, each with one key that does."""
+    found: dict[str, KeyPath] = {}
     if valid.policy is not None:
         for service in valid.policy.services.values():
             for call in service.calls.values():
-                yield from call.calls
+                found |= dict.fromkeys(call.calls, call_path(call))
         for action in valid.policy.actions.values():
-            yield action.entry
+            found.setdefault(action.entry, ("action", action.name, "entry"))
+    return found
--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -116,6 +116,22 @@
     assert len(check_document(text.replace("back.take", "back.tke")).problems) == 2
 
 
+def test_cycle_check_takes_linear_time():
+    """Guard against a few sections that stop the check, and the readers, for hours."""
+    layer = "[team.t{n}.service.s{n}]\nslots = 1\nconnections = 1\n" + "".join(
+        f"[team.t{{n}}.service.s{{n}}.call.{name}]\nmethod = 'GET'\npath = '/{name}'\n"
+        "idempotent = true\ntimeout_ms = 1\nusual_ms = 0\ncalls = {calls}\n"
+        for name in "ab"
+    )
+    texts = [layer.format(n=n, calls=f'["s{n + 1}.a", "s{n + 1}.b"]') for n in range(60)]
+    sound = "".join(texts) + layer.format(n=60, calls="[]")
+    started = time.monotonic()
+    assert check_document(sound).problems == ()
+    looped = check_document(sound.replace("calls = []", 'calls = ["s0.a"]'))
+    assert {p.text.split(":")[0] for p in looped.problems} == {"the calls form a cycle"}
+    assert time.monotonic() - started < 5
+
+
 def test_longer_inner_timeout_warns_and_does_not_refuse():
     checked = check_document(SOUND.replace("timeout_ms = 900", "timeout_ms = 2000"))
     assert [problem.severity for problem in checked.problems] == [Severity.WARNING]
--- a/packages/basilhill/tests/test_sections.py
+++ b/packages/basilhill/tests/test_sections.py
@@ -1,5 +1,6 @@
 """Tests of section versions: no interleaving may lower a version or split the nodes."""
 
+import pytest
 from basilhill.commands.sections import complete_read, take_sections
 from basilhill.documents import Section
 from basilhill.queries.documents import split_sections
@@ -144,6 +145,90 @@
     assert "still calls shop.run" in str(table.resolution.refused["first"].problems[0])
 
 
+RULES = """[team.{team}.service.{team}]
+slots = 1
+connections = 10
+[team.{team}.service.{team}.call.run]
+method = "POST"
+path = "/run"
+idempotent = {idempotent}
+timeout_ms = 100
+calls = {calls}
+[team.{team}.action.{team}]
+entry = "{entry}"
+class = "browse"
+timeout_ms = 100
+"""
+
+
+def rules(team, revision, idempotent="true", calls="[]", entry=None):
+    values = {"idempotent": idempotent, "calls": calls, "entry": entry or f"{team}.run"}
+    return Section(team, revision, RULES.format(team=team, **values))
+
+
+# Sections in force and the later one that breaks a rule between them: team, key and text reported.
+BREAKING = {
+    "idempotent caller": (
+        rules("second", 3, calls='["third.run"]'),
+        rules("third", 2, idempotent="false"),
+        "line 9: team second: service.second.call.run.calls: the idempotent call second.run",
+    ),
+    "call made non-idempotent": (
+        rules("third", 3, idempotent="false"),
+        rules("second", 2, calls='["third.run"]'),
+        "line 7: team third: service.third.call.run.idempotent: the idempotent call second.run",
+    ),
+    "cycle": (
+        rules("second", 3, calls='["third.run"]'),
+        rules("third", 2, calls='["second.run"]'),
+        "line 9: team second: service.second.call.run.calls: the calls form a cycle: ",
+    ),
+    "entry of another action": (
+        rules("second", 3, entry="third.run"),
+        rules("third", 2),
+        "line 11: team second: action.second.entry: the actions ",
+    ),
+}
+
+
+@pytest.mark.parametrize("rule", BREAKING)
+def test_section_that_breaks_a_rule_with_another_team_is_refused_until_it_is_mended(rule):
+    """Guard against nodes that put in force what the check of the document refuses."""
+    breaking, other, text = BREAKING[rule]
+    table = SectionTable()
+    take_sections(table, (rules("second", 1), rules("third", 1)))
+    take_sections(table, (other,))
+    before = in_force(table)
+    assert table.resolution.refused == {}
+    take_sections(table, (breaking,))
+    assert in_force(table) == before
+    assert str(table.resolution.refused[breaking.team].problems[0]).startswith(text)
+    mended = rules(breaking.team, 4)
+    take_sections(table, (mended,))
+    assert in_force(table) == before | {mended.team: mended}
+    assert table.resolution.refused == {}
+
+
+@given(st.permutations(range(4)))
+def test_every_order_of_arrival_refuses_the_same_section_of_a_cycle(order):
+    """Guard against nodes that serve by different sections after a cycle was published."""
+    sections = (
+        rules("second", 1),
+        rules("third", 1),
+        rules("second", 2, calls='["third.run"]'),
+        rules("third", 3, calls='["second.run"]'),
+    )
+    table, informed = SectionTable(), SectionTable()
+    for index in order:
+        take_sections(table, (sections[index],))
+    for each in sections:
+        take_sections(informed, (each,))
+    send_all(informed, table)
+    assert in_force(table) == in_force(informed)
+    assert {team: s.revision for team, s in in_force(table).items()} == {"second": 2, "third": 1}
+    assert table.resolution.refused.keys() == {"third"}
+
+
 def test_text_read_again_later_outlives_a_peer_that_saw_the_change_between():
     """Guard against a silent revert when a reader skipped a change and its undoing."""
     revisions = [service("first", "shop", slots) for slots in (1, 2, 1)]
--- a/packages/basilhill_fakes/tests/test_configuration.py
+++ b/packages/basilhill_fakes/tests/test_configuration.py
@@ -99,6 +99,50 @@
     assert [status["refused"] for status in statuses] == [{}] * len(statuses)
 
 
+STRAY = "slots = 1\n"
+# A loop of calls between two teams, each of which is valid alone.
+LOOP = ("usual_ms = 10\n", 'usual_ms = 10\ncalls = ["reservations.book"]\n')
+
+
+@pytest.mark.parametrize("broken", ["stray text", "no team at all", "cycle"])
+async def test_document_that_is_invalid_as_a_whole_reverts_nothing_and_its_reason_goes(
+    fleet, broken
+):
+    """Guard against a faulty document that takes sections away, or whose reason stays shown."""
+    before = (await status_of(fleet, fleet.topology.vms[0]))["sections"]
+    current = await fleet.get(f"{fleet.topology.vms[0].administration_url}/configuration")
+    texts = {team: held["text"] for team, held in current["sections"].items()}
+    good = "".join(texts.values())
+    documents = {
+        "stray text": (STRAY + good, "", "'slots = 1' belongs to no team's section"),
+        "no team at all": ("nothing\n", "", "'nothing' belongs to no team's section"),
+        "cycle": (
+            good.replace(texts["deposits"], texts["deposits"].replace(*LOOP)),
+            "deposits",
+            "the calls form a cycle",
+        ),
+    }
+    text, team, reason = documents[broken]
+    number = await fleet.publish_document(text)
+    started = time.monotonic()
+    for vm in fleet.topology.vms:
+        while team not in (status := await status_of(fleet, vm))["refused"]:
+            assert time.monotonic() - started < IN_FORCE_S
+            await asyncio.sleep(POLL_S)
+        assert status["sections"] == before
+        assert status["refused"].keys() == {team}
+        assert status["refused"][team]["revision"] == number
+        assert reason in status["refused"][team]["problems"][0]
+    await fleet.publish_document(good)
+    started = time.monotonic()
+    for vm in fleet.topology.vms:
+        while (await status_of(fleet, vm))["refused"]:
+            assert time.monotonic() - started < IN_FORCE_S
+            await asyncio.sleep(POLL_S)
+        held = (await status_of(fleet, vm))["sections"]
+        assert held.keys() == before.keys()
+
+
 async def test_stale_and_down_platform_reverts_nothing_even_on_a_node_that_restarts(fleet):
     """Guard against old revisions that a stale platform serves to a node without memory."""
     number = await fleet.publish_document(with_slots(DOCUMENT, "calendar", 62))
--- a/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
@@ -80,9 +80,11 @@
     """Take what a document changes, once two reads of it were equal."""
     confirmed = await confirm_read(platform, read)
     sections = split_sections(confirmed.text, confirmed.number) if confirmed else ()
-    if not sections:
-        reason = "it has no section" if confirmed else "a second read differed"
+    if not any(section.team for section in sections):
+        reason = "it has no section of a team" if confirmed else "a second read differed"
         node.log.record("config", "", f"document {read.number} not taken", reason)
+        # A text without any team is no removal of all teams; only its refusal is shown.
+        take_offered(node, sections)
         await pause_between_reads(node)
         return
     if node.disabled("section-versions"):
