Close what a node has opened when a port cannot be bound

A taken port already ended the program with status 2 and one line, but the session to the backend server and the servers started before stayed open; the development mode of Python reported an unclosed client session and unclosed servers (up to 41 lines). An exit stack closes them in reverse order, on the ordinary way out too.

The new test takes each port in turn and asks for exactly one line on standard error under `-X dev`: 3 of 3 fail before, pass after. test_leaving.py passes.

--- a/packages/basilhill_node/src/basilhill_node/node.py
+++ b/packages/basilhill_node/src/basilhill_node/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from contextlib import AsyncExitStack
 
 from basilhill.clocks import Clock, MonotonicClock
 from basilhill.settings import NodeSettings
@@ -22,7 +23,7 @@
 from basilhill_node.peer_pool import PeerClients
 from basilhill_node.peer_server import PeerService
 from basilhill_node.platform import HttpPlatformClient
-from basilhill_node.state import new_state
+from basilhill_node.state import NodeState, new_state
 
 CLOSE_POLLS = 50
 CLOSE_POLL_S = 0.02
@@ -35,23 +36,35 @@
     node = new_state(
         settings, clock or MonotonicClock(), network or DirectNetwork(), HttpBackendServer(settings)
     )
+    async with AsyncExitStack() as opened:
+        opened.push_async_callback(node.backend.close)
+        await serve_until_left(node, opened)
+
+
+async def serve_until_left(node: NodeState, opened: AsyncExitStack) -> None:
+    """Serve until the node is told to leave and its calls have ended."""
+    settings = node.settings
     node.peers = PeerClients(node)
     service = node.callers = PeerService(node)
     peer_server = Server([service])
     await peer_server.start(settings.address, settings.peer_port)
+    opened.callback(peer_server.close)
     front = await serve_http(
         build_front(node),
         settings.address,
         settings.front_port,
         limited_protocol(lambda: connection_limit(node)),
     )
+    opened.callback(front.close)
     administration = await serve_http(
         build_administration(node),
         settings.administration_address,
         settings.administration_port,
         limited_protocol(lambda: ADMINISTRATION_CONNECTIONS),
     )
+    opened.callback(administration.close)
     platform = HttpPlatformClient(settings)
+    opened.push_async_callback(platform.close)
     background = [
         node.spawn(follow_document(node, platform)),
         node.spawn(follow_fleet(node, platform)),
@@ -69,10 +82,6 @@
     await close_requests(front)
     for task in background:
         task.cancel()
-    administration.close()
-    peer_server.close()
-    await platform.close()
-    await node.backend.close()
 
 
 async def serve_http(app: Sanic, address: str, port: int, protocol: type[HttpProtocol]):
--- a/packages/basilhill_node/tests/test_settings_sources.py
+++ b/packages/basilhill_node/tests/test_settings_sources.py
@@ -1,5 +1,7 @@
 """Tests of the settings' sources and of the program's refusal of unusable ones."""
 
+import os
+import socket
 import subprocess
 import sys
 
@@ -16,8 +18,8 @@
 }
 
 
-def run_program(*arguments: str) -> subprocess.CompletedProcess:
-    command = [sys.executable, "-m", "basilhill_node.main", *arguments]
+def run_program(*arguments: str, options: tuple[str, ...] = ()) -> subprocess.CompletedProcess:
+    command = [sys.executable, *options, "-m", "basilhill_node.main", *arguments]
     return subprocess.run(command, capture_output=True, text=True, timeout=20, check=False)
 
 
@@ -64,6 +66,23 @@
     assert "Traceback" not in ended.stderr
 
 
+@pytest.mark.parametrize("name", ["front_port", "peer_port", "administration_port"])
+def test_port_in_use_ends_the_program_with_one_clear_line(name):
+    """Guard against a node that cannot serve and goes on, or whose reason is lost in warnings."""
+    # Fleets of other tests have addresses below 127.251.
+    address = f"127.252.{os.getpid() % 250}.{os.getpid() // 250 % 250}"
+    port = DEFAULTS[name]
+    values = {**REQUIRED, "address": address, "administration_address": address}
+    flags = [f"--{key.replace('_', '-')}={value}" for key, value in values.items()]
+    with socket.create_server((address, port)):
+        # The development mode reports what is left open.
+        ended = run_program(*flags, options=("-X", "dev"))
+    assert ended.returncode == 2
+    assert f"{port}): address already in use" in ended.stderr
+    assert len(ended.stderr.splitlines()) == 1
+    assert "Unclosed" not in ended.stdout
+
+
 def test_production_program_refuses_disabled_mechanisms(tmp_path, capsys):
     file = tmp_path / "node.toml"
     lines = [f'{name} = "{value}"' for name, value in REQUIRED.items()]
