Bound messages between nodes and survive malformed ones

grpclib reads a message of any declared length into memory, and neither Configuration nor a codec can limit it: window sizes only bound what is unread. Senders split their outbox into messages of 1 MB; before, 1,000 answers of 1 MB could form one message.

A call frame with an unknown class or reason ended its task with an error that nobody retrieved and got no reply; it is refused as MAY_HAVE_RUN now, with a log line. A section that is not UTF-8, an undecodable message, a compressed one and a call id in use end the stream with INVALID_ARGUMENT and a log line. A malformed reply ended the task of the outgoing stream, after which no call reached that peer again; now the stream is opened anew. A flood of frames in one message held the event loop; now other streams get a turn after 100 frames.

--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_peer_input.py
@@ -0,0 +1,175 @@
+"""Tests of malformed and hostile input at the port between nodes: service goes on."""
+
+import asyncio
+import struct
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+
+import pytest
+import pytest_asyncio
+from basilhill_fakes.processes import new_fleet
+from basilhill_fakes.queries.processes import resident_mb
+from basilhill_fakes.topology import PEER_PORT
+from basilhill_fakes.workloads import WORKLOADS
+from basilhill_node.wire import peer_pb2 as wire
+from basilhill_node.wire.peer_grpc import PeerStub
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+from h2.exceptions import StreamClosedError
+
+ROOT = Path(__file__).parents[3]
+BODY_LIMIT = 20_000
+REPLY_S = 5.0
+
+pytestmark = pytest.mark.asyncio(loop_scope="module")
+
+
+@pytest_asyncio.fixture(loop_scope="module", scope="module")
+async def fleet(tmp_path_factory):
+    workload = WORKLOADS["webshop"]
+    counts = {"catalogue": 0, "checkout": 0, "warehouse": 1, "ledger": 0}
+    directory = tmp_path_factory.mktemp("fleet")
+    fleet = new_fleet(workload, directory, counts=counts, settings={"body_limit": BODY_LIMIT})
+    try:
+        await fleet.start((ROOT / workload.document).read_text())
+        yield fleet
+    finally:
+        await fleet.stop()
+
+
+@asynccontextmanager
+async def stream_to(fleet):
+    """Open a stream as a peer does."""
+    channel = Channel(fleet.topology.vms[0].address, PEER_PORT)
+    try:
+        async with PeerStub(channel).Exchange.open() as stream:
+            await stream.send_request()
+            hello = wire.Hello(node="127.0.0.1:9", incarnation="ab", service="warehouse")
+            await stream.send_message(wire.Batch(frames=[wire.Frame(hello=hello)]))
+            yield stream
+            await stream.cancel()
+    finally:
+        channel.close()
+
+
+async def reply_to(stream, call_id):
+    """Return the reply to a call."""
+    async with asyncio.timeout(REPLY_S):
+        async for batch in stream:
+            for frame in batch.frames:
+                if frame.WhichOneof("body") == "reply" and frame.reply.call_id == call_id:
+                    return frame.reply
+    return None
+
+
+def execute(call_id, priority_class=0):
+    """Return a frame for an idempotent call."""
+    context = wire.Context(
+        action_id="a", priority_class=priority_class, remaining_ms=5_000, retry_allotment=0
+    )
+    request = wire.Request(service="warehouse", method="GET", path="/stock")
+    return wire.Frame(execute=wire.Execute(call_id=call_id, context=context, request=request))
+
+
+async def assert_serves(fleet):
+    async with stream_to(fleet) as stream:
+        await stream.send_message(wire.Batch(frames=[execute(1)]))
+        assert (await reply_to(stream, 1)).status == 200
+    for _ in range(100):
+        status = await fleet.get(f"{fleet.topology.vms[0].administration_url}/status")
+        if not status["open_calls"]:
+            return
+        await asyncio.sleep(0.05)
+    pytest.fail("calls stay open")
+
+
+def log_of(fleet):
+    return (fleet.directory / f"node-{fleet.topology.vms[0].address}.log").read_text()
+
+
+# Frames that get a refusal as the reply, with its verdict (1 not run, 2 may have run) and reason.
+REFUSED = {
+    "unknown class": (execute(7, priority_class=99), 2, "internal"),
+    "no request": (wire.Frame(execute=wire.Execute(call_id=7)), 1, "unknown-call"),
+    "no token": (wire.Frame(coordinate=wire.Coordinate(call_id=7)), 1, "malformed"),
+    "undecodable token": (
+        wire.Frame(coordinate=wire.Coordinate(call_id=7, token="\u20ac" * 900)), 1, "malformed",
+    ),
+    "unknown reason": (
+        wire.Frame(reject=wire.Reject(call_id=7, token="MS4xOjEvYS8xLzEvYWI=", reason="?")),
+        2,
+        "internal",
+    ),
+    "no key": (wire.Frame(revoke=wire.Revoke(call_id=7, age_ms=-(2**62))), 1, "rejected"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("case", REFUSED)
+async def test_malformed_call_is_refused_and_its_stream_goes_on(fleet, case):
+    """Guard against a call without any reply and against a task that ends with an error."""
+    frame, verdict, reason = REFUSED[case]
+    async with stream_to(fleet) as stream:
+        await stream.send_message(wire.Batch(frames=[frame, execute(8)]))
+        replies = [await reply_to(stream, 7)]
+        if replies[0] is None:
+            pytest.fail("no reply")
+        await stream.send_message(wire.Batch(frames=[execute(9)]))
+        replies.append(await reply_to(stream, 9))
+    assert (replies[0].verdict, replies[0].reason) == (verdict, reason)
+    assert replies[1].status == 200
+    await assert_serves(fleet)
+    assert "exception was never retrieved" not in log_of(fleet)
+
+
+SECTION = wire.Section(team="x", revision=1, text=b"\xff")
+MALFORMED = {
+    "section that is not UTF-8": (wire.Sections(sections=[SECTION]), "sections frame"),
+    "length": (struct.pack(">?I", False, 4_000_000_000), "4000000000 bytes"),
+    "compression": (struct.pack(">?I", True, 4), "compressed"),
+    "no message": (struct.pack(">?I", False, 4) + b"\xff" * 4, "not of this protocol"),
+    "call id in use": (execute(7), "call id 7 is in use"),
+}
+
+
+@pytest.mark.parametrize("case", MALFORMED)
+async def test_malformed_message_ends_its_stream_alone_with_the_reason(fleet, case):
+    """Guard against a peer that stops the node, other streams, or takes its memory."""
+    sent, reason = MALFORMED[case]
+    pid = fleet.processes[f"node-{fleet.topology.vms[0].address}"].pid
+    before = resident_mb(pid)
+    async with stream_to(fleet) as other:
+        with pytest.raises(GRPCError) as ended:
+            async with stream_to(fleet) as stream:
+                if isinstance(sent, bytes):
+                    await stream._stream.send_data(sent)
+                    # The node closes the stream, or flow control stops what it does not read.
+                    with suppress(TimeoutError, StreamClosedError, StreamTerminatedError):
+                        async with asyncio.timeout(0.5):
+                            await stream._stream.send_data(b"\x00" * 60_000_000)
+                elif isinstance(sent, wire.Frame):
+                    await stream.send_message(wire.Batch(frames=[sent, sent]))
+                else:
+                    frame = wire.Frame(sections=sent)
+                    await stream.send_message(wire.Batch(frames=[frame]))
+                await reply_to(stream, 0)
+        await other.send_message(wire.Batch(frames=[execute(5)]))
+        assert (await reply_to(other, 5)).status == 200
+    assert ended.value.status is Status.INVALID_ARGUMENT
+    assert reason in ended.value.message
+    assert resident_mb(pid) - before < 20
+    assert reason in log_of(fleet)
+    await assert_serves(fleet)
+
+
+async def test_flood_of_frames_on_one_stream_does_not_block_another(fleet):
+    """Guard against one peer whose full socket keeps the event loop from all others."""
+    frame = wire.Frame(cancel=wire.Cancel(call_id=1))
+    flood = wire.Batch(frames=[frame] * 300_000)
+    async with stream_to(fleet) as hostile, stream_to(fleet) as other:
+        await hostile.send_message(flood)
+        started = asyncio.get_running_loop().time()
+        await other.send_message(wire.Batch(frames=[execute(5)]))
+        assert (await reply_to(other, 5)).status == 200
+        assert asyncio.get_running_loop().time() - started < 0.5
+    await assert_serves(fleet)
--- a/packages/basilhill_node/src/basilhill_node/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/frames.py
@@ -1,16 +1,33 @@
 """Frames of the streams between nodes."""
 
 import asyncio
+import struct
+from collections.abc import AsyncIterator
 
 from attrs import define, field
 from basilhill.clocks import Clock
+from basilhill.settings import NodeSettings
+from google.protobuf.message import DecodeError
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from basilhill_node.network import Network
 from basilhill_node.wire import peer_pb2 as wire
 
 CUT_POLL_S = 0.05
+# A message holds frames of about this size, or one larger frame.
+BATCH_BYTES = 1_000_000
+# The longest frame carries sections of 1 MB with the older ones that are in force instead.
+CONTROL_BYTES = 8_000_000
+PREFIX = struct.Struct(">?I")
+# Frames handled in one turn of the event loop, so that a full socket does not stop other streams.
+TURN_FRAMES = 100
 STREAM_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError)
+# What the decoding of a malformed or hostile frame raises.
+DECODE_ERRORS = (ArithmeticError, AttributeError, DecodeError, LookupError, TypeError, ValueError)
+
+
+class MalformedMessageError(Exception):
+    """End a stream whose peer sends what no node sends."""
 
 
 @define(eq=False)
@@ -36,14 +53,26 @@
             while True:
                 await self.ready.wait()
                 await until_reachable(self.network, self.peer)
-                batch, self.frames = self.frames, []
-                self.ready.clear()
+                batch = self.take_batch()
+                if not self.frames:
+                    self.ready.clear()
                 if batch:
                     message = wire.Batch(frames=batch, sent_ms=self.clock.now_ms())
                     await self.stream.send_message(message)
         except STREAM_ERRORS:
             return
 
+    def take_batch(self) -> list[wire.Frame]:
+        """Take the next frames out of the outbox, as many as one message may hold."""
+        count, size = min(1, len(self.frames)), 0
+        if len(self.frames) > 1:
+            for count, frame in enumerate(self.frames, 1):  # noqa: B007 - counts the frames taken
+                size += frame.ByteSize()
+                if size >= BATCH_BYTES:
+                    break
+        batch, self.frames = self.frames[:count], self.frames[count:]
+        return batch
+
     def submit(self, frame: wire.Frame) -> bool:
         """Put a frame into the outbox; return whether there was room."""
         if len(self.frames) >= self.limit:
@@ -64,6 +93,40 @@
         return withdrawn
 
 
+def message_limit(settings: NodeSettings) -> int:
+    """Return how long a message of a peer may be, in bytes."""
+    return CONTROL_BYTES + 2 * settings.body_limit
+
+
+async def receive_batches(stream, limit: int) -> AsyncIterator[wire.Batch]:
+    """Yield the messages of an incoming stream; refuse one that is too long before reading it.
+
+    grpclib reads a message of any length into memory and its API sets no limit, so the length is
+    read here from the stream below it.
+    """
+    source = stream._stream
+    while prefix := await read_exactly(source, PREFIX.size):
+        compressed, size = PREFIX.unpack(prefix)
+        if compressed:
+            raise MalformedMessageError("a message is compressed")
+        if size > limit:
+            raise MalformedMessageError(f"a message has {size} bytes, more than {limit}")
+        data = await read_exactly(source, size)
+        try:
+            yield wire.Batch.FromString(data)
+        except DecodeError as error:
+            raise MalformedMessageError("a message is not of this protocol") from error
+
+
+async def read_exactly(source, size: int) -> bytes:
+    """Return the next bytes of a stream, none at its end."""
+    try:
+        return await source.recv_data(size)
+    except AssertionError as error:
+        # grpclib checks by an assertion that a stream does not end within a message.
+        raise MalformedMessageError("the stream ended within a message") from error
+
+
 def call_id_of(frame: wire.Frame) -> int:
     """Return the call id of a frame, 0 for a frame without one."""
     return getattr(getattr(frame, frame.WhichOneof("body")), "call_id", 0)
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -9,8 +9,10 @@
 from basilhill.sections import DigestReport, SectionBatch
 from basilhill.suspects import SuspectReport
 from basilhill.transits import TransitMeter
-from basilhill.verdicts import CallReply, Reason, not_run
+from basilhill.verdicts import CallReply, Reason, may_have_run, not_run
 from expression import Error
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError
 
 from basilhill_node import encoding
 from basilhill_node.commands.coordinate_call import coordinate_copy, refuse_token
@@ -19,7 +21,15 @@
 from basilhill_node.commands.revoke_call import revoke_call
 from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.commands.wake_up import check_pause, receive_batch_time, socket_wait_ms
-from basilhill_node.frames import FrameSender, until_reachable
+from basilhill_node.frames import (
+    DECODE_ERRORS,
+    TURN_FRAMES,
+    FrameSender,
+    MalformedMessageError,
+    message_limit,
+    receive_batches,
+    until_reachable,
+)
 from basilhill_node.headers import parse_token
 from basilhill_node.peers import hello_frame
 from basilhill_node.queries.loads import own_heartbeat
@@ -27,6 +37,10 @@
 from basilhill_node.wire import peer_pb2 as wire
 from basilhill_node.wire.peer_grpc import PeerBase
 
+# What a peer sends is quoted in log lines and errors up to these lengths.
+PEER_TEXT_LIMIT = 64
+REASON_LIMIT = 200
+
 
 @define(eq=False)
 class IncomingStream:
@@ -62,11 +76,11 @@
         writer = self.node.spawn(incoming.sender.run())
         writer.add_done_callback(partial(end_reading, asyncio.current_task()))
         try:
-            async for batch in stream:
-                await until_reachable(self.node.network, incoming.peer)
-                receive_batch_time(self.node, incoming.transits, batch.sent_ms)
-                for frame in batch.frames:
-                    self.receive(incoming, frame)
+            await self.receive_all(incoming, stream)
+        except MalformedMessageError as error:
+            peer = incoming.peer[:PEER_TEXT_LIMIT] or "an unknown peer"
+            self.node.log.record("peer", "", f"closed the stream of {peer}", str(error))
+            raise GRPCError(Status.INVALID_ARGUMENT, str(error)) from error
         finally:
             self.streams.discard(incoming)
             writer.cancel()
@@ -74,6 +88,28 @@
                 # Nobody gets the replies; calls that have started and have a key still finish.
                 task.cancel()
 
+    async def receive_all(self, incoming: IncomingStream, stream) -> None:
+        """Handle the frames of a stream in order until its peer ends it."""
+        handled = 0
+        async for batch in receive_batches(stream, message_limit(self.node.settings)):
+            await until_reachable(self.node.network, incoming.peer)
+            receive_batch_time(self.node, incoming.transits, batch.sent_ms)
+            for frame in batch.frames:
+                self.receive_checked(incoming, frame)
+                handled += 1
+                if handled % TURN_FRAMES == 0:
+                    await asyncio.sleep(0)
+            if not batch.frames:
+                await asyncio.sleep(0)
+
+    def receive_checked(self, incoming: IncomingStream, frame: wire.Frame) -> None:
+        """Handle one frame; a malformed one ends the stream."""
+        try:
+            self.receive(incoming, frame)
+        except DECODE_ERRORS as error:
+            text = f"{frame.WhichOneof('body')} frame: {type(error).__name__}: {error}"
+            raise MalformedMessageError(text[:REASON_LIMIT]) from error
+
     def receive(self, incoming: IncomingStream, frame: wire.Frame) -> None:
         """Handle one frame of a stream."""
         kind = frame.WhichOneof("body")
@@ -112,6 +148,9 @@
     def start(self, incoming: IncomingStream, message, handler) -> None:
         """Run the handler of a call as a task that replies on its stream."""
         call_id = message.call_id
+        if call_id in incoming.calls:
+            # A second task under the id would outlive the stream.
+            raise MalformedMessageError(f"call id {call_id} is in use")
         task = self.node.spawn(self.reply(incoming, message, handler))
         incoming.calls[call_id] = task
         task.add_done_callback(lambda _: incoming.calls.pop(call_id, None))
@@ -119,11 +158,24 @@
     async def reply(self, incoming: IncomingStream, message, handler) -> None:
         """Wait for a call and send its reply."""
         with self.node.open_call():
-            reply = await handler(self, incoming, message)
+            try:
+                reply = await handler(self, incoming, message)
+            except Exception as error:
+                reply = self.failed_reply(incoming, message, error)
             frame = wire.Frame(reply=encoding.encode_reply(message.call_id, reply))
             if not incoming.sender.submit(frame):
                 self.node.log.record("peer", "", f"reply dropped, {incoming.peer} does not read")
 
+    def failed_reply(self, incoming: IncomingStream, message, error: Exception) -> CallReply:
+        """Return the reply to a call that a malformed frame or a fault of this node ended."""
+        choice = f"{type(message).__name__} of {incoming.peer[:PEER_TEXT_LIMIT]} failed"
+        self.node.log.record("peer", "", choice, repr(error)[:REASON_LIMIT])
+        # A copy of the call may have run before, or this one when the fault came later.
+        refusal = may_have_run(
+            Reason.INTERNAL, f"the node could not handle it: {error!r}"[:REASON_LIMIT]
+        )
+        return CallReply(Error(refusal))
+
     async def execute(self, incoming: IncomingStream, message: wire.Execute) -> CallReply:
         """Run a call on the backend server beside this node."""
         excess_ms = self.excess_ms(incoming, message.context.sent_ms)
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -23,7 +23,16 @@
 from basilhill_node.commands.exchange_sections import receive_batch, receive_report
 from basilhill_node.commands.screen_call import receive_reports
 from basilhill_node.commands.wake_up import receive_batch_time, socket_wait_ms
-from basilhill_node.frames import STREAM_ERRORS, FrameSender, call_id_of, until_reachable
+from basilhill_node.frames import (
+    DECODE_ERRORS,
+    STREAM_ERRORS,
+    FrameSender,
+    MalformedMessageError,
+    call_id_of,
+    message_limit,
+    receive_batches,
+    until_reachable,
+)
 from basilhill_node.headers import token_text
 from basilhill_node.state import LostReply, NodeState
 from basilhill_node.wire import peer_pb2 as wire
@@ -87,7 +96,8 @@
                 writer = self.node.spawn(sender.run())
                 # Without its writer the stream is of no use; closing it ends the reading too.
                 writer.add_done_callback(lambda _: channel.close())
-                async for batch in stream:
+                await stream.recv_initial_metadata()
+                async for batch in receive_batches(stream, message_limit(self.node.settings)):
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
                     receive_batch_time(self.node, self.transits, batch.sent_ms)
@@ -97,6 +107,10 @@
         except STREAM_ERRORS as error:
             self.refused = isinstance(error, ConnectionRefusedError)
             self.node.log.record("peer", "", f"lost {self.peer}", type(error).__name__)
+        except (*DECODE_ERRORS, MalformedMessageError) as error:
+            # The task must go on, or no call would ever reach the peer again.
+            reason = f"malformed message: {error!r}"[:200]
+            self.node.log.record("peer", "", f"lost {self.peer}", reason)
         finally:
             if writer is not None:
                 writer.cancel()
--- /dev/null
+++ b/packages/basilhill_node/tests/test_peers.py
@@ -0,0 +1,98 @@
+"""Tests of streams between nodes against a peer that breaks the protocol."""
+
+import asyncio
+import struct
+
+import pytest
+from basilhill.calls import CallContext, CallRequest, PriorityClass
+from basilhill.clocks import MonotonicClock
+from basilhill.settings import normalise_settings
+from basilhill_node.frames import BATCH_BYTES, FrameSender
+from basilhill_node.network import DirectNetwork
+from basilhill_node.peers import PeerClient
+from basilhill_node.state import new_state
+from basilhill_node.wire import peer_pb2 as wire
+from basilhill_node.wire.peer_grpc import PeerBase
+from grpclib.server import Server
+
+ADDRESS = "127.0.9.8"
+ANSWER = wire.Reply(status=200, body=b"done")
+HELLO = wire.Frame(hello=wire.Hello(node=f"{ADDRESS}:1", incarnation="first"))
+
+
+class FaultyPeer(PeerBase):
+    """Answer the first call with a fault and later ones well."""
+
+    def __init__(self, fault):
+        self.fault = fault
+
+    async def Exchange(self, stream):  # noqa: N802 - the name of the generated base class
+        async for batch in stream:
+            for frame in batch.frames:
+                if frame.HasField("hello"):
+                    await stream.send_message(wire.Batch(frames=[HELLO]))
+                elif frame.HasField("execute"):
+                    await self.answer(stream, frame.execute.call_id)
+
+    async def answer(self, stream, call_id):
+        fault, self.fault = self.fault, None
+        if isinstance(fault, bytes):
+            await stream._stream.send_data(fault)
+        else:
+            reply = wire.Reply(call_id=call_id)
+            reply.MergeFrom(ANSWER if fault is None else fault)
+            await stream.send_message(wire.Batch(frames=[wire.Frame(reply=reply)]))
+
+
+def new_node():
+    given = {"address": ADDRESS, "data_centre": "a", "service": "s", "platform_url": ""}
+    return new_state(normalise_settings(given).ok, MonotonicClock(), DirectNetwork(), None)
+
+
+async def execute(node, client, timeout_ms=2_000):
+    """Return the result of a call once the peer takes it."""
+    async with asyncio.timeout(timeout_ms / 1000):
+        await client.connected.wait()
+    deadline_ms = node.clock.now_ms() + timeout_ms
+    context = CallContext("a", "x", PriorityClass.BROWSE, deadline_ms)
+    return await client.execute(context, None, CallRequest("s", "GET", "/x"))
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        wire.Reply(verdict=9),
+        wire.Reply(verdict=1, reason="unheard of"),
+        struct.pack(">?I", False, 4_000_000_000),
+        struct.pack(">?I", False, 4) + b"\xff" * 4,
+    ],
+)
+async def test_malformed_reply_is_a_lost_one_and_the_stream_is_opened_again(fault):
+    """Guard against one bad message after which no call ever reaches the peer again."""
+    server = Server([FaultyPeer(fault)])
+    await server.start(ADDRESS, 0)
+    port = server._server.sockets[0].getsockname()[1]
+    node = new_node()
+    client = PeerClient(node, f"{ADDRESS}:{port}")
+    task = asyncio.create_task(client.run())
+    try:
+        lost = await execute(node, client)
+        answered = await execute(node, client)
+    finally:
+        task.cancel()
+        server.close()
+        await server.wait_closed()
+    assert lost.error.sent
+    assert answered.ok.outcome.ok.body == b"done"
+    assert any("malformed message" in decision.reason for decision in node.log.decisions)
+
+
+def test_frames_that_wait_together_fill_messages_of_bounded_size():
+    """Guard against a message that the peer refuses as too long, with all calls in it."""
+    sender = FrameSender(None, MonotonicClock(), DirectNetwork(), 100)
+    for number in range(10):
+        sender.submit(wire.Frame(reply=wire.Reply(call_id=number, body=b"x" * (BATCH_BYTES // 4))))
+    batches = []
+    while batch := sender.take_batch():
+        batches.append([frame.reply.call_id for frame in batch])
+    assert batches == [[0, 1, 2, 3], [4, 5, 6, 7], [8, 9]]
