Report problems of a document as an operator needs them

- `status` gave the line of a refused section within the section on nodes that had it from a peer (line 4) and within the document on readers (line 36), and showed whichever answered first.
Lines that are not known are left out, and the command shows the report that names the most.
- A second owner of a service brought three "unknown call" problems in sound sections before the one to mend; the first owner counts now, so one problem remains.
- Of several syntax errors only the first was reported, without the text: now all broken statements of a section, each quoted.
- A file that is not UTF-8 was reported by its byte; now by its line.
- "expected int, found str" reads "expected a whole number, found a text".
- `explain` ordered decisions by ages that nodes told at different times, so a call started before it was routed; ages count to the last answer now.

--- a/packages/basilhill/src/basilhill/queries/cross_checking.py
+++ b/packages/basilhill/src/basilhill/queries/cross_checking.py
@@ -172,7 +172,7 @@
     if service not in document.services:
         known = ", ".join(sorted(document.services)[:10])
         return f"unknown service {service}", f"services: {known}"
-    known = ", ".join(sorted(document.services[service].calls))
+    known = ", ".join(sorted(document.services[service].calls)) or "none"
     return f"unknown call {name}", f"calls of {service}: {known}"
 
 
--- a/packages/basilhill/src/basilhill/queries/documents.py
+++ b/packages/basilhill/src/basilhill/queries/documents.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from basilhill.documents import CallPolicy, Document, SectionPolicy
+from basilhill.documents import ActionPolicy, CallPolicy, Document, SectionPolicy, ServicePolicy
 from basilhill.queries.parsing import parse_section
 from basilhill.queries.splitting import split_sections
 
@@ -12,9 +12,13 @@
 def build_document(sections: Iterable[SectionPolicy]) -> Document:
     """Index valid sections for look-up."""
     by_team = {section.team: section for section in sections}
-    services = {name: s for section in by_team.values() for name, s in section.services.items()}
+    services: dict[str, ServicePolicy] = {}
+    actions: dict[str, ActionPolicy] = {}
+    for section in by_team.values():
+        # In a document with a conflict the first team owns a name, as its check reports it.
+        services |= {k: v for k, v in section.services.items() if k not in services}
+        actions |= {k: v for k, v in section.actions.items() if k not in actions}
     calls = {call.full_name: call for s in services.values() for call in s.calls.values()}
-    actions = {name: a for section in by_team.values() for name, a in section.actions.items()}
     by_entry = {action.entry: action for action in actions.values()}
     return Document(by_team, services, calls, actions, by_entry)
 
--- a/packages/basilhill/src/basilhill/queries/parsing.py
+++ b/packages/basilhill/src/basilhill/queries/parsing.py
@@ -3,6 +3,7 @@
 import re
 import tomllib
 from collections.abc import Iterator
+from itertools import islice
 from typing import Any
 
 import cattrs
@@ -24,6 +25,17 @@
 from basilhill.queries.checking import Fault, correction_of, unknown_key_correction, value_faults
 from basilhill.queries.document_lines import KeyPath, key_lines, line_of, statements
 
+TYPE_NAMES = {
+    bool: "true or false",
+    dict: "a table",
+    float: "a fraction",
+    int: "a whole number",
+    list: "a list",
+    str: "a text",
+}
+QUOTED_CHARACTERS = 60
+# A text that is no TOML at all has as many broken statements as lines.
+BROKEN_REPORTED = 100
 SYNTAX_LINE = re.compile(r" \(at line (\d+), column \d+\)| \(at end of document\)")
 
 
@@ -79,10 +91,15 @@
     return converter
 
 
+def type_name(kind: type) -> str:
+    """Return how the TOML document calls a type."""
+    return TYPE_NAMES.get(kind, kind.__name__)
+
+
 def structure_exactly(value: Any, kind: type) -> Any:
     """Return the value if it has exactly the type asked for."""
     if type(value) is not kind:
-        raise ValueError(f"expected {kind.__name__}, found {type(value).__name__}")
+        raise ValueError(f"expected {type_name(kind)}, found {type_name(type(value))}")
     return value
 
 
@@ -103,7 +120,7 @@
     try:
         teams = tomllib.loads(section.text).get("team", {})
     except (tomllib.TOMLDecodeError, RecursionError) as error:
-        return Error((syntax_problem(section, str(error)),))
+        return Error(syntax_problems(section, str(error)))
     given = teams.get(section.team, {}) if isinstance(teams, dict) else teams
     faults = list(value_faults(given))
     try:
@@ -124,28 +141,43 @@
         yield Problem("", "", origin.document_line, text, correction)
 
 
-def syntax_problem(section: Section, text: str) -> Problem:
-    """Return the problem of a section that is no TOML."""
-    found = SYNTAX_LINE.search(text)
-    line = broken_line(section.text) or int(found.group(1) if found and found.group(1) else 1)
+def syntax_problems(section: Section, text: str) -> tuple[Problem, ...]:
+    """Return the problems of a section that is no TOML, one for each broken statement."""
+    broken = list(islice(broken_statements(section.text), BROKEN_REPORTED))
+    if not broken:
+        # Each statement is TOML, but not all of them together, for example a key given twice.
+        found = SYNTAX_LINE.search(text)
+        line = int(found.group(1) if found and found.group(1) else 1)
+        broken = [(line, section.text.split("\n")[line - 1], text)]
     correction = "correct the TOML; a value ends at the latest before the next [team header"
-    problem = SYNTAX_LINE.sub("", text)
-    return Problem(section.team, "", document_line(section, line), problem, correction)
+    return tuple(
+        Problem(
+            section.team,
+            "",
+            document_line(section, line),
+            f"{SYNTAX_LINE.sub('', reason)} in {quoted.strip()[:QUOTED_CHARACTERS]!r}",
+            correction,
+        )
+        for line, quoted, reason in broken
+    )
 
 
-def broken_line(text: str) -> int:
-    """Return the first line of the first statement that is no TOML by itself, 0 if all are."""
+def broken_statements(text: str) -> Iterator[tuple[int, str, str]]:
+    """Yield the first line, its text and the reason of each statement that is no TOML by itself."""
     for statement in statements(text):
         try:
             tomllib.loads(statement.text)
-        except (tomllib.TOMLDecodeError, RecursionError):
-            return statement.first
-    return 0
+        except (tomllib.TOMLDecodeError, RecursionError) as error:
+            yield statement.first, statement.text.split("\n")[0], str(error)
 
 
 def document_line(section: Section, line: int) -> int:
-    """Return the line of the document for a line of a section, itself when it is not known."""
-    document = line
+    """Return the line of the document for a line of a section, 0 when it is not known.
+
+    A section that came from a peer does not have the lines; its own ones would mislead, because
+    comments and the sections of other teams are no part of it.
+    """
+    document = 0
     for origin in section.origins:
         if origin.section_line <= line:
             document = origin.document_line + line - origin.section_line
@@ -155,18 +187,19 @@
 def located(section: Section, faults: list[Fault]) -> tuple[Problem, ...]:
     """Return faults as problems with their lines, in the order of lines."""
     lines = key_lines(section.text)
-    problems = (
+    placed = [(line_of(lines, ("team", section.team, *fault.path)), fault) for fault in faults]
+    placed.sort(key=lambda pair: pair[0])
+    return tuple(
         Problem(
             section.team,
             ".".join(fault.path),
-            document_line(section, line_of(lines, ("team", section.team, *fault.path))),
+            document_line(section, line),
             fault.text,
             fault.correction,
             fault.severity,
         )
-        for fault in faults
+        for line, fault in placed
     )
-    return tuple(sorted(problems, key=lambda problem: problem.line))
 
 
 def structure_faults(error: BaseException, path: KeyPath, given: Any) -> Iterator[Fault]:
@@ -199,7 +232,7 @@
     """Return what is wrong with the type of a value."""
     if isinstance(error, ValueError):
         return str(error)
-    return f"expected a table, found {type(value).__name__}"
+    return f"expected a table, found {type_name(type(value))}"
 
 
 def value_at(given: Any, path: KeyPath) -> Any:
--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from basilhill.documents import Severity
+from basilhill.documents import Section, Severity
 from basilhill.queries.cross_checking import check_document
 from basilhill.queries.documents import build_document, find_call, parse_section, split_sections
 from hypothesis import given, settings
@@ -110,6 +110,25 @@
     assert lines == [5, 9, 28]
 
 
+def test_all_broken_statements_of_a_section_are_reported_with_their_text():
+    text = SOUND.replace('"a@example.test"', '"a').replace("slots = 10", "slots == 10")
+    found = [(p.team, p.line, p.text) for p in check_document(text).problems]
+    assert [place[:2] for place in found] == [("a", 2), ("a", 5), ("b", 28)]
+    assert "'contact = \"a'" in found[0][2]
+    assert "'slots == 10'" in found[1][2]
+
+
+def test_second_owner_of_a_service_is_the_only_problem():
+    """Guard against problems in sound sections that hide the one to mend."""
+    text = SOUND + "[team.c.service.back]\nslots = 1\nconnections = 1\n"
+    assert [(p.team, p.line) for p in check_document(text).problems] == [("c", 36)]
+
+
+def test_section_from_a_peer_is_reported_without_a_misleading_line():
+    section = Section("b", 1, "[team.b.service.back]\nslots = 0\nconnections = 1\n")
+    assert [problem.line for problem in parse_section(section).error] == [0]
+
+
 def test_references_are_checked_while_another_section_is_refused():
     text = SOUND.replace("timeout_ms = 900", "timeout_ms = 0")
     assert len(check_document(text).problems) == 1
--- a/packages/basilhill/tests/test_sections.py
+++ b/packages/basilhill/tests/test_sections.py
@@ -2,7 +2,7 @@
 
 import pytest
 from basilhill.commands.sections import complete_read, take_sections
-from basilhill.documents import Section
+from basilhill.documents import LineOrigin, Section
 from basilhill.queries.documents import split_sections
 from basilhill.queries.sections import changed_sections, held_sections
 from basilhill.sections import SectionTable
@@ -163,7 +163,8 @@
 
 def rules(team, revision, idempotent="true", calls="[]", entry=None):
     values = {"idempotent": idempotent, "calls": calls, "entry": entry or f"{team}.run"}
-    return Section(team, revision, RULES.format(team=team, **values))
+    text = RULES.format(team=team, **values)
+    return Section(team, revision, text, origins=(LineOrigin(1, 1),))
 
 
 # Sections in force and the later one that breaks a rule between them: team, key and text reported.
--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -67,7 +67,8 @@
     except OSError as error:
         return Error(f"cannot read {file}: {error.strerror}")
     except UnicodeDecodeError as error:
-        return Error(f"{file} is not UTF-8: {error.reason} at byte {error.start}")
+        line = error.object.count(b"\n", 0, error.start) + 1
+        return Error(f"line {line} of {file} is not UTF-8; save the file as UTF-8")
 
 
 @app.command
@@ -162,6 +163,8 @@
         if asked.is_error():
             return fail(asked.error)
         found = summaries.combined_outcomes(asked.ok)
+        if follow and not as_json:
+            print(f"\n{time.strftime('%H:%M:%S')}")
         value = {"actions": found, "unreached": summaries.unreached(asked.ok)}
         show(value, as_json, tables.outcome_table(found) if found else "no customer actions yet")
         ended = finish(asked.ok)
--- a/packages/basilhill_cli/src/basilhill_cli/nodes.py
+++ b/packages/basilhill_cli/src/basilhill_cli/nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import time
 import tomllib
 from collections.abc import Iterable
 from pathlib import Path
@@ -31,6 +32,8 @@
 
     url: str
     answer: Result[Any, str]
+    # On the clock of this process, in milliseconds.
+    received_ms: int = 0
 
 
 def node_list(given: Iterable[str], file: Path | None) -> Result[NodeList, str]:
@@ -85,9 +88,10 @@
                 text = (await response.text(errors="replace")).strip()[:200]
                 return NodeReport(url, Error(f"status {response.status}: {text}"))
             answer = await response.json()
+            received_ms = time.monotonic_ns() // 1_000_000
             if not isinstance(answer, dict):
                 return NodeReport(url, Error("the answer is not from a node"))
-            return NodeReport(url, Ok(answer))
+            return NodeReport(url, Ok(answer), received_ms)
     except TimeoutError:
         return NodeReport(url, Error(f"no answer within {TIMEOUT_S:g} s"))
     except (aiohttp.ClientError, OSError, ValueError) as error:
--- a/packages/basilhill_cli/src/basilhill_cli/queries/summaries.py
+++ b/packages/basilhill_cli/src/basilhill_cli/queries/summaries.py
@@ -46,10 +46,18 @@
 
 def combined_decisions(reports: tuple[NodeReport, ...]) -> list[dict[str, Any]]:
     """Return the decisions of all nodes, the oldest first."""
+    # A node tells the age at its answer, and the answers do not come at the same time.
+    last_ms = max((report.received_ms for report in reports), default=0)
     decisions = [
-        {"node": report["node"], "service": report["service"], **decision}
-        for report in answers(reports)
-        for decision in report["decisions"]
+        {
+            "node": report.answer.ok["node"],
+            "service": report.answer.ok["service"],
+            **decision,
+            "age_ms": decision["age_ms"] + last_ms - report.received_ms,
+        }
+        for report in reports
+        if report.answer.is_ok()
+        for decision in report.answer.ok["decisions"]
     ]
     return sorted(decisions, key=lambda decision: -decision["age_ms"])
 
@@ -60,5 +68,13 @@
     for report in answers(reports):
         for team, refused in report["refused"].items():
             entry = {"team": team, **refused, "nodes": 0}
-            found.setdefault((team, refused["revision"]), entry)["nodes"] += 1
+            entry = found.setdefault((team, refused["revision"]), entry)
+            entry["nodes"] += 1
+            # Only nodes that read the document themselves know the lines.
+            entry["problems"] = max(entry["problems"], refused["problems"], key=lines_named)
     return list(found.values())
+
+
+def lines_named(problems: list[str]) -> int:
+    """Return how many problems name their line."""
+    return sum(problem.startswith("line ") for problem in problems)
--- a/packages/basilhill_cli/tests/test_command.py
+++ b/packages/basilhill_cli/tests/test_command.py
@@ -8,9 +8,12 @@
 import aiohttp
 import pytest
 from basilhill_cli import main
+from basilhill_cli.nodes import NodeReport
 from basilhill_cli.queries.runs import MeasuredRun, Second, recovered_s
+from basilhill_cli.queries.summaries import combined_decisions, refused_sections
 from basilhill_fakes.processes import new_fleet
 from basilhill_fakes.workloads import WORKLOADS
+from expression import Ok
 
 ROOT = Path(__file__).parents[3]
 WEBSHOP = ROOT / "examples/webshop.toml"
@@ -42,6 +45,36 @@
     assert "Traceback" not in capsys.readouterr().err
 
 
+def test_text_that_is_not_utf_8_is_reported_with_its_line(tmp_path, capsys):
+    file = tmp_path / "latin.toml"
+    file.write_bytes('[team.a]\ncontact = "é"\n'.encode("latin-1"))
+    assert main.check(file) == 2
+    assert "line 2 of" in capsys.readouterr().err
+
+
+def report(url, answer, received_ms=0):
+    return NodeReport(url, Ok(answer), received_ms)
+
+
+def test_refused_section_is_shown_with_the_line_that_some_node_knows():
+    """Guard against a refusal without its line because the first node got it from a peer."""
+    problems = ["team a: slots: wrong"], ["line 7: team a: slots: wrong"], ["team a: slots: wrong"]
+    reports = tuple(
+        report(str(n), {"refused": {"a": {"revision": 2, "problems": given}}})
+        for n, given in enumerate(problems)
+    )
+    [entry] = refused_sections(reports)
+    assert (entry["nodes"], entry["problems"]) == (3, ["line 7: team a: slots: wrong"])
+
+
+def test_decisions_of_nodes_that_answer_at_different_times_stand_in_order():
+    """Guard against a start that is shown before the choice of the server that led to it."""
+    first = {"node": "a", "service": "s", "decisions": [{"age_ms": 100, "choice": "route"}]}
+    second = {"node": "b", "service": "s", "decisions": [{"age_ms": 103, "choice": "start"}]}
+    found = combined_decisions((report("a", first, 1_000), report("b", second, 1_005)))
+    assert [(d["choice"], d["age_ms"]) for d in found] == [("route", 105), ("start", 103)]
+
+
 def test_diff_names_the_team_and_the_key(tmp_path, capsys):
     new = tmp_path / "new.toml"
     new.write_text(WEBSHOP.read_text().replace("slots = 25", "slots = 30"))
