Let the backend stand-in start with the options of README.md

The node by hand of README.md got 503 for every call: the stand-in wants `queue_limit` since the mode `limit` exists and ended with KeyError. The tables name text of no team "(none)".

--- a/packages/basilhill_cli/src/basilhill_cli/tables.py
+++ b/packages/basilhill_cli/src/basilhill_cli/tables.py
@@ -9,6 +9,8 @@
 
 from basilhill_cli.queries.differences import Difference
 
+NO_TEAM = "(none)"
+
 
 def table_of(title: str, columns: tuple[str, ...], rows: list[tuple[Any, ...]]) -> Table:
     """Return a table; cells are plain text, because documents may contain markup."""
@@ -24,7 +26,9 @@
 def problem_table(problems: tuple[Problem, ...]) -> Table:
     """Return the problems of a document."""
     columns = ("line", "team", "key", "severity", "problem", "correction")
-    rows = [(p.line, p.team, p.key, p.severity.value, p.text, p.correction) for p in problems]
+    rows = [
+        (p.line, p.team or NO_TEAM, p.key, p.severity.value, p.text, p.correction) for p in problems
+    ]
     return table_of("problems", columns, rows)
 
 
@@ -54,7 +58,7 @@
 def refused_table(refused: list[dict[str, Any]]) -> Table:
     """Return the refused sections with their problems."""
     rows = [
-        (entry["team"], entry["revision"], entry["nodes"], "\n".join(entry["problems"]))
+        (entry["team"] or NO_TEAM, entry["revision"], entry["nodes"], "\n".join(entry["problems"]))
         for entry in refused
     ]
     return table_of("refused sections", ("team", "revision", "nodes", "problems"), rows)
--- a/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/backend_server.py
@@ -213,7 +213,7 @@
     state = BackendState(options["address"], options["service"], workload, history, session)
     state.peers = options["peers"]
     state.direct = options["direct"]
-    state.queue_limit = options["queue_limit"]
+    state.queue_limit = options.get("queue_limit")
     state.slots = asyncio.Semaphore(workload.services[state.service].slots)
     runner = web.AppRunner(build_backend(state), access_log=None, handler_cancellation=True)
     await runner.setup()
