--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -52,12 +53,15 @@
 def show(value: Any, as_json: bool, *found: Table | str) -> None:
     """Print a value as JSON, or tables for people."""
     if as_json:
-        print(json.dumps(value))
+        print(json.dumps(value), flush=True)
         return
     # Without a terminal the width is that of a log, so that cells stay on one line.
     console = Console() if sys.stdout.isatty() else Console(width=200)
-    for part in found:
-        console.print(part)
+    # Printed as a whole: rich ends the program with status 1, a finding, when its reader has gone.
+    with console.capture() as captured:
+        for part in found:
+            console.print(part)
+    print(captured.get(), end="", flush=True)
 
 
 def read_document(file: Path) -> Result[CheckedDocument, str]:
@@ -213,6 +217,10 @@
         sys.exit(app())
     except KeyboardInterrupt:
         sys.exit(SUCCESS)
+    except BrokenPipeError:
+        # The reader, for example head, has ended; what is still buffered has nowhere to go.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(FAILURE)
 
 
 if __name__ == "__main__":
--- a/packages/basilhill_cli/tests/test_command.py
+++ b/packages/basilhill_cli/tests/test_command.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import subprocess
 import sys
 from pathlib import Path
 
@@ -52,6 +53,18 @@
     assert "line 2 of" in capsys.readouterr().err
 
 
+def test_reader_that_ends_early_gets_no_traceback():
+    process = subprocess.Popen(
+        [sys.executable, "-m", "basilhill_cli.main", "check", str(WEBSHOP)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+    )
+    process.stdout.close()
+    with process.stderr as errors:
+        assert errors.read() == b""
+    assert process.wait(10) == 2
+
+
 def report(url, answer, received_ms=0):
     return NodeReport(url, Ok(answer), received_ms)
 
--- a/packages/basilhill_node/src/basilhill_node/administration.py
+++ b/packages/basilhill_node/src/basilhill_node/administration.py
@@ -45,7 +45,7 @@
     if compare_digest(given, f"Bearer {token}".encode()):
         return None
     return text(
-        "a bearer token is needed\n",
+        "a valid bearer token is needed\n",
         status=HTTPStatus.UNAUTHORIZED,
         headers={"www-authenticate": "Bearer"},
     )
