--- a/packages/basilhill/tests/test_documents.py
+++ b/packages/basilhill/tests/test_documents.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 import pytest
-from basilhill.documents import Severity
+from basilhill.documents import Section, Severity
 from basilhill.queries.cross_checking import check_document
 from basilhill.queries.documents import build_document, find_call, parse_section, split_sections
 from hypothesis import given, settings
@@ -110,12 +110,47 @@
     assert lines == [5, 9, 28]
 
 
+def test_all_broken_statements_of_a_section_are_reported_with_their_text():
+    text = SOUND.replace('"a@example.test"', '"a').replace("slots = 10", "slots == 10")
+    found = [(p.team, p.line, p.text) for p in check_document(text).problems]
+    assert [place[:2] for place in found] == [("a", 2), ("a", 5), ("b", 28)]
+    assert "'contact = \"a'" in found[0][2]
+    assert "'slots == 10'" in found[1][2]
+
+
+def test_second_owner_of_a_service_is_the_only_problem():
+    """Guard against problems in sound sections that hide the one to mend."""
+    text = SOUND + "[team.c.service.back]\nslots = 1\nconnections = 1\n"
+    assert [(p.team, p.line) for p in check_document(text).problems] == [("c", 36)]
+
+
+def test_section_from_a_peer_is_reported_without_a_misleading_line():
+    section = Section("b", 1, "[team.b.service.back]\nslots = 0\nconnections = 1\n")
+    assert [problem.line for problem in parse_section(section).error] == [0]
+
+
 def test_references_are_checked_while_another_section_is_refused():
     text = SOUND.replace("timeout_ms = 900", "timeout_ms = 0")
     assert len(check_document(text).problems) == 1
     assert len(check_document(text.replace("back.take", "back.tke")).problems) == 2
 
 
+def test_cycle_check_takes_linear_time():
+    """Guard against a few sections that stop the check, and the readers, for hours."""
+    layer = "[team.t{n}.service.s{n}]\nslots = 1\nconnections = 1\n" + "".join(
+        f"[team.t{{n}}.service.s{{n}}.call.{name}]\nmethod = 'GET'\npath = '/{name}'\n"
+        "idempotent = true\ntimeout_ms = 1\nusual_ms = 0\ncalls = {calls}\n"
+        for name in "ab"
+    )
+    texts = [layer.format(n=n, calls=f'["s{n + 1}.a", "s{n + 1}.b"]') for n in range(60)]
+    sound = "".join(texts) + layer.format(n=60, calls="[]")
+    started = time.monotonic()
+    assert check_document(sound).problems == ()
+    looped = check_document(sound.replace("calls = []", 'calls = ["s0.a"]'))
+    assert {p.text.split(":")[0] for p in looped.problems} == {"the calls form a cycle"}
+    assert time.monotonic() - started < 5
+
+
 def test_longer_inner_timeout_warns_and_does_not_refuse():
     checked = check_document(SOUND.replace("timeout_ms = 900", "timeout_ms = 2000"))
     assert [problem.severity for problem in checked.problems] == [Severity.WARNING]
--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -52,12 +53,15 @@
 def show(value: Any, as_json: bool, *found: Table | str) -> None:
     """Print a value as JSON, or tables for people."""
     if as_json:
-        print(json.dumps(value))
+        print(json.dumps(value), flush=True)
         return
     # Without a terminal the width is that of a log, so that cells stay on one line.
     console = Console() if sys.stdout.isatty() else Console(width=200)
-    for part in found:
-        console.print(part)
+    # Printed as a whole: rich ends the program with status 1, a finding, when its reader has gone.
+    with console.capture() as captured:
+        for part in found:
+            console.print(part)
+    print(captured.get(), end="", flush=True)
 
 
 def read_document(file: Path) -> Result[CheckedDocument, str]:
@@ -67,7 +71,8 @@
     except OSError as error:
         return Error(f"cannot read {file}: {error.strerror}")
     except UnicodeDecodeError as error:
-        return Error(f"{file} is not UTF-8: {error.reason} at byte {error.start}")
+        line = error.object.count(b"\n", 0, error.start) + 1
+        return Error(f"line {line} of {file} is not UTF-8; save the file as UTF-8")
 
 
 @app.command
@@ -162,6 +167,8 @@
         if asked.is_error():
             return fail(asked.error)
         found = summaries.combined_outcomes(asked.ok)
+        if follow and not as_json:
+            print(f"\n{time.strftime('%H:%M:%S')}")
         value = {"actions": found, "unreached": summaries.unreached(asked.ok)}
         show(value, as_json, tables.outcome_table(found) if found else "no customer actions yet")
         ended = finish(asked.ok)
@@ -210,6 +217,10 @@
         sys.exit(app())
     except KeyboardInterrupt:
         sys.exit(SUCCESS)
+    except BrokenPipeError:
+        # The reader, for example head, has ended; what is still buffered has nowhere to go.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(FAILURE)
 
 
 if __name__ == "__main__":
