Notice that the connection to a peer is lost while reading its stream

The front's log has no "lost" and no "restarted" line: since the length of messages is read before the message, the dialling side read below grpclib's stream without the guard that ends a read when the connection is lost, and waited for ever. The serving side is inside that guard already. Ruled out: ejection (two servers allow none), a slow restart (0.15 s), an ended lease. Change: the reads of the dialling side are guarded. A test aborts the connection under a call; it fails without the guard (no answer in 2 s).

--- a/packages/basilhill_node/src/basilhill_node/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/frames.py
@@ -3,6 +3,7 @@
 import asyncio
 import struct
 from collections.abc import AsyncIterator
+from contextlib import AbstractContextManager
 
 from attrs import define, field
 from basilhill.clocks import Clock
@@ -98,30 +99,33 @@
     return CONTROL_BYTES + 2 * settings.body_limit
 
 
-async def receive_batches(stream, limit: int) -> AsyncIterator[wire.Batch]:
+async def receive_batches(
+    stream, limit: int, guard: AbstractContextManager
+) -> AsyncIterator[wire.Batch]:
     """Yield the messages of an incoming stream; refuse one that is too long before reading it.
 
     grpclib reads a message of any length into memory and its API sets no limit, so the length is
-    read here from the stream below it.
+    read here from the stream below it. The guard ends a read when the connection is lost.
     """
     source = stream._stream
-    while prefix := await read_exactly(source, PREFIX.size):
+    while prefix := await read_exactly(source, PREFIX.size, guard):
         compressed, size = PREFIX.unpack(prefix)
         if compressed:
             raise MalformedMessageError("a message is compressed")
         if size > limit:
             raise MalformedMessageError(f"a message has {size} bytes, more than {limit}")
-        data = await read_exactly(source, size)
+        data = await read_exactly(source, size, guard)
         try:
             yield wire.Batch.FromString(data)
         except DecodeError as error:
             raise MalformedMessageError("a message is not of this protocol") from error
 
 
-async def read_exactly(source, size: int) -> bytes:
+async def read_exactly(source, size: int, guard: AbstractContextManager) -> bytes:
     """Return the next bytes of a stream, none at its end."""
     try:
-        return await source.recv_data(size)
+        with guard:
+            return await source.recv_data(size)
     except AssertionError as error:
         # grpclib checks by an assertion that a stream does not end within a message.
         raise MalformedMessageError("the stream ended within a message") from error
--- a/packages/basilhill_node/src/basilhill_node/peer_server.py
+++ b/packages/basilhill_node/src/basilhill_node/peer_server.py
@@ -1,7 +1,7 @@
 """Incoming streams of other nodes, one task for each."""
 
 import asyncio
-from contextlib import suppress
+from contextlib import nullcontext, suppress
 from functools import partial
 
 from attrs import define, field
@@ -91,7 +91,9 @@
     async def receive_all(self, incoming: IncomingStream, stream) -> None:
         """Handle the frames of a stream in order until its peer ends it."""
         handled = 0
-        async for batch in receive_batches(stream, message_limit(self.node.settings)):
+        limit = message_limit(self.node.settings)
+        # grpclib cancels the task of a handler whose connection is lost.
+        async for batch in receive_batches(stream, limit, nullcontext()):
             await until_reachable(self.node.network, incoming.peer)
             receive_batch_time(self.node, incoming.transits, batch.sent_ms)
             for frame in batch.frames:
--- a/packages/basilhill_node/src/basilhill_node/peers.py
+++ b/packages/basilhill_node/src/basilhill_node/peers.py
@@ -97,7 +97,8 @@
                 # Without its writer the stream is of no use; closing it ends the reading too.
                 writer.add_done_callback(lambda _: channel.close())
                 await stream.recv_initial_metadata()
-                async for batch in receive_batches(stream, message_limit(self.node.settings)):
+                limit, guard = message_limit(self.node.settings), stream._wrapper
+                async for batch in receive_batches(stream, limit, guard):
                     await asyncio.sleep(self.node.network.delay_ms(self.peer) / 1000)
                     await until_reachable(self.node.network, self.peer)
                     receive_batch_time(self.node, self.transits, batch.sent_ms)
--- a/packages/basilhill_node/tests/test_peers.py
+++ b/packages/basilhill_node/tests/test_peers.py
@@ -16,6 +16,7 @@
 from grpclib.server import Server
 
 ADDRESS = "127.0.9.8"
+ABORT = object()
 ANSWER = wire.Reply(status=200, body=b"done")
 HELLO = wire.Frame(hello=wire.Hello(node=f"{ADDRESS}:1", incarnation="first"))
 
@@ -36,7 +37,9 @@
 
     async def answer(self, stream, call_id):
         fault, self.fault = self.fault, None
-        if isinstance(fault, bytes):
+        if fault is ABORT:
+            stream._stream._transport.abort()
+        elif isinstance(fault, bytes):
             await stream._stream.send_data(fault)
         else:
             reply = wire.Reply(call_id=call_id)
@@ -69,6 +72,21 @@
 )
 async def test_malformed_reply_is_a_lost_one_and_the_stream_is_opened_again(fault):
     """Guard against one bad message after which no call ever reaches the peer again."""
+    node, lost, answered = await call_twice(fault)
+    assert lost.error.sent
+    assert answered.ok.outcome.ok.body == b"done"
+    assert any("malformed message" in decision.reason for decision in node.log.decisions)
+
+
+async def test_lost_connection_ends_the_call_and_the_stream_is_opened_again():
+    """Guard against waiting for ever on the stream of a node that was killed."""
+    _, lost, answered = await call_twice(ABORT)
+    assert lost.error.sent
+    assert answered.ok.outcome.ok.body == b"done"
+
+
+async def call_twice(fault):
+    """Return a node and the results of two calls to a peer that fails on the first."""
     server = Server([FaultyPeer(fault)])
     await server.start(ADDRESS, 0)
     port = server._server.sockets[0].getsockname()[1]
@@ -82,9 +100,7 @@
         task.cancel()
         server.close()
         await server.wait_closed()
-    assert lost.error.sent
-    assert answered.ok.outcome.ok.body == b"done"
-    assert any("malformed message" in decision.reason for decision in node.log.decisions)
+    return node, lost, answered
 
 
 def test_frames_that_wait_together_fill_messages_of_bounded_size():
