Write faults, small fleets and node states of tests once

The fleet of tests of single calls is called a small fleet instead of a scene. Seeds, rates, bounds and schedules are unchanged.

--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/node_states.py
@@ -0,0 +1,42 @@
+"""States of nodes in the process of a test, without sockets."""
+
+from collections.abc import Iterable
+
+from basilhill.clocks import SystemClock
+from basilhill.documents import Section
+from basilhill.loads import ServerLoad
+from basilhill.queries.documents import build_document, parse_section
+from basilhill.settings import normalise_settings
+from basilhill_node.network import DirectNetwork
+from basilhill_node.state import BackendServer, NodeState, new_state
+
+DATA_CENTRE = "dc"
+OWN, PEER = "127.0.0.1:7401", "127.0.0.2:7401"
+
+
+def new_node_state(
+    section: str, backend: BackendServer, slots: int, servers: Iterable[str] = (OWN,), **settings
+) -> NodeState:
+    """Return the state of a node beside a server of the only service of a section."""
+    policy = parse_section(Section("a", 1, section)).ok
+    (service,) = policy.services
+    given = {
+        "address": OWN.split(":")[0],
+        "data_centre": DATA_CENTRE,
+        "service": service,
+        "platform_url": "",
+    }
+    node = new_state(
+        normalise_settings(given | settings).ok, SystemClock(), DirectNetwork(), backend
+    )
+    node.document = build_document([policy])
+    node.admission.slots = node.admission.limit = slots
+    for server in servers:
+        add_server(node, server)
+    return node
+
+
+def add_server(node: NodeState, server: str) -> None:
+    """Let a node know one more server of its service."""
+    service = node.settings.service
+    node.routing.servers[server] = ServerLoad(server, service, DATA_CENTRE, 0, reported_limit=10)
--- a/packages/basilhill_fakes/src/basilhill_fakes/pacing.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/pacing.py
@@ -1,12 +1,25 @@
-"""Calls at planned times over one or more ways, and their durations."""
+"""Actions at a fixed rate, and calls over one or more ways with their durations."""
 
 import asyncio
 import statistics
+from collections.abc import Awaitable, Callable
 
 from attrs import define, field
 
 from basilhill_fakes.caller import Caller
-from basilhill_fakes.history import now_ms
+from basilhill_fakes.history import Event, now_ms
+
+
+async def send_at_rate(
+    perform: Callable[[], Awaitable[Event]], rate_per_s: float, duration_s: float
+) -> list[Event]:
+    """Perform actions at a fixed rate, whatever becomes of the earlier ones."""
+    tasks = []
+    start_ms = now_ms()
+    for number in range(int(rate_per_s * duration_s)):
+        await asyncio.sleep(max(0.0, start_ms + number * 1000 / rate_per_s - now_ms()) / 1000)
+        tasks.append(asyncio.ensure_future(perform()))
+    return list(await asyncio.gather(*tasks))
 
 
 @define
--- a/packages/basilhill_fakes/src/basilhill_fakes/scene.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/small_fleet.py
@@ -12,6 +12,7 @@
 
 from basilhill_fakes.caller import Caller, Copy
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
+from basilhill_fakes.pacing import send_at_rate
 from basilhill_fakes.processes import Fleet, new_fleet
 from basilhill_fakes.queries.histories import (
     Violation,
@@ -53,7 +54,7 @@
 
 
 @define
-class Scene:
+class SmallFleet:
     """Hold a fleet with one calendar node as a pure front and the nodes of deposits."""
 
     fleet: Fleet
@@ -99,11 +100,10 @@
 
     async def send_steadily(self, calls_per_s: float, duration_s: float) -> list[Event]:
         """Send calls through the front at a fixed rate; return what came back."""
-        sending = []
-        for order, token in (await self.tokens(int(calls_per_s * duration_s))).items():
-            sending.append(asyncio.create_task(self.sender.copy(self.front, order, token)))
-            await asyncio.sleep(1 / calls_per_s)
-        return await asyncio.gather(*sending)
+        orders = iter((await self.tokens(int(calls_per_s * duration_s))).items())
+        return await send_at_rate(
+            lambda: self.sender.copy(self.front, *next(orders)), calls_per_s, duration_s
+        )
 
     async def restart(self, vm: Vm) -> None:
         """Kill a node and its backend server, and start both again."""
@@ -133,27 +133,29 @@
 
 
 @asynccontextmanager
-async def scene(directory: Path, executors: int = 2, **settings) -> AsyncIterator[Scene]:
+async def small_fleet(directory: Path, executors: int = 2, **settings) -> AsyncIterator[SmallFleet]:
     """Start a fleet with some settings, and stop it at the end."""
     counts = {"calendar": 1, "reservations": 0, "flavours": 0, "deposits": executors}
     fleet = new_fleet(DEGUSTARI, directory, counts=counts, settings=settings)
     sender = CopySender(DEGUSTARI, fleet.topology, HistoryWriter(fleet.history / "caller.jsonl"))
     try:
         await fleet.start((ROOT / DEGUSTARI.document).read_text() + ACTION)
-        yield Scene(fleet, sender)
+        yield SmallFleet(fleet, sender)
     finally:
         await sender.session.close()
         await fleet.stop()
 
 
 @asynccontextmanager
-async def scenes(directory: Path, mechanism: str, **settings) -> AsyncIterator[list[Scene]]:
+async def small_fleets(
+    directory: Path, mechanism: str, **settings
+) -> AsyncIterator[list[SmallFleet]]:
     """Start two like fleets, the second one with a mechanism off."""
     off = {"disabled_mechanisms": [mechanism], **settings}
     async with AsyncExitStack() as stack:
         yield await asyncio.gather(
-            stack.enter_async_context(scene(directory / "on", **settings)),
-            stack.enter_async_context(scene(directory / "off", **off)),
+            stack.enter_async_context(small_fleet(directory / "on", **settings)),
+            stack.enter_async_context(small_fleet(directory / "off", **off)),
         )
 
 
--- a/packages/basilhill_fakes/tests/test_answers.py
+++ b/packages/basilhill_fakes/tests/test_answers.py
@@ -5,17 +5,17 @@
 
 from basilhill_fakes.history import Event, EventKind
 from basilhill_fakes.queries.histories import Violation, wrong_answers
-from basilhill_fakes.scene import scene
+from basilhill_fakes.small_fleet import small_fleet
 
 PAIRS = 10
 
 
 async def send_pairs(directory: Path, **faults: bool) -> tuple[list[Event], list[Violation]]:
     """Send calls to one server that answers the second of two first; return what came back."""
-    async with scene(directory, executors=1) as stage:
-        await stage.faults(stage.executors[0], reverse_answers=True, **faults)
-        await stage.send_all(await stage.tokens(2 * PAIRS))
-        return stage.events(), stage.judge()
+    async with small_fleet(directory, executors=1) as small:
+        await small.faults(small.executors[0], reverse_answers=True, **faults)
+        await small.send_all(await small.tokens(2 * PAIRS))
+        return small.events(), small.judge()
 
 
 def overtakings(events: list[Event]) -> int:
--- a/packages/basilhill_fakes/tests/test_at_most_once.py
+++ b/packages/basilhill_fakes/tests/test_at_most_once.py
@@ -4,165 +4,157 @@
 import signal
 from pathlib import Path
 
+import pytest
 from basilhill_fakes.history import Event
 from basilhill_fakes.queries.histories import unresolved_requests
-from basilhill_fakes.scene import Scene, scene, scenes, verdicts
+from basilhill_fakes.small_fleet import SmallFleet, small_fleet, small_fleets, verdicts
 
 # The lease must not hide the executor before the deadline shows what is under test.
 LONG_LEASE = {"lease_ms": 20_000}
 
 
-async def race_copies(stage: Scene) -> list[Event]:
+async def race_copies(small: SmallFleet) -> list[Event]:
     """Send copies of one token through every node at once, and late ones afterwards."""
-    await stage.slow_down()
-    token = await stage.sender.new_token(stage.front)
-    nodes = [stage.front, *stage.executors]
-    copies = (stage.sender.copy(vm, "order", token, n) for n, vm in enumerate(nodes))
+    await small.slow_down()
+    token = await small.sender.new_token(small.front)
+    nodes = [small.front, *small.executors]
+    copies = (small.sender.copy(vm, "order", token, n) for n, vm in enumerate(nodes))
     events = await asyncio.gather(*copies)
-    late = await stage.sender.copy(nodes[-1], "order", token, 3)
+    late = await small.sender.copy(nodes[-1], "order", token, 3)
     return [*events, late]
 
 
 async def test_copies_through_all_nodes_share_one_run(tmp_path):
-    async with scenes(tmp_path, "token-records") as (stage, broken):
-        events, _ = await asyncio.gather(race_copies(stage), race_copies(broken))
+    async with small_fleets(tmp_path, "token-records") as (small, broken):
+        events, _ = await asyncio.gather(race_copies(small), race_copies(broken))
         assert verdicts(events) == ["answered"] * 4
-        assert stage.runs() == {"order": 1}
-        assert stage.judge() == []
+        assert small.runs() == {"order": 1}
+        assert small.judge() == []
         assert [violation.check for violation in broken.judge()] == ["double-run"]
 
 
-async def test_killed_executor_leads_to_no_second_run(tmp_path):
-    async with scene(tmp_path) as stage:
-        await stage.slow_down()
-        orders = await stage.tokens(12)
-        sending = stage.send_all(orders)
+@pytest.mark.parametrize("process", ["node", "backend"])
+async def test_killed_process_of_an_executor_leads_to_no_second_run(tmp_path, process):
+    """Guards against a second run of a call that lost its answer with a process."""
+    async with small_fleet(tmp_path) as small:
+        await small.slow_down()
+        orders = await small.tokens(12)
+        sending = small.send_all(orders)
         await asyncio.sleep(0.2)
-        stage.fleet.signal(f"node-{stage.executors[0].address}", signal.SIGKILL)
+        small.fleet.signal(f"{process}-{small.executors[0].address}", signal.SIGKILL)
         first = await sending
-        second = await stage.send_all(orders, attempt=1)
+        second = await small.send_all(orders, attempt=1)
         assert "may-have-run" in verdicts(first)
         assert verdicts(second) == verdicts(first)
-        assert stage.judge() == []
-
-
-async def test_killed_backend_server_leads_to_no_second_run(tmp_path):
-    async with scene(tmp_path) as stage:
-        await stage.slow_down()
-        orders = await stage.tokens(12)
-        sending = stage.send_all(orders)
-        await asyncio.sleep(0.2)
-        stage.fleet.signal(f"backend-{stage.executors[0].address}", signal.SIGKILL)
-        first = await sending
-        second = await stage.send_all(orders, attempt=1)
-        assert "may-have-run" in verdicts(first)
-        assert verdicts(second) == verdicts(first)
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
 async def test_killed_coordinator_leaves_uncertain_copies_and_true_refusals(tmp_path):
-    async with scene(tmp_path) as stage:
-        await stage.slow_down()
-        orders = await stage.tokens(4)
-        fresh = await stage.sender.new_token(stage.front)
-        other = stage.executors[0]
-        copies = (stage.sender.copy(other, order, token) for order, token in orders.items())
+    async with small_fleet(tmp_path) as small:
+        await small.slow_down()
+        orders = await small.tokens(4)
+        fresh = await small.sender.new_token(small.front)
+        other = small.executors[0]
+        copies = (small.sender.copy(other, order, token) for order, token in orders.items())
         sending = asyncio.gather(*copies)
         await asyncio.sleep(0.2)
-        stage.fleet.signal(f"node-{stage.front.address}", signal.SIGKILL)
+        small.fleet.signal(f"node-{small.front.address}", signal.SIGKILL)
         assert verdicts(await sending) == ["may-have-run"] * 4
-        unsent = await stage.sender.copy(other, "unsent", fresh)
+        unsent = await small.sender.copy(other, "unsent", fresh)
         assert unsent.verdict == "not-run"
-        await stage.fleet.wait_ended(f"node-{stage.front.address}")
-        await stage.fleet.start_node(stage.front)
-        later = await stage.send_all(orders, attempt=1)
+        await small.fleet.wait_ended(f"node-{small.front.address}")
+        await small.fleet.start_node(small.front)
+        later = await small.send_all(orders, attempt=1)
         assert verdicts(later) == ["may-have-run"] * 4
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
-async def pause_executor(stage: Scene) -> list[Event]:
+async def pause_executor(small: SmallFleet) -> list[Event]:
     """Pause the executor beyond the deadline of sent calls; return what later copies are told.
 
     The coordinator pauses too before the deadline, so that it sends no cancellation.
     """
-    executor, coordinator = f"node-{stage.executors[0].address}", f"node-{stage.front.address}"
-    await stage.send_all(await stage.tokens(2))
-    orders = {f"late-{order}": token for order, token in (await stage.tokens(4)).items()}
-    stage.sender.timeout_ms = 500
-    stage.fleet.signal(executor, signal.SIGSTOP)
-    sending = stage.send_all(orders)
+    executor, coordinator = f"node-{small.executors[0].address}", f"node-{small.front.address}"
+    await small.send_all(await small.tokens(2))
+    orders = {f"late-{order}": token for order, token in (await small.tokens(4)).items()}
+    small.sender.timeout_ms = 500
+    small.fleet.signal(executor, signal.SIGSTOP)
+    sending = small.send_all(orders)
     await asyncio.sleep(0.25)
-    stage.fleet.signal(coordinator, signal.SIGSTOP)
+    small.fleet.signal(coordinator, signal.SIGSTOP)
     await asyncio.sleep(0.5)
-    stage.fleet.signal(executor, signal.SIGCONT)
+    small.fleet.signal(executor, signal.SIGCONT)
     await asyncio.sleep(0.3)
-    stage.fleet.signal(coordinator, signal.SIGCONT)
+    small.fleet.signal(coordinator, signal.SIGCONT)
     await sending
     await asyncio.sleep(1.0)
-    return await stage.send_all(orders, attempt=1)
+    return await small.send_all(orders, attempt=1)
 
 
-def late_runs(stage: Scene) -> int:
-    return sum(count for order, count in stage.runs().items() if order.startswith("late-"))
+def late_runs(small: SmallFleet) -> int:
+    return sum(count for order, count in small.runs().items() if order.startswith("late-"))
 
 
 async def test_paused_executor_starts_nothing_after_the_deadline(tmp_path):
-    async with scenes(tmp_path, "deadline-check", executors=1, **LONG_LEASE) as (stage, broken):
-        copies, _ = await asyncio.gather(pause_executor(stage), pause_executor(broken))
+    async with small_fleets(tmp_path, "deadline-check", executors=1, **LONG_LEASE) as (
+        small,
+        broken,
+    ):
+        copies, _ = await asyncio.gather(pause_executor(small), pause_executor(broken))
         # The coordinator has asked the executor since, so it knows that nothing ran.
         assert verdicts(copies) == ["not-run"] * 4
-        assert late_runs(stage) == 0
-        assert stage.judge() == []
+        assert late_runs(small) == 0
+        assert small.judge() == []
         assert late_runs(broken) > 0
 
 
 async def test_paused_coordinator_keeps_its_records(tmp_path):
-    async with scene(tmp_path) as stage:
-        await stage.slow_down()
-        orders = await stage.tokens(6)
-        name = f"node-{stage.front.address}"
-        sending = stage.send_all(orders)
+    async with small_fleet(tmp_path) as small:
+        await small.slow_down()
+        orders = await small.tokens(6)
+        name = f"node-{small.front.address}"
+        sending = small.send_all(orders)
         await asyncio.sleep(0.2)
-        stage.fleet.signal(name, signal.SIGSTOP)
+        small.fleet.signal(name, signal.SIGSTOP)
         await asyncio.sleep(1.2)
-        stage.fleet.signal(name, signal.SIGCONT)
+        small.fleet.signal(name, signal.SIGCONT)
         first = await sending
-        second = await stage.send_all(orders, attempt=1)
+        second = await small.send_all(orders, attempt=1)
         assert verdicts(first) == ["answered"] * 6
         assert verdicts(second) == ["answered"] * 6
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
 async def test_cut_between_coordinator_and_executor_leads_to_no_second_run(tmp_path):
-    async with scene(tmp_path) as stage:
-        await stage.slow_down()
-        stage.sender.timeout_ms = 1000
-        orders = await stage.tokens(8)
-        sending = stage.send_all(orders)
+    async with small_fleet(tmp_path) as small:
+        await small.slow_down()
+        small.sender.timeout_ms = 1000
+        orders = await small.tokens(8)
+        sending = small.send_all(orders)
         await asyncio.sleep(0.2)
-        await stage.cut(stage.front, stage.executors[0])
+        await small.cut(small.front, small.executors[0])
         first = await sending
-        await stage.cut(stage.front)
+        await small.cut(small.front)
         await asyncio.sleep(1.5)
-        second = await stage.send_all(orders, attempt=1)
+        second = await small.send_all(orders, attempt=1)
         assert "may-have-run" in verdicts(first)
         # What was uncertain behind the cut is known to the coordinator after it.
         assert verdicts(second) == ["answered"] * 8
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
-async def lose_replies(stage: Scene) -> tuple[list[Event], list[Event]]:
+async def lose_replies(small: SmallFleet) -> tuple[list[Event], list[Event]]:
     """Break the streams to the executors while calls run; return what two copies of each get."""
-    await stage.slow_down()
-    orders = await stage.tokens(6)
-    sending = stage.send_all(orders)
+    await small.slow_down()
+    orders = await small.tokens(6)
+    sending = small.send_all(orders)
     await asyncio.sleep(0.2)
-    await stage.break_streams(stage.front, *stage.executors)
+    await small.break_streams(small.front, *small.executors)
     await asyncio.sleep(0.5)
-    await stage.break_streams(stage.front)
+    await small.break_streams(small.front)
     first = await sending
     await asyncio.sleep(0.5)
-    return first, await stage.send_all(orders, attempt=1)
+    return first, await small.send_all(orders, attempt=1)
 
 
 async def test_lost_replies_are_asked_for_at_the_executor(tmp_path):
@@ -170,60 +162,60 @@
 
     The streams break before the replies arrive, and the executors go on running.
     """
-    async with scenes(tmp_path, "revocation") as (stage, broken):
-        (first, second), _ = await asyncio.gather(lose_replies(stage), lose_replies(broken))
+    async with small_fleets(tmp_path, "revocation") as (small, broken):
+        (first, second), _ = await asyncio.gather(lose_replies(small), lose_replies(broken))
         assert verdicts(first) == verdicts(second) == ["answered"] * 6
-        assert stage.judge() == unresolved_requests(stage.events()) == []
+        assert small.judge() == unresolved_requests(small.events()) == []
         # Without the question the verdict is still true, but it stays "may have run".
         assert broken.judge() == []
         assert len(unresolved_requests(broken.events())) == 6
 
 
 async def test_cut_coordinator_answers_by_whether_a_copy_was_sent(tmp_path):
-    async with scene(tmp_path) as stage:
-        other = stage.executors[0]
-        stage.sender.timeout_ms = 500
-        orders = await stage.tokens(2)
-        await stage.cut(other, stage.front)
-        first = await stage.sender.copy(other, "order-0", orders["order-0"])
-        repeat = await stage.sender.copy(other, "order-1", orders["order-1"], attempt=1)
+    async with small_fleet(tmp_path) as small:
+        other = small.executors[0]
+        small.sender.timeout_ms = 500
+        orders = await small.tokens(2)
+        await small.cut(other, small.front)
+        first = await small.sender.copy(other, "order-0", orders["order-0"])
+        repeat = await small.sender.copy(other, "order-1", orders["order-1"], attempt=1)
         assert (first.verdict, repeat.verdict) == ("not-run", "may-have-run")
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
 async def test_truncated_answer_is_never_passed_on_or_run_again(tmp_path):
-    async with scene(tmp_path) as stage:
-        orders = await stage.tokens(3)
-        for vm in stage.executors:
-            await stage.faults(vm, truncate_order="order-1")
-        first = await stage.send_all(orders)
-        second = await stage.send_all(orders, attempt=1)
+    async with small_fleet(tmp_path) as small:
+        orders = await small.tokens(3)
+        for vm in small.executors:
+            await small.faults(vm, truncate_order="order-1")
+        first = await small.send_all(orders)
+        second = await small.send_all(orders, attempt=1)
         assert verdicts(first) == ["answered", "may-have-run", "answered"]
         assert verdicts(second) == verdicts(first)
-        assert stage.judge() == []
+        assert small.judge() == []
 
 
-async def refuse_then_repeat(stage: Scene) -> tuple[Event, Event]:
+async def refuse_then_repeat(small: SmallFleet) -> tuple[Event, Event]:
     """Let a node refuse one copy for its customer's limit, and send another copy elsewhere."""
-    other = stage.executors[0]
-    stage.sender.customer = "hasty"
-    for vm in stage.executors:
-        await stage.faults(vm, truncate_order="spent")
-    await stage.sender.copy(other, "spent", await stage.sender.new_token(stage.front))
-    token = await stage.sender.new_token(stage.front)
-    refused = await stage.sender.copy(other, "order", token)
-    return refused, await stage.sender.copy(stage.front, "order", token, attempt=1)
+    other = small.executors[0]
+    small.sender.customer = "hasty"
+    for vm in small.executors:
+        await small.faults(vm, truncate_order="spent")
+    await small.sender.copy(other, "spent", await small.sender.new_token(small.front))
+    token = await small.sender.new_token(small.front)
+    refused = await small.sender.copy(other, "order", token)
+    return refused, await small.sender.copy(small.front, "order", token, attempt=1)
 
 
 ONE_PERMIT = {"customer_burst": 1, "customer_rate_per_s": 0.01}
 
 
 async def test_refusal_on_the_way_binds_the_coordinator(tmp_path):
-    async with scenes(tmp_path, "key-rejection", **ONE_PERMIT) as (stage, broken):
-        copies, _ = await asyncio.gather(refuse_then_repeat(stage), refuse_then_repeat(broken))
+    async with small_fleets(tmp_path, "key-rejection", **ONE_PERMIT) as (small, broken):
+        copies, _ = await asyncio.gather(refuse_then_repeat(small), refuse_then_repeat(broken))
         assert [event.status for event in copies] == [429, 429]
         assert verdicts(copies) == ["not-run"] * 2
-        assert stage.judge() == []
+        assert small.judge() == []
         assert {violation.check for violation in broken.judge()} == {
             "false-refusal",
             "refused-and-run",
@@ -232,14 +224,14 @@
 
 async def retries_of_refused_call(directory: Path, **settings) -> int:
     """Return the retries of a call that no backend server accepts."""
-    async with scene(directory, executors=3, **settings) as stage:
-        for vm in stage.executors:
+    async with small_fleet(directory, executors=3, **settings) as small:
+        for vm in small.executors:
             name = f"backend-{vm.address}"
-            stage.fleet.signal(name, signal.SIGKILL)
-            await stage.fleet.wait_ended(name)
-        event = (await stage.send_all(await stage.tokens(1)))[0]
+            small.fleet.signal(name, signal.SIGKILL)
+            await small.fleet.wait_ended(name)
+        event = (await small.send_all(await small.tokens(1)))[0]
         assert event.verdict == "not-run"
-        assert stage.judge() == []
+        assert small.judge() == []
         return event.retries
 
 
--- a/packages/basilhill_fakes/tests/test_fault_pairs.py
+++ b/packages/basilhill_fakes/tests/test_fault_pairs.py
@@ -5,15 +5,13 @@
 many there are; DISABLE names mechanisms of the nodes to switch off.
 """
 
-import asyncio
 import os
 from pathlib import Path
 
 import pytest
-from basilhill_fakes.caller import Caller
-from basilhill_fakes.faults import bring_about_together, draw_pair
-from basilhill_fakes.history import Event, HistoryWriter, read_history
-from basilhill_fakes.processes import Fleet, new_fleet
+from basilhill_fakes.faults import bring_about_together, draw_pair, send_during
+from basilhill_fakes.history import read_history
+from basilhill_fakes.processes import new_fleet
 from basilhill_fakes.queries.judgement import judge
 from basilhill_fakes.workloads import DEGUSTARI
 
@@ -30,41 +28,18 @@
 ACTIONS_PER_S = 20
 
 
-async def send_actions(caller: Caller) -> list[Event]:
-    """Send actions at a fixed rate, half of them transactions."""
-    actions = []
-    for number in range(int(LOAD_S * ACTIONS_PER_S)):
-        action = caller.transact if number % 2 else caller.browse
-        actions.append(asyncio.create_task(action()))
-        await asyncio.sleep(1 / ACTIONS_PER_S)
-    return await asyncio.gather(*actions)
-
-
-async def run_schedule(fleet: Fleet, seed: int, faults: list) -> list[Event]:
-    """Send actions while faults happen; return the last answer of each action.
-
-    After 500 ms without an answer a caller sends another copy through another node.
-    """
-    history = HistoryWriter(fleet.history / "caller.jsonl")
-    caller = Caller(DEGUSTARI, fleet.topology, history, timeout_ms=2000, patience_ms=500)
-    caller.random.seed(seed)
-    try:
-        await fleet.start(DOCUMENT)
-        events, _ = await asyncio.gather(send_actions(caller), bring_about_together(fleet, faults))
-        await asyncio.gather(*caller.copies)
-    finally:
-        await caller.session.close()
-        await fleet.stop()
-    return events
-
-
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_two_faults_at_once_break_no_promise(tmp_path, seed):
     faults = draw_pair(seed)
     print(f"seed {seed}: {faults}")
     fleet = new_fleet(DEGUSTARI, tmp_path, counts=COUNTS)
     fleet.settings["disabled_mechanisms"] = DISABLED
-    events = await run_schedule(fleet, seed, faults)
+    try:
+        await fleet.start(DOCUMENT)
+        together = bring_about_together(fleet, faults)
+        events = await send_during(fleet, together, ACTIONS_PER_S, LOAD_S, seed)
+    finally:
+        await fleet.stop()
     assert any(event.status == 200 for event in events)
     verdict = judge(read_history(fleet.history), DEGUSTARI, DOCUMENT)
     # The order of classes is a promise about overload, which these schedules do not bring about.
--- a/packages/basilhill_fakes/tests/test_overload.py
+++ b/packages/basilhill_fakes/tests/test_overload.py
@@ -6,6 +6,7 @@
 
 from basilhill_fakes.caller import Caller
 from basilhill_fakes.history import Event, EventKind, HistoryWriter, read_history
+from basilhill_fakes.pacing import send_at_rate
 from basilhill_fakes.processes import Fleet, new_fleet
 from basilhill_fakes.workloads import WORKLOADS, find_fake_call
 
@@ -28,16 +29,6 @@
     return Caller(WORKLOAD, fleet.topology, history, tries=1)
 
 
-async def send_at_rate(perform, rate: float, duration_s: float) -> list[Event]:
-    """Perform actions at a fixed rate, whatever becomes of the earlier ones."""
-    tasks = []
-    started = time.monotonic()
-    for number in range(int(rate * duration_s)):
-        await asyncio.sleep(max(0.0, started + number / rate - time.monotonic()))
-        tasks.append(asyncio.create_task(perform()))
-    return list(await asyncio.gather(*tasks))
-
-
 async def storm(fleet: Fleet, caller: Caller) -> tuple[float, list[dict]]:
     """Slow the bottleneck for a while; return when that ended and its states right after."""
     flavours = fleet.topology.servers_of("flavours")[0]
--- a/packages/basilhill_fakes/tests/test_ramp.py
+++ b/packages/basilhill_fakes/tests/test_ramp.py
@@ -4,7 +4,7 @@
 
 from basilhill_fakes.history import now_ms
 from basilhill_fakes.queries.fleets import runs_in_flight
-from basilhill_fakes.scene import SLOW, Scene, scene
+from basilhill_fakes.small_fleet import SLOW, SmallFleet, small_fleet
 from basilhill_fakes.workloads import DEGUSTARI
 
 CALLS_PER_S = 100
@@ -17,27 +17,27 @@
 SLOTS = DEGUSTARI.services["deposits"].slots
 
 
-async def most_in_flight_after_restart(stage: Scene) -> int:
+async def most_in_flight_after_restart(small: SmallFleet) -> int:
     """Restart the near one of two servers; return the most runs in flight there soon after."""
-    restarted, other = stage.executors
-    await stage.send_all(await stage.tokens(2))
-    await stage.restart(restarted)
+    restarted, other = small.executors
+    await small.send_all(await small.tokens(2))
+    await small.restart(restarted)
     for vm in (restarted, other):
-        await stage.faults(vm, slow_factor=SLOW)
+        await small.faults(vm, slow_factor=SLOW)
     restarted_ms = now_ms()
-    await stage.send_steadily(CALLS_PER_S, LOAD_S)
-    assert stage.judge() == []
-    return runs_in_flight(stage.events(), restarted.address, restarted_ms, OBSERVED_MS)
+    await small.send_steadily(CALLS_PER_S, LOAD_S)
+    assert small.judge() == []
+    return runs_in_flight(small.events(), restarted.address, restarted_ms, OBSERVED_MS)
 
 
 async def test_restarted_server_gets_a_ramped_share(tmp_path):
     """Guards against full load on a cold server, which its callers knew before the restart."""
     async with (
-        scene(tmp_path / "on", **RECONNECT) as stage,
-        scene(tmp_path / "off", ramp_ms=1, **RECONNECT) as unramped,
+        small_fleet(tmp_path / "on", **RECONNECT) as small,
+        small_fleet(tmp_path / "off", ramp_ms=1, **RECONNECT) as unramped,
     ):
         most, unramped_most = await asyncio.gather(
-            most_in_flight_after_restart(stage), most_in_flight_after_restart(unramped)
+            most_in_flight_after_restart(small), most_in_flight_after_restart(unramped)
         )
     assert 0 < most <= SHARE * SLOTS
     assert unramped_most > SHARE * SLOTS
--- a/packages/basilhill_node/tests/test_coordinate_call.py
+++ b/packages/basilhill_node/tests/test_coordinate_call.py
@@ -6,20 +6,17 @@
 from attrs import define, evolve, field
 from basilhill.budgets import RetryBudget
 from basilhill.calls import CallContext, CallRequest, PriorityClass
-from basilhill.clocks import ManualClock, SystemClock
+from basilhill.clocks import ManualClock
 from basilhill.commands.routing import drop_subsets
-from basilhill.documents import Section
 from basilhill.executions import ExecutionState
-from basilhill.loads import ServerLoad
-from basilhill.queries.documents import build_document, find_call, parse_section
-from basilhill.settings import normalise_settings
+from basilhill.queries.documents import find_call
 from basilhill.verdicts import Answer, CallReply, Reason, Verdict, not_run, verdict_of
+from basilhill_fakes.node_states import OWN, PEER, add_server, new_node_state
 from basilhill_node.commands.coordinate_call import coordinate_call
 from basilhill_node.commands.dispatch_call import OpenCall, dispatch_call
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.revoke_call import revoke_call
-from basilhill_node.network import DirectNetwork
-from basilhill_node.state import LostReply, new_state
+from basilhill_node.state import LostReply
 from expression import Error, Ok
 
 SECTION = """
@@ -41,7 +38,6 @@
 """
 TAKE = CallRequest("deposits", "POST", "/deposits")
 LIST = CallRequest("deposits", "GET", "/deposits")
-OWN, PEER = "127.0.0.1:7401", "127.0.0.2:7401"
 LOST = Error(LostReply(True, "first"))
 REFUSED = Ok(CallReply(Error(not_run(Reason.OVERLOADED, ""))))
 
@@ -88,20 +84,8 @@
 
 
 def new_node(peer=None, servers=(OWN,), **settings):
-    given = {
-        "address": "127.0.0.1",
-        "data_centre": "dc",
-        "service": "deposits",
-        "platform_url": "",
-        "queue_ms": 2_000,
-    }
-    settings = normalise_settings({**given, **settings}).ok
-    node = new_state(settings, SystemClock(), DirectNetwork(), HeldBackend())
-    node.document = build_document([parse_section(Section("a", 1, SECTION)).ok])
-    node.admission.slots = node.admission.limit = 1
+    node = new_node_state(SECTION, HeldBackend(), 1, servers, **{"queue_ms": 2_000, **settings})
     node.peers = peer
-    for server in servers:
-        new_server(node, server)
     return node
 
 
@@ -226,7 +210,7 @@
 
 
 def new_server(node, server):
-    node.routing.servers[server] = ServerLoad(server, "deposits", "dc", 0, reported_limit=10)
+    add_server(node, server)
     drop_subsets(node.routing)
 
 
--- a/packages/basilhill_node/tests/test_screen_call.py
+++ b/packages/basilhill_node/tests/test_screen_call.py
@@ -4,20 +4,14 @@
 
 from attrs import define, field
 from basilhill.calls import CallContext, CallRequest, PriorityClass
-from basilhill.clocks import SystemClock
 from basilhill.commands.suspects import apply_report
-from basilhill.documents import Section
-from basilhill.loads import ServerLoad
-from basilhill.queries.documents import build_document, parse_section
-from basilhill.settings import normalise_settings
 from basilhill.suspects import SuspectReport
 from basilhill.verdicts import Answer, Reason, Verdict, verdict_of
+from basilhill_fakes.node_states import OWN, PEER, new_node_state
 from basilhill_node.commands.execute_call import execute_call
 from basilhill_node.commands.screen_call import assigned_server, own_fingerprint
 from basilhill_node.frames import FrameSender
-from basilhill_node.network import DirectNetwork
 from basilhill_node.peer_server import IncomingStream, PeerService
-from basilhill_node.state import new_state
 from expression import Ok
 
 SECTION = """
@@ -31,7 +25,7 @@
 timeout_ms = 1000
 usual_ms = 20
 """
-OWN, PEER, CRASHED = "127.0.0.1:7401", "127.0.0.2:7401", "127.0.0.3:7401"
+CRASHED = "127.0.0.3:7401"
 FIRST = CallRequest("calendar", "GET", "/slots?day=1")
 SECOND = CallRequest("calendar", "GET", "/slots?day=2")
 
@@ -61,14 +55,8 @@
 
 
 def new_node():
-    given = {"address": "127.0.0.1", "data_centre": "dc", "service": "calendar", "platform_url": ""}
-    settings = normalise_settings(given).ok
-    node = new_state(settings, SystemClock(), DirectNetwork(), HeldBackend())
-    node.document = build_document([parse_section(Section("a", 1, SECTION)).ok])
-    node.admission.slots = node.admission.limit = 4
+    node = new_node_state(SECTION, HeldBackend(), 4, (OWN, PEER, CRASHED))
     node.peers = node.callers = SilentPeers()
-    for server in (OWN, PEER, CRASHED):
-        node.routing.servers[server] = ServerLoad(server, "calendar", "dc", 0)
     return node
 
 
