--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -162,19 +162,34 @@
     follow
         Ask again every 2 s until interrupted.
     """
+    path = f"/outcomes?service={quote(service)}"
+    if follow:
+        return asyncio.run(follow_outcomes(node, nodes, path, as_json))
+    asked = ask(node, nodes, path)
+    return fail(asked.error) if asked.is_error() else report_outcomes(asked.ok, as_json)
+
+
+def report_outcomes(reports: tuple[NodeReport, ...], as_json: bool) -> int:
+    """Show the outcomes that nodes report; return the exit status."""
+    found = summaries.combined_outcomes(reports)
+    value = {"actions": found, "unreached": summaries.unreached(reports)}
+    show(value, as_json, tables.outcome_table(found) if found else "no customer actions yet")
+    return finish(reports)
+
+
+async def follow_outcomes(
+    node: list[str] | None, nodes: Path | None, path: str, as_json: bool
+) -> int:
+    """Show the outcomes again and again, from the nodes listed at each time."""
     while True:
-        asked = ask(node, nodes, f"/outcomes?service={quote(service)}")
-        if asked.is_error():
-            return fail(asked.error)
-        found = summaries.combined_outcomes(asked.ok)
-        if follow and not as_json:
+        named = node_list(node or (), nodes)
+        if named.is_error():
+            return fail(named.error)
+        reports = await ask_nodes(named.ok, path)
+        if not as_json:
             print(f"\n{time.strftime('%H:%M:%S')}")
-        value = {"actions": found, "unreached": summaries.unreached(asked.ok)}
-        show(value, as_json, tables.outcome_table(found) if found else "no customer actions yet")
-        ended = finish(asked.ok)
-        if not follow:
-            return ended
-        time.sleep(FOLLOW_S)
+        report_outcomes(reports, as_json)
+        await asyncio.sleep(FOLLOW_S)
 
 
 @app.command
