--- a/packages/basilhill_cli/tests/test_command.py
+++ b/packages/basilhill_cli/tests/test_command.py
@@ -88,6 +88,24 @@
     assert [(d["choice"], d["age_ms"]) for d in found] == [("route", 105), ("start", 103)]
 
 
+def test_following_shows_outcomes_until_interrupted(monkeypatch, capsys):
+    """Guards against following that ends after one report, or that asks only once."""
+    asked = []
+
+    async def answer(nodes, path):
+        asked.append(path)
+        if len(asked) > 2:
+            raise KeyboardInterrupt
+        return (report(nodes.urls[0], {"actions": {}}),)
+
+    monkeypatch.setattr(main, "ask_nodes", answer)
+    monkeypatch.setattr(main, "FOLLOW_S", 0.01)
+    with pytest.raises(KeyboardInterrupt):
+        main.outcomes(service="ledger", follow=True, node=["http://127.0.0.1:7402"])
+    assert asked == ["/outcomes?service=ledger"] * 3
+    assert capsys.readouterr().out.count("no customer actions yet") == 2
+
+
 def test_diff_names_the_team_and_the_key(tmp_path, capsys):
     new = tmp_path / "new.toml"
     new.write_text(WEBSHOP.read_text().replace("slots = 25", "slots = 30"))
