--- /dev/null
+++ b/packages/basilhill/src/basilhill/balancing.py
@@ -0,0 +1,24 @@
+"""What a node knows of the load of the backend servers that it sends calls to."""
+
+from attrs import define, field
+
+
+@define(eq=False)
+class TargetLoad:
+    """Hold the own calls in flight to one server, its last report and its failures in a row."""
+
+    server_id: str
+    in_flight: int = 0
+    reported: int = 0
+    in_flight_at_report: int = 0
+    refused_until_ms: int = 0
+    failures: int = 0
+    ejected_until_ms: int = 0
+
+
+@define(eq=False)
+class LoadTable:
+    """Hold the loads of servers by id."""
+
+    data_centre: str
+    targets: dict[str, TargetLoad] = field(factory=dict)
--- /dev/null
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -0,0 +1,64 @@
+"""Change the list of backend servers."""
+
+from collections.abc import Iterable
+
+from basilhill.backends import BackendDirectory, BackendEntry
+
+DEPARTED_KEPT = 1_000
+
+
+def put_entry(directory: BackendDirectory, entry: BackendEntry) -> bool:
+    """Add or replace an entry; return whether that changed anything but its warm-up time."""
+    before = directory.entries.get(entry.server_id)
+    directory.entries[entry.server_id] = entry
+    directory.held_until_ms.pop(entry.server_id, None)
+    directory.departed.pop(entry.server_id, None)
+    group = directory.services.setdefault(entry.service, [])
+    if before is not None:
+        directory.services[before.service].remove(before)
+    group.append(entry)
+    return before is None or (before.address, before.draining, before.born_ms) != (
+        entry.address,
+        entry.draining,
+        entry.born_ms,
+    )
+
+
+def remove_entry(directory: BackendDirectory, server_id: str) -> bool:
+    """Remove an entry; return whether it was there."""
+    entry = directory.entries.pop(server_id, None)
+    directory.held_until_ms.pop(server_id, None)
+    if entry is None:
+        return False
+    directory.services[entry.service].remove(entry)
+    directory.departed[server_id] = None
+    if len(directory.departed) > DEPARTED_KEPT:
+        del directory.departed[next(iter(directory.departed))]
+    return True
+
+
+def replace_entries(
+    directory: BackendDirectory, entries: Iterable[BackendEntry], held_until_ms: int = 0
+) -> tuple[set[str], set[str]]:
+    """Take a whole list; return the ids that changed and those that are gone or held.
+
+    After an outage of the store, entries that are missing stay until `held_until_ms`, because
+    live servers register again within seconds of its return.
+    """
+    listed = {entry.server_id: entry for entry in entries}
+    missing = directory.entries.keys() - listed.keys()
+    changed = {entry.server_id for entry in listed.values() if put_entry(directory, entry)}
+    for server_id in missing:
+        if held_until_ms:
+            directory.held_until_ms.setdefault(server_id, held_until_ms)
+        else:
+            remove_entry(directory, server_id)
+    return changed, missing
+
+
+def expire_held(directory: BackendDirectory, now_ms: int) -> set[str]:
+    """Remove the entries that did not come back after an outage; return their ids."""
+    expired = {key for key, until_ms in directory.held_until_ms.items() if until_ms <= now_ms}
+    for server_id in expired:
+        remove_entry(directory, server_id)
+    return expired
--- /dev/null
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -0,0 +1,57 @@
+"""Record calls to backend servers and what came of them."""
+
+from basilhill.balancing import LoadTable, TargetLoad
+
+EJECT_AFTER_FAILURES = 4
+EJECTION_MS = 2_000
+# A server that refused a call is left out for this time while others have room.
+REFUSAL_MS = 50
+
+
+def target_of(loads: LoadTable, server_id: str) -> TargetLoad:
+    """Return the load of a server, new for one that was never called."""
+    target = loads.targets.get(server_id)
+    if target is None:
+        target = loads.targets[server_id] = TargetLoad(server_id)
+    return target
+
+
+def begin_send(target: TargetLoad) -> None:
+    """Count a call as sent."""
+    target.in_flight += 1
+
+
+def end_send(target: TargetLoad) -> None:
+    """Count a call as over."""
+    target.in_flight -= 1
+
+
+def record_report(target: TargetLoad, running: int) -> None:
+    """Store the calls that run or wait at a server by its own report."""
+    target.reported = running
+    target.in_flight_at_report = target.in_flight
+
+
+def record_refusal(target: TargetLoad, now_ms: int) -> None:
+    """Leave a server out for a moment that had no room."""
+    target.refused_until_ms = now_ms + REFUSAL_MS
+
+
+def record_success(target: TargetLoad) -> None:
+    """Forget the failures of a server that answered."""
+    target.failures = 0
+
+
+def record_failure(target: TargetLoad, now_ms: int) -> bool:
+    """Count a failure; return whether the server was ejected for it."""
+    target.failures += 1
+    if target.failures < EJECT_AFTER_FAILURES:
+        return False
+    target.ejected_until_ms = now_ms + EJECTION_MS
+    target.failures = 1
+    return True
+
+
+def forget_target(loads: LoadTable, server_id: str) -> None:
+    """Forget a server that is gone or was born anew."""
+    loads.targets.pop(server_id, None)
--- /dev/null
+++ b/packages/basilhill/src/basilhill/commands/slots.py
@@ -0,0 +1,67 @@
+"""Give out the slots of a backend server."""
+
+from bisect import insort
+
+from attrs import frozen
+
+from basilhill.queries.slots import expected_wait_ms
+from basilhill.slots import SlotDecision, SlotGate, SlotRequest
+
+# Weight of the newest call in the mean time for which calls hold a slot.
+SERVICE_WEIGHT = 0.05
+
+
+@frozen
+class SlotGrant:
+    """Hold the decision about a request and the waiting calls that it displaced."""
+
+    decision: SlotDecision
+    request: SlotRequest
+    displaced: tuple[SlotRequest, ...] = ()
+
+
+def request_slot(gate: SlotGate, rank: int, patience_ms: int, now_ms: int) -> SlotGrant:
+    """Start a call, queue it by rank, or refuse what would wait longer than its patience."""
+    gate.sequence += 1
+    request = SlotRequest(rank, gate.sequence, patience_ms, now_ms)
+    if gate.in_flight < gate.slots and not gate.waiting:
+        gate.in_flight += 1
+        return SlotGrant(SlotDecision.STARTED, request)
+    insort(gate.waiting, request)
+    displaced = displace_hopeless(gate, now_ms)
+    if request in displaced:
+        others = tuple(other for other in displaced if other is not request)
+        return SlotGrant(SlotDecision.REFUSED, request, others)
+    return SlotGrant(SlotDecision.QUEUED, request, displaced)
+
+
+def displace_hopeless(gate: SlotGate, now_ms: int) -> tuple[SlotRequest, ...]:
+    """Remove the last calls of the queue as long as they would wait too long; return them."""
+    displaced = []
+    while gate.waiting:
+        last = gate.waiting[-1]
+        waited_ms = now_ms - last.arrived_ms
+        if waited_ms + expected_wait_ms(gate, len(gate.waiting) - 1) <= last.patience_ms:
+            break
+        displaced.append(gate.waiting.pop())
+    return tuple(displaced)
+
+
+def withdraw_request(gate: SlotGate, request: SlotRequest) -> None:
+    """Forget a call that waits no longer."""
+    if request in gate.waiting:
+        gate.waiting.remove(request)
+
+
+def release_slot(gate: SlotGate, held_ms: float) -> None:
+    """Free the slot of a call that held it for some time."""
+    gate.in_flight -= 1
+    gate.service_ms += SERVICE_WEIGHT * (held_ms - gate.service_ms)
+
+
+def start_next(gate: SlotGate) -> SlotRequest | None:
+    """Give a free slot to the first waiting call and return it."""
+    if not gate.waiting or gate.in_flight >= gate.slots:
+        return None
+    gate.in_flight += 1
+    return gate.waiting.pop(0)
--- /dev/null
+++ b/packages/basilhill/src/basilhill/queries/configuration.py
@@ -0,0 +1,38 @@
+"""Find routes and choose the services of their requests."""
+
+from basilhill.configuration import Configuration, Route
+
+# Successive multiples of the golden ratio spread evenly, so that short runs keep their weights.
+GOLDEN_RATIO = 0.618033988749895
+
+
+def find_route(configuration: Configuration, host: str, path: str) -> Route | None:
+    """Return the route of a host with the longest prefix that begins a path."""
+    for route in configuration.routes.get(host, ()):
+        if path.startswith(route.prefix):
+            return route
+    return None
+
+
+def order_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
+    """Return routes by host, those with the longest prefix first."""
+    hosts: dict[str, list[Route]] = {}
+    for route in routes:
+        hosts.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in hosts.items()
+    }
+
+
+def split_service(route: Route, count: int, offset: float) -> str:
+    """Return the service of a route's request number `count`, in proportion to the weights."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    total = sum(part.weight for part in route.services)
+    point = (offset + count * GOLDEN_RATIO) % 1.0 * total
+    for part in route.services:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return route.services[-1].service
--- a/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/read_platform.py
@@ -14,7 +14,7 @@
     ask_for_sections,
     take_offered,
 )
-from basilhill_node.platform import PlatformClient, Revision
+from basilhill_node.document_platform import PlatformClient, Revision
 from basilhill_node.queries.readers import is_reader
 from basilhill_node.state import NodeState
 
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/platform/__main__.py
@@ -0,0 +1,45 @@
+"""Run a node on the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+
+import uvloop
+from basilhill.clocks import SystemClock
+
+from basilhill_node.logs import start_logging
+from basilhill_node.platform.decoder import PlatformDecoder
+from basilhill_node.platform.http import PlatformDialect
+from basilhill_node.platform.settings import decode_settings
+from basilhill_node.platform.store import PlatformStore
+from basilhill_node.sidecar.node import build_sidecar, run_sidecar
+
+SETTINGS_VARIABLE = "BASILHILL_CONFIG"
+EXIT_UNUSABLE = 2
+
+
+async def run(data: bytes) -> int:
+    """Run a node with the settings of a file until it is told to leave."""
+    settings = decode_settings(data)
+    if settings.is_error():
+        print(f"basilhill: {settings.error}", file=sys.stderr)
+        return EXIT_UNUSABLE
+    start_logging()
+    clock = SystemClock()
+    store = PlatformStore.at(settings.ok.store.address, clock)
+    node = build_sidecar(settings.ok, store, PlatformDecoder(), PlatformDialect(), clock)
+    await run_sidecar(node)
+    return 0
+
+
+def main() -> int:
+    """Read the settings file and run the node."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"basilhill: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
+        return EXIT_UNUSABLE
+    return uvloop.run(run(Path(path).read_bytes()))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -0,0 +1,73 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+from typing import Any
+
+import msgspec
+from basilhill.configuration import (
+    Configuration,
+    RequestLimits,
+    Route,
+    ServiceLimits,
+    WeightedService,
+)
+from basilhill.queries.configuration import order_routes
+from expression import Error, Ok, Result
+
+MS_PER_S = 1000
+IDEMPOTENT = "idempotent"
+DECODE_ERRORS = (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError)
+
+
+def decode_configuration(data: bytes) -> Result[Configuration, str]:
+    """Return a configuration from the platform's JSON, or what is wrong with it."""
+    try:
+        return Ok(read_configuration(msgspec.json.decode(data)))
+    except DECODE_ERRORS as error:
+        return Error(f"the configuration cannot be read: {error!r}")
+
+
+def read_configuration(table: dict[str, Any]) -> Configuration:
+    """Return a configuration from the platform's table."""
+    routes = [
+        read_route(host["host"], path) for host in table["virtualHosts"] for path in host["paths"]
+    ]
+    limits = table["limits"]
+    return Configuration(
+        # Eight hexadecimal digits.
+        version=int(table["version"], 16),
+        routes=order_routes(routes),
+        services={
+            service["name"]: ServiceLimits(
+                service["name"], service["healthPath"], int(service["maxConnections"])
+            )
+            for service in table["services"]
+        },
+        limits=RequestLimits(
+            header_bytes=int(limits["maxHeaderBytes"]),
+            body_bytes=int(limits["maxBodyBytes"]),
+            header_ms=int(limits["headerTimeoutS"] * MS_PER_S),
+            idle_ms=int(limits["idleTimeoutS"] * MS_PER_S),
+        ),
+    )
+
+
+def read_route(host: str, path: dict[str, Any]) -> Route:
+    """Return a route; a path of the platform's table is a prefix with its rules."""
+    split = path.get("trafficSplit") or [{"service": path["service"], "weight": 1}]
+    return Route(
+        name=path["name"],
+        host=host,
+        prefix=path["prefix"],
+        idempotent=path["kind"] == IDEMPOTENT,
+        # Counts servers that one request may reach, the first included.
+        attempts=int(path.get("attempts", 1)),
+        timeout_ms=int(path["timeoutS"] * MS_PER_S),
+        target_ms=int(path["targetLatencyS"] * MS_PER_S),
+        # 0 is the most urgent.
+        priority=int(path["priority"]),
+        services=tuple(
+            WeightedService(part["service"], float(part["weight"]))
+            for part in split
+            if part["weight"] > 0
+        ),
+    )
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/platform/entries.py
@@ -0,0 +1,54 @@
+"""The entries that backend servers write to the platform's store."""
+
+from typing import Any
+
+import msgspec
+from basilhill.backends import BackendEntry
+from expression import Error, Ok, Result
+
+MS_PER_S = 1000
+READY = "ready"
+DRAINING = "draining"
+STATES = (READY, DRAINING)
+
+
+def decode_entry(server_id: str, data: bytes, now_ms: int) -> Result[BackendEntry, str]:
+    """Return the entry of a server, or why it names none; another writer may have made it."""
+    try:
+        return Ok(read_entry(server_id, msgspec.json.decode(data), now_ms))
+    except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError) as error:
+        return Error(f"the entry of {server_id} cannot be read: {error!r}")
+
+
+def read_entry(server_id: str, table: dict[str, Any], now_ms: int) -> BackendEntry:
+    """Return the entry of a server from the platform's table."""
+    state, cold_s = table["state"], table["coldRemainingS"]
+    if state not in STATES:
+        raise ValueError(f"state {state!r}")
+    address = text_of(table, "address")
+    if not address.rpartition(":")[2].isdigit():
+        raise ValueError(f"address {address!r}")
+    born_ms = table.get("born", 0)
+    if type(born_ms) is not int:
+        raise ValueError(f"born {born_ms!r}")
+    slots = table["slots"]
+    if type(slots) is not int or slots < 1:
+        raise ValueError(f"slots {slots!r}")
+    return BackendEntry(
+        server_id=server_id,
+        service=text_of(table, "service"),
+        address=address,
+        data_centre=text_of(table, "zone"),
+        slots=slots,
+        draining=state == DRAINING,
+        warm_ms=now_ms + int(cold_s * MS_PER_S) if cold_s > 0 else 0,
+        born_ms=born_ms,
+    )
+
+
+def text_of(table: dict[str, Any], name: str) -> str:
+    """Return a text that must be there."""
+    value = table[name]
+    if type(value) is not str or not value:
+        raise ValueError(f"{name} {value!r}")
+    return value
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -0,0 +1,92 @@
+"""Headers and status codes of the platform's clients and backend servers."""
+
+from random import Random
+
+from attrs import define, field
+from basilhill.verdicts import Answer, Header, Reason, Refusal, Verdict, not_run
+from expression import Error, Ok, Result
+
+from basilhill_node.sidecar.dialect import RequestTerms, ServerTerms
+from basilhill_node.sidecar.messages import (
+    HttpRequest,
+    HttpResponse,
+    forwarded_headers,
+    header_value,
+)
+
+# Names one client attempt, not an action: a client that tries again sends another one.
+REQUEST_ID = "basilhill-attempt-id"
+DEADLINE = "basilhill-deadline-ms"
+SERVER_ID = "basilhill-target-instance"
+NOT_EXECUTED = "basilhill-not-executed"
+CALLER_SERVICE = "basilhill-caller-service"
+RETRY_AFTER = "retry-after"
+MISDIRECTED = 421
+# Headers that the node sets itself on the way to a server.
+SET_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE))
+LONGEST_DEADLINE_MS = 3_600_000
+# Refusals that promise nothing about the request.
+UNCERTAIN_STATUS = {Reason.DEADLINE: 504}
+NOT_RUN_STATUS = {Reason.UNKNOWN_CALL: 404, Reason.CUSTOMER_LIMIT: 429}
+
+
+@define
+class PlatformDialect:
+    """Translate between the platform's messages and the node's records."""
+
+    random: Random = field(factory=Random)
+
+    def decode_terms(self, request: HttpRequest) -> Result[RequestTerms, str]:
+        """Return the terms of a client's request, or what is wrong with it."""
+        host = (header_value(request.headers, "host") or "").lower()
+        host = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
+        text = header_value(request.headers, DEADLINE)
+        try:
+            deadline_ms = None if text is None else min(int(float(text)), LONGEST_DEADLINE_MS)
+        except (ValueError, OverflowError):
+            return Error(f"the deadline {text!r} is no number of milliseconds")
+        request_id = header_value(request.headers, REQUEST_ID) or ""
+        return Ok(RequestTerms(request_id, deadline_ms, host))
+
+    def client_headers(self, request: HttpRequest) -> list[Header]:
+        """Return the headers of a client that a server gets."""
+        return forwarded_headers(request.headers, SET_HEADERS)
+
+    def server_headers(self, headers: list[Header], terms: ServerTerms) -> list[Header]:
+        """Return the headers of a request to a backend server."""
+        return [
+            *headers,
+            Header(REQUEST_ID, terms.request_id),
+            Header(DEADLINE, str(max(1, terms.remaining_ms))),
+            Header(SERVER_ID, terms.server_id),
+            Header(CALLER_SERVICE, terms.caller_service),
+        ]
+
+    def echoes(self, headers: list[Header], request_id: str) -> bool:
+        """Tell whether a response answers the request of an id."""
+        return header_value(headers, REQUEST_ID) in (None, request_id)
+
+    def decode_answer(self, response: HttpResponse) -> Result[Answer, Refusal]:
+        """Return the answer of a backend server, or its statement that it did not run."""
+        if response.status == MISDIRECTED:
+            return Error(not_run(Reason.REJECTED, "another server has the address"))
+        if header_value(response.headers, NOT_EXECUTED) is not None:
+            text = f"the server refused with {response.status}"
+            return Error(not_run(Reason.OVERLOADED, text))
+        headers = tuple(forwarded_headers(response.headers, frozenset()))
+        return Ok(Answer(response.status, headers, response.body))
+
+    def encode_answer(self, answer: Answer) -> HttpResponse:
+        """Return the response for a client that got an answer."""
+        return HttpResponse(answer.status, list(answer.headers), answer.body)
+
+    def encode_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
+        """Return the response for a client whose request got no answer."""
+        headers = [Header(REQUEST_ID, request_id)] if request_id else []
+        if refusal.verdict is Verdict.MAY_HAVE_RUN:
+            status = UNCERTAIN_STATUS.get(refusal.reason, 502)
+        else:
+            status = NOT_RUN_STATUS.get(refusal.reason, 503)
+            if status != 404 and refusal.retry_after_ms:
+                headers.append(Header(RETRY_AFTER, f"{refusal.retry_after_ms / 1000:.3f}"))
+        return HttpResponse(status, headers, refusal.text.encode())
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that change the state of a sidecar node."""
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -0,0 +1,174 @@
+"""Run calls on the backend server beside this node."""
+
+import asyncio
+
+from attrs import define
+from basilhill.backends import BackendDirectory
+from basilhill.clocks import Clock
+from basilhill.commands.slots import release_slot, request_slot, start_next, withdraw_request
+from basilhill.queries.slots import drain_ms
+from basilhill.slots import SlotDecision, SlotRequest
+from basilhill.verdicts import Outcome, Reason, Refusal, may_have_run, not_run, verdict_of
+from expression import Error
+
+from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.dialect import Dialect, ServerTerms
+from basilhill_node.sidecar.frames import Execute
+from basilhill_node.sidecar.http_client import (
+    IDLE_MS,
+    ClientConnection,
+    ConnectionFailedError,
+)
+from basilhill_node.sidecar.messages import HttpRequest, encode_request
+from basilhill_node.sidecar.state import GateState
+
+# A call that cannot be repeated uses a connection only if the server used it this lately, because
+# a server may close an idle connection while the request is on its way.
+UNREPEATABLE_IDLE_MS = 1_000
+
+
+@define(eq=False)
+class ServerGate:
+    """Run calls on the own backend server within its slots."""
+
+    gate: GateState
+    directory: BackendDirectory
+    dialect: Dialect
+    clock: Clock
+    log: DecisionLog
+
+    async def execute(self, call: Execute) -> Outcome:
+        """Wait for a slot and run a call; return its answer or whether it may have run."""
+        arrived_ms = self.clock.now_ms()
+        refusal = self.leaving_refusal(call) or await self.enter(call, arrived_ms)
+        if refusal is not None:
+            self.record(call, Error(refusal), arrived_ms, arrived_ms)
+            return Error(refusal)
+        started_ms = self.clock.now_ms()
+        try:
+            outcome = await self.run(call, arrived_ms)
+        finally:
+            release_slot(self.gate.slots, self.clock.now_ms() - started_ms)
+            self.start_waiting()
+        self.record(call, outcome, arrived_ms, started_ms)
+        return outcome
+
+    def leaving_refusal(self, call: Execute) -> Refusal | None:
+        """Return the refusal of a call to a server that is leaving or has left."""
+        entry = self.directory.entries.get(call.server_id)
+        if call.server_id in self.directory.departed or (entry is not None and entry.draining):
+            return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
+        return None
+
+    async def enter(self, call: Execute, arrived_ms: int) -> Refusal | None:
+        """Take a slot, after waiting for it if need be; return a refusal without one."""
+        slots = self.gate.slots
+        grant = request_slot(slots, call.rank, call.patience_ms, arrived_ms)
+        for displaced in grant.displaced:
+            self.refuse_waiting(displaced)
+        if grant.decision is SlotDecision.STARTED:
+            return None
+        if grant.decision is SlotDecision.REFUSED:
+            return self.overload_refusal()
+        waiter = asyncio.get_running_loop().create_future()
+        self.gate.waiters[grant.request.sequence] = waiter
+        try:
+            async with asyncio.timeout(call.patience_ms / 1000):
+                return await waiter
+        except TimeoutError:
+            if granted(waiter):
+                return None
+            return self.overload_refusal()
+        except asyncio.CancelledError:
+            if granted(waiter):
+                release_slot(slots, slots.service_ms)
+                self.start_waiting()
+            raise
+        finally:
+            withdraw_request(slots, grant.request)
+            del self.gate.waiters[grant.request.sequence]
+
+    def start_waiting(self) -> None:
+        """Give free slots to waiting calls."""
+        while (request := start_next(self.gate.slots)) is not None:
+            self.settle(request, None)
+
+    def refuse_waiting(self, request: SlotRequest) -> None:
+        """Refuse a waiting call that more urgent ones displaced."""
+        self.settle(request, self.overload_refusal())
+
+    def settle(self, request: SlotRequest, refusal: Refusal | None) -> None:
+        """Wake the task of a waiting call."""
+        waiter = self.gate.waiters.get(request.sequence)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(refusal)
+
+    def overload_refusal(self) -> Refusal:
+        """Return the refusal of a call for which there is no slot in time."""
+        text = f"{self.gate.slots.in_flight} of {self.gate.slots.slots} slots are in use"
+        return not_run(Reason.OVERLOADED, text, int(drain_ms(self.gate.slots)) + 1)
+
+    async def run(self, call: Execute, arrived_ms: int) -> Outcome:
+        """Send a call to the server and return what came of it."""
+        waited_ms = self.clock.now_ms() - arrived_ms
+        remaining_ms = call.remaining_ms - waited_ms
+        if remaining_ms <= 0:
+            return Error(not_run(Reason.DEADLINE, "the deadline passed before the start"))
+        terms = ServerTerms(
+            call.request_id, call.deadline_ms - waited_ms, call.server_id, call.caller_service
+        )
+        headers = self.dialect.server_headers(call.headers, terms)
+        data = encode_request(HttpRequest(call.method, call.target, headers, call.body))
+        try:
+            async with asyncio.timeout(remaining_ms / 1000):
+                return await self.exchange(call, data)
+        except TimeoutError:
+            return Error(may_have_run(Reason.DEADLINE, "the server did not answer in time"))
+
+    async def exchange(self, call: Execute, data: bytes) -> Outcome:
+        """Send the bytes of a call on a connection of its own."""
+        pool = self.gate.pool
+        longest_idle_ms = IDLE_MS if call.idempotent else UNREPEATABLE_IDLE_MS
+        try:
+            connection = await pool.take(longest_idle_ms)
+            reused = connection.used
+            try:
+                return await self.send(connection, call, data)
+            except ConnectionFailedError:
+                if not (reused and call.idempotent):
+                    raise
+            # The server had closed the idle connection before it read the request.
+            return await self.send(await pool.connect(), call, data)
+        except ConnectionFailedError as error:
+            if error.sent:
+                return Error(may_have_run(Reason.CONNECTION_LOST, str(error)))
+            return Error(not_run(Reason.UNREACHABLE, str(error)))
+
+    async def send(self, connection: ClientConnection, call: Execute, data: bytes) -> Outcome:
+        """Send a call on a connection and keep the connection if it stays usable."""
+
+        def accepts(headers) -> bool:
+            return self.dialect.echoes(headers, call.request_id)
+
+        response = await connection.exchange(data, accepts, call.method == "HEAD")
+        self.gate.pool.put_back(connection)
+        return self.dialect.decode_answer(response)
+
+    def record(self, call: Execute, outcome: Outcome, arrived_ms: int, started_ms: int) -> None:
+        """Log the decision about a call."""
+        slots = self.gate.slots
+        result = outcome.ok.status if outcome.is_ok() else outcome.error.reason.value
+        self.log.record(
+            "execute",
+            call.request_id,
+            f"{verdict_of(outcome).value} {result}",
+            f"server {call.server_id} rank {call.rank} waited {started_ms - arrived_ms} ms "
+            f"ran {self.clock.now_ms() - started_ms} ms slots {slots.in_flight}/{slots.slots} "
+            f"queue {len(slots.waiting)}"
+            + (f" {outcome.error.text}" if outcome.is_error() else ""),
+        )
+
+
+def granted(waiter: asyncio.Future[Refusal | None]) -> bool:
+    """Tell whether a waiting call has got its slot."""
+    return waiter.done() and not waiter.cancelled() and waiter.result() is None
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -0,0 +1,289 @@
+"""Serve the requests of clients and of the own backend server from their origin."""
+
+import asyncio
+
+from attrs import define, field
+from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.clocks import Clock
+from basilhill.commands.balancing import (
+    begin_send,
+    end_send,
+    record_failure,
+    record_refusal,
+    record_report,
+    record_success,
+    target_of,
+)
+from basilhill.commands.retry_quota import count_request, spend_retry_quota
+from basilhill.configuration import Route
+from basilhill.queries.balancing import choose_backend
+from basilhill.queries.configuration import find_route, split_service
+from basilhill.retry_quota import RetryQuota
+from basilhill.verdicts import (
+    Answer,
+    Outcome,
+    Reason,
+    Refusal,
+    Verdict,
+    may_have_run,
+    not_run,
+    verdict_of,
+)
+from expression import Error, Ok
+
+from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.dialect import Dialect, RequestTerms
+from basilhill_node.sidecar.frames import Execute
+from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
+from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
+
+# Servers that may refuse a call for want of a slot before the client is told so.
+GATES_TRIED = 3
+# A public request waits at most this share of its target latency for a slot.
+PATIENCE_SHARE = 1 / 8
+# Latest time of a deadline or timeout, in ms, where neither is given.
+LONGEST_MS = 60_000
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+# Deadlines below this share of the longest one seen on a route mark a client that came back.
+RETURNED_SHARE = 0.97
+RETRY_AFTER_MIN_MS = 100
+RETRY_AFTER_SPREAD_MS = 400
+
+
+@define(eq=False)
+class OpenRequest:
+    """Hold one request from its arrival to its answer."""
+
+    request: HttpRequest
+    terms: RequestTerms
+    route: Route
+    service: str
+    arrived_ms: int
+    deadline_ms: int
+    ends_ms: int
+    rank: int
+    patience_ms: int
+    tried: set[str] = field(factory=set)
+    reached: int = 0
+    refused: int = 0
+    uncertain: Refusal | None = None
+    failed: Answer | None = None
+
+
+@define(eq=False)
+class Origin:
+    """Serve requests: route them, choose servers, retry what may be repeated."""
+
+    settings: SidecarSettings
+    origin: OriginState
+    in_force: ConfigurationInForce
+    directory: BackendDirectory
+    gate: ServerGate
+    peers: PeerStreams
+    dialect: Dialect
+    clock: Clock
+
+    async def serve(self, request: HttpRequest) -> HttpResponse:
+        """Serve one request to its end."""
+        arrived_ms = self.clock.now_ms()
+        terms = self.dialect.decode_terms(request)
+        if terms.is_error():
+            self.gate.log.record("serve", "", "rejected", terms.error)
+            return HttpResponse(400, body=terms.error.encode())
+        self.origin.open_requests += 1
+        try:
+            return await self.serve_terms(request, terms.ok, arrived_ms)
+        finally:
+            self.origin.open_requests -= 1
+
+    async def serve_terms(
+        self, request: HttpRequest, terms: RequestTerms, arrived_ms: int
+    ) -> HttpResponse:
+        """Serve a request whose terms are known."""
+        configuration = self.in_force.configuration
+        if configuration is None:
+            refusal = not_run(Reason.NO_SERVER, "no configuration is known yet", 500)
+            return self.finish(terms, Error(refusal), arrived_ms, "no route")
+        route = find_route(configuration, terms.host, request.path)
+        if route is None:
+            refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {terms.host}{request.path}")
+            return self.finish(terms, Error(refusal), arrived_ms, "no route")
+        opened = self.open_request(request, terms, route, arrived_ms)
+        outcome = await self.dispatch(opened)
+        detail = (
+            f"route {route.name} service {opened.service} version {self.in_force.version} "
+            f"rank {opened.rank} servers {opened.reached} refusals {opened.refused} "
+            f"left {opened.ends_ms - self.clock.now_ms()} ms"
+        )
+        return self.finish(terms, outcome, arrived_ms, detail)
+
+    def open_request(
+        self, request: HttpRequest, terms: RequestTerms, route: Route, arrived_ms: int
+    ) -> OpenRequest:
+        """Return the record of a request with its service, deadline and rank."""
+        number = self.origin.splits.get(route.name, 0)
+        self.origin.splits[route.name] = number + 1
+        service = split_service(route, number, self.origin.split_offset)
+        given_ms = terms.deadline_ms if terms.deadline_ms is not None else LONGEST_MS
+        longest_ms = max(given_ms, self.origin.longest_ms.get(route.name, 0))
+        self.origin.longest_ms[route.name] = longest_ms
+        returned = given_ms < RETURNED_SHARE * longest_ms
+        deadline_ms = arrived_ms + given_ms
+        ends_ms = min(deadline_ms, arrived_ms + route.timeout_ms)
+        rank = 2 * route.priority + (0 if returned else 1)
+        patience_ms = int(route.target_ms * PATIENCE_SHARE)
+        count_request(self.quota(service), arrived_ms)
+        return OpenRequest(
+            request,
+            terms,
+            route,
+            service,
+            arrived_ms,
+            deadline_ms,
+            ends_ms,
+            rank,
+            patience_ms,
+        )
+
+    def quota(self, service: str) -> RetryQuota:
+        """Return the retries that this node may send to a service."""
+        quota = self.origin.quotas.get(service)
+        if quota is None:
+            quota = self.origin.quotas[service] = RetryQuota(
+                self.settings.retry_ratio,
+                self.settings.retry_window_ms,
+                self.settings.retry_minimum,
+            )
+        nodes = len({entry.host for entry in self.directory.entries.values()})
+        quota.minimum = self.settings.retry_minimum / max(1, nodes)
+        return quota
+
+    def finish(
+        self, terms: RequestTerms, outcome: Outcome, arrived_ms: int, detail: str
+    ) -> HttpResponse:
+        """Log the outcome of a request and return its response."""
+        took_ms = self.clock.now_ms() - arrived_ms
+        result = outcome.ok.status if outcome.is_ok() else outcome.error.reason.value
+        choice = f"{verdict_of(outcome).value} {result} after {took_ms} ms"
+        text = "" if outcome.is_ok() else f" {outcome.error.text}"
+        self.gate.log.record("serve", terms.request_id, choice, detail + text)
+        if outcome.is_ok():
+            return self.dialect.encode_answer(outcome.ok)
+        return self.dialect.encode_refusal(outcome.error, terms.request_id)
+
+    async def dispatch(self, opened: OpenRequest) -> Outcome:
+        """Send a request to servers until one answers or no further one may try."""
+        try:
+            async with asyncio.timeout((opened.ends_ms - self.clock.now_ms()) / 1000):
+                return await self.try_servers(opened)
+        except TimeoutError:
+            return Error(may_have_run(Reason.DEADLINE, "no answer in time"))
+
+    async def try_servers(self, opened: OpenRequest) -> Outcome:
+        """Try servers in turn."""
+        last = not_run(Reason.NO_SERVER, f"no server of {opened.service} is known", 500)
+        while True:
+            entry = choose_backend(
+                self.directory,
+                self.origin.loads,
+                opened.service,
+                self.clock.now_ms(),
+                self.origin.random,
+                frozenset(opened.tried),
+            )
+            if entry is None:
+                return self.give_up(opened, last)
+            outcome = await self.send(opened, entry)
+            if outcome.is_ok():
+                if outcome.ok.status < SERVER_ERROR or outcome.ok.status == GATEWAY_TIMEOUT:
+                    return outcome
+                opened.failed = outcome.ok
+                if not self.may_repeat(opened):
+                    return outcome
+                continue
+            last = outcome.error
+            if last.verdict is Verdict.MAY_HAVE_RUN:
+                opened.uncertain = last
+                if not self.may_repeat(opened):
+                    return self.give_up(opened, last)
+            elif opened.refused >= GATES_TRIED:
+                return self.give_up(opened, last)
+
+    def give_up(self, opened: OpenRequest, last: Refusal) -> Outcome:
+        """Return the final outcome of a request that no further server gets."""
+        if opened.failed is not None:
+            return Ok(opened.failed)
+        return Error(opened.uncertain or last)
+
+    def may_repeat(self, opened: OpenRequest) -> bool:
+        """Tell whether a request that may have run may reach another server."""
+        return (
+            opened.route.idempotent
+            and opened.reached < opened.route.attempts
+            and spend_retry_quota(self.quota(opened.service), self.clock.now_ms())
+        )
+
+    async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
+        """Send a request to one server and record what that says of the server."""
+        opened.tried.add(entry.server_id)
+        now_ms = self.clock.now_ms()
+        execute = Execute(
+            0,
+            entry.server_id,
+            opened.terms.request_id,
+            self.settings.service,
+            opened.service,
+            opened.route.idempotent,
+            opened.ends_ms - now_ms,
+            opened.deadline_ms - now_ms,
+            min(opened.patience_ms, opened.ends_ms - now_ms),
+            opened.rank,
+            opened.request.method,
+            opened.request.target,
+            self.dialect.client_headers(opened.request),
+            opened.request.body,
+        )
+        target = target_of(self.origin.loads, entry.server_id)
+        begin_send(target)
+        try:
+            outcome = await self.transmit(entry, execute)
+        finally:
+            end_send(target)
+        self.judge(opened, entry, outcome)
+        return outcome
+
+    async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
+        """Run a call on the own server or on that of a peer."""
+        if entry.address == self.settings.backend_address:
+            return await self.gate.execute(execute)
+        stream = self.peers.stream(f"{entry.host}:{self.settings.peer_port}")
+        result = await stream.call(execute)
+        if result.is_error():
+            lost = result.error
+            if lost.sent:
+                return Error(may_have_run(Reason.CONNECTION_LOST, lost.text))
+            return Error(not_run(Reason.UNREACHABLE, lost.text))
+        record_report(target_of(self.origin.loads, entry.server_id), result.ok.running)
+        return result.ok.outcome
+
+    def judge(self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome) -> None:
+        """Record what an outcome says of a server and of the request."""
+        target = target_of(self.origin.loads, entry.server_id)
+        now_ms = self.clock.now_ms()
+        if outcome.is_ok():
+            opened.reached += 1
+            if outcome.ok.status < SERVER_ERROR:
+                record_success(target)
+                return
+            failed = outcome.ok.status != GATEWAY_TIMEOUT
+        else:
+            failed = outcome.error.reason is not Reason.OVERLOADED
+            if outcome.error.verdict is Verdict.NOT_RUN:
+                opened.refused += 1
+                record_refusal(target, now_ms)
+            else:
+                opened.reached += 1
+        if failed and record_failure(target, now_ms):
+            self.gate.log.record("route", "", f"ejected {entry.server_id}", f"{target.failures}")
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -0,0 +1,60 @@
+"""What a front needs to know of the way in which clients and servers speak."""
+
+from typing import Protocol
+
+from attrs import frozen
+from basilhill.verdicts import Answer, Header, Refusal
+from expression import Result
+
+from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
+
+
+@frozen
+class RequestTerms:
+    """Hold what a client says about its request besides the request."""
+
+    request_id: str
+    deadline_ms: int | None
+    host: str
+
+
+@frozen
+class ServerTerms:
+    """Hold what a node tells a backend server about a request."""
+
+    request_id: str
+    remaining_ms: int
+    server_id: str
+    caller_service: str
+
+
+class Dialect(Protocol):
+    """Translate between messages and records; decide nothing."""
+
+    def decode_terms(self, request: HttpRequest) -> Result[RequestTerms, str]:
+        """Return the terms of a client's request, or what is wrong with it."""
+        ...
+
+    def client_headers(self, request: HttpRequest) -> list[Header]:
+        """Return the headers of a client that a server gets."""
+        ...
+
+    def server_headers(self, headers: list[Header], terms: ServerTerms) -> list[Header]:
+        """Return the headers of a request to a backend server."""
+        ...
+
+    def echoes(self, headers: list[Header], request_id: str) -> bool:
+        """Tell whether a response answers the request of an id."""
+        ...
+
+    def decode_answer(self, response: HttpResponse) -> Result[Answer, Refusal]:
+        """Return the answer of a backend server, or its statement that it did not run."""
+        ...
+
+    def encode_answer(self, answer: Answer) -> HttpResponse:
+        """Return the response for a client that got an answer."""
+        ...
+
+    def encode_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
+        """Return the response for a client whose request got no answer."""
+        ...
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -0,0 +1,265 @@
+"""HTTP/1.1 towards clients: exact framing, pipelining in order, limits."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import httptools
+from attrs import define, field
+from basilhill.clocks import Clock
+from basilhill.configuration import RequestLimits
+from basilhill.verdicts import Header
+
+from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, encode_response
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+# Requests of one connection that are served at the same time; further ones wait in the socket.
+PIPELINE_LIMIT = 32
+SWEEP_S = 0.25
+# Above this many unsent bytes a connection stops sending until its client reads.
+WRITE_HIGH_BYTES = 256 << 10
+BACKLOG = 4096
+
+
+@define(eq=False)
+class Exchange:
+    """Hold one request of a connection and the task that serves it."""
+
+    bodiless: bool
+    keep_alive: bool
+    task: asyncio.Task | None = None
+    response: HttpResponse | None = None
+
+
+@define(eq=False)
+class HttpServer:
+    """Serve connections with a handler until closed."""
+
+    handler: Handler
+    limits: Callable[[], RequestLimits]
+    clock: Clock
+    log: DecisionLog
+    connections: set["ServerConnection"] = field(factory=set)
+    leaving: bool = False
+    server: asyncio.Server | None = None
+    sweeper: asyncio.Task | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen on an address; OSError when it is in use."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: ServerConnection(self), address, port, backlog=BACKLOG
+        )
+        self.sweeper = loop.create_task(self.sweep())
+
+    async def sweep(self) -> None:
+        """Close connections that are idle or send too slowly, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            now_ms, limits = self.clock.now_ms(), self.limits()
+            for connection in tuple(self.connections):
+                connection.check_time(now_ms, limits)
+
+    def leave(self) -> None:
+        """Close idle connections, and each other one after its last answer."""
+        self.leaving = True
+        for connection in tuple(self.connections):
+            connection.close_if_idle()
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+
+
+class ServerConnection(asyncio.Protocol):
+    """Read the requests of one client and write their answers in order."""
+
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
+        self.parser = httptools.HttpRequestParser(self)
+        self.transport: asyncio.Transport | None = None
+        self.task: asyncio.Task | None = None
+        self.exchanges: deque[Exchange] = deque()
+        self.arrived = asyncio.Event()
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.last = False
+        self.reading = False
+        self.changed_ms = server.clock.now_ms()
+        self.begin_message()
+
+    def begin_message(self) -> None:
+        """Forget the request that was read last."""
+        self.target = b""
+        self.headers: list[Header] = []
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+        self.header_bytes = 0
+
+    # Callbacks of the event loop.
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Start the task of the connection."""
+        self.transport = transport
+        transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        self.server.connections.add(self)
+        self.task = asyncio.get_running_loop().create_task(self.run())
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; answer bytes that are no request with 400 and close."""
+        if self.last:
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The offered protocol is declined by serving the request as it is.
+            self.last = True
+        except httptools.HttpParserError as error:
+            self.reject(400, f"malformed request: {error}")
+        if not self.last and len(self.exchanges) >= PIPELINE_LIMIT:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Treat a half-closed connection as closed."""
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancel the calls of a client that is gone."""
+        self.server.connections.discard(self)
+        self.last = True
+        self.task.cancel()
+        for exchange in self.exchanges:
+            if exchange.task is not None:
+                exchange.task.cancel()
+
+    def pause_writing(self) -> None:
+        """Hold answers back while the client does not read."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Write further answers."""
+        self.writable.set()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.reading = True
+        self.changed_ms = self.server.clock.now_ms()
+        self.begin_message()
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self.target += url
+        self.count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        self.headers.append(Header(name.decode("latin-1").lower(), value.decode("latin-1")))
+        self.count_header(len(name) + len(value) + 4)
+
+    def count_header(self, size: int) -> None:
+        """Refuse a header above the limit."""
+        self.header_bytes += size
+        if self.header_bytes > self.server.limits().header_bytes:
+            self.reject(431, "the header is too large")
+
+    def on_headers_complete(self) -> None:
+        """Ask for a body that the client holds back."""
+        if any(header.name == "expect" for header in self.headers) and not self.last:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, part: bytes) -> None:
+        """Take a part of the body."""
+        self.changed_ms = self.server.clock.now_ms()
+        self.body_bytes += len(part)
+        if self.body_bytes > self.server.limits().body_bytes:
+            self.reject(413, "the body is too large")
+            return
+        if not self.last:
+            self.body.append(part)
+
+    def on_message_complete(self) -> None:
+        """Start to serve a request that is whole."""
+        if self.last:
+            return
+        self.reading = False
+        method = self.parser.get_method().decode("latin-1")
+        request = HttpRequest(
+            method, self.target.decode("latin-1"), self.headers, b"".join(self.body)
+        )
+        hosts = sum(header.name == "host" for header in self.headers)
+        if hosts != 1 or not request.target.startswith("/"):
+            self.reject(400, "a request needs one host and a path")
+            return
+        exchange = Exchange(method == "HEAD", self.parser.should_keep_alive())
+        self.last = not exchange.keep_alive
+        exchange.task = asyncio.get_running_loop().create_task(self.server.handler(request))
+        self.enqueue(exchange)
+
+    # The task of the connection.
+
+    def enqueue(self, exchange: Exchange) -> None:
+        """Put an exchange behind those that came before."""
+        self.exchanges.append(exchange)
+        self.arrived.set()
+
+    def reject(self, status: int, text: str) -> None:
+        """Answer a request that cannot be served, behind earlier ones, and read no further."""
+        if self.last:
+            return
+        self.last = True
+        self.server.log.record("front", "", f"rejected with {status}", text)
+        response = HttpResponse(status, body=text.encode())
+        self.enqueue(Exchange(False, False, response=response))
+
+    async def run(self) -> None:
+        """Write the answers of all requests in order, then close."""
+        while True:
+            while not self.exchanges:
+                if self.last or (self.server.leaving and not self.reading):
+                    self.transport.close()
+                    return
+                self.arrived.clear()
+                await self.arrived.wait()
+            exchange = self.exchanges[0]
+            response = exchange.response or await self.finish(exchange)
+            self.exchanges.popleft()
+            close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
+            self.transport.write(encode_response(response, exchange.bodiless, close))
+            self.changed_ms = self.server.clock.now_ms()
+            if close:
+                self.last = True
+                self.exchanges.clear()
+            if len(self.exchanges) == PIPELINE_LIMIT - 1 and not self.last:
+                self.transport.resume_reading()
+            await self.writable.wait()
+
+    async def finish(self, exchange: Exchange) -> HttpResponse:
+        """Return the answer of a request; a fault of the handler becomes a 500."""
+        try:
+            return await exchange.task
+        except Exception as error:
+            self.server.log.record("front", "", "a handler failed", repr(error))
+            return HttpResponse(500, body=b"internal error")
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless it carries a request."""
+        if not self.exchanges and not self.reading:
+            self.last = True
+            self.transport.close()
+
+    def check_time(self, now_ms: int, limits: RequestLimits) -> None:
+        """Close the connection when it is idle or a request takes too long to arrive."""
+        quiet_ms = now_ms - self.changed_ms
+        if self.reading and quiet_ms > limits.header_ms:
+            self.reject(408, "the request did not arrive in time")
+        elif not self.exchanges and quiet_ms > limits.idle_ms:
+            self.transport.close()
+        elif not self.writable.is_set() and quiet_ms > limits.idle_ms:
+            self.transport.abort()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -0,0 +1,108 @@
+"""HTTP messages of clients, backend servers and the store."""
+
+from attrs import define, field
+from basilhill.verdicts import Header
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), besides those that the
+# `Connection` header names, and the length, which is written anew.
+CONNECTION_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+REASON_PHRASES = {
+    200: "OK",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    408: "Request Timeout",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+BODILESS_STATUSES = frozenset((204, 304))
+
+
+@define(eq=False)
+class HttpRequest:
+    """Hold a whole request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: list[Header] = field(factory=list)
+    body: bytes = b""
+    peer_address: str = ""
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition("?")[0]
+
+
+@define(eq=False)
+class HttpResponse:
+    """Hold a whole response; header names are in lower case."""
+
+    status: int
+    headers: list[Header] = field(factory=list)
+    body: bytes = b""
+
+
+def header_value(headers: list[Header] | tuple[Header, ...], name: str) -> str | None:
+    """Return the value of the first header with a name in lower case."""
+    for header in headers:
+        if header.name == name:
+            return header.value
+    return None
+
+
+def forwarded_headers(headers: list[Header], dropped: frozenset[str]) -> list[Header]:
+    """Return the headers that are passed on, without those of one connection."""
+    named = header_value(headers, "connection")
+    if named:
+        dropped = dropped | frozenset(token.strip().lower() for token in named.split(","))
+    return [
+        header
+        for header in headers
+        if header.name not in CONNECTION_HEADERS and header.name not in dropped
+    ]
+
+
+def encode_request(request: HttpRequest, host: str | None = None) -> bytes:
+    """Return the bytes of a request with its length."""
+    lines = [f"{request.method} {request.target} HTTP/1.1"]
+    if host is not None:
+        lines.append(f"host: {host}")
+    lines.extend(f"{header.name}: {header.value}" for header in request.headers)
+    if request.body or request.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"content-length: {len(request.body)}")
+    lines.append("\r\n")
+    return "\r\n".join(lines).encode("latin-1") + request.body
+
+
+def encode_response(response: HttpResponse, bodiless: bool = False, close: bool = False) -> bytes:
+    """Return the bytes of a response with its length."""
+    status = response.status
+    lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Status')}"]
+    lines.extend(f"{header.name}: {header.value}" for header in response.headers)
+    if status not in BODILESS_STATUSES:
+        lines.append(f"content-length: {len(response.body)}")
+    if close:
+        lines.append("connection: close")
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode("latin-1")
+    return head if bodiless or status in BODILESS_STATUSES else head + response.body
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -0,0 +1,118 @@
+"""Streams of other nodes, whose calls run on the backend server beside this one."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+from basilhill.clocks import Clock
+from basilhill.queries.slots import used_share
+from basilhill.verdicts import Reason, may_have_run
+from expression import Error
+
+from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.frames import (
+    Execute,
+    FrameKind,
+    Hello,
+    Reply,
+    decode_execute,
+    encode_frame,
+    encode_reply,
+)
+from basilhill_node.sidecar.streams import StreamConnection
+
+PONG = encode_frame(FrameKind.PONG)
+
+
+@define(eq=False)
+class IncomingStream:
+    """Hold a stream of a peer and the calls that it sent."""
+
+    connection: StreamConnection
+    calls: dict[int, asyncio.Task] = field(factory=dict)
+
+
+@define(eq=False)
+class PeerListener:
+    """Serve the streams of other nodes."""
+
+    gate: ServerGate
+    version: Callable[[], int]
+    greet: Callable[[StreamConnection, Hello], None]
+    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    clock: Clock
+    log: DecisionLog
+    streams: dict[StreamConnection, IncomingStream] = field(factory=dict)
+    server: asyncio.Server | None = None
+
+    async def start(self, address: str, port: int) -> None:
+        """Listen on an address; OSError when it is in use."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: StreamConnection(self.clock, self.handle, self.open, self.record), address, port
+        )
+
+    def open(self, connection: StreamConnection) -> None:
+        """Keep a new stream and watch for its end."""
+        incoming = self.streams[connection] = IncomingStream(connection)
+        asyncio.get_running_loop().create_task(self.watch(incoming))
+
+    async def watch(self, incoming: IncomingStream) -> None:
+        """Cancel the calls of a stream that has ended, since nobody gets their replies."""
+        await incoming.connection.closed.wait()
+        del self.streams[incoming.connection]
+        for task in tuple(incoming.calls.values()):
+            task.cancel()
+
+    def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
+        """Handle one frame of a peer."""
+        if kind is FrameKind.EXECUTE:
+            self.start_call(self.streams[connection], decode_execute(fields))
+        elif kind is FrameKind.CANCEL:
+            task = self.streams[connection].calls.get(fields[0])
+            if task is not None:
+                task.cancel()
+        elif kind is FrameKind.PING:
+            connection.send(PONG)
+        elif kind is FrameKind.HELLO:
+            hello = Hello(*fields)
+            connection.peer = hello.node
+            self.greet(connection, hello)
+        else:
+            self.receive_news(connection, kind, fields)
+
+    def start_call(self, incoming: IncomingStream, call: Execute) -> None:
+        """Run a call as a task that replies on its stream."""
+        call_id = call.call_id
+        task = asyncio.get_running_loop().create_task(self.reply(incoming, call))
+        incoming.calls[call_id] = task
+        task.add_done_callback(lambda _: incoming.calls.pop(call_id, None))
+
+    async def reply(self, incoming: IncomingStream, call: Execute) -> None:
+        """Run a call and send its reply."""
+        try:
+            outcome = await self.gate.execute(call)
+        except Exception as error:
+            self.log.record("execute", call.request_id, "failed", repr(error))
+            outcome = Error(may_have_run(Reason.INTERNAL, "the node failed"))
+        slots = self.gate.gate.slots
+        running = slots.in_flight + len(slots.waiting)
+        reply = Reply(call.call_id, outcome, running, self.version())
+        incoming.connection.send(encode_reply(reply))
+
+    def record(self, choice: str) -> None:
+        """Log a fault of a stream."""
+        self.log.record("peer", "", choice)
+
+    def load(self) -> float:
+        """Return the calls per slot of the own server."""
+        return used_share(self.gate.gate.slots)
+
+    def close(self) -> None:
+        """Stop listening and close all streams."""
+        if self.server is not None:
+            self.server.close()
+        for connection in tuple(self.streams):
+            connection.close()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -0,0 +1,181 @@
+"""Streams to the nodes beside other backend servers, opened when a call needs them."""
+
+import asyncio
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from attrs import define, field, frozen
+from basilhill.clocks import Clock
+from expression import Error, Ok, Result
+
+from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.frames import (
+    Execute,
+    FrameKind,
+    Hello,
+    Reply,
+    decode_reply,
+    encode_execute,
+    encode_frame,
+)
+from basilhill_node.sidecar.streams import StreamConnection
+
+CONNECT_TIMEOUT_S = 0.5
+# A peer with calls in flight is asked for a sign of life this often.
+PING_S = 0.25
+# Peers slowed 5 times by the platform still answered within 1 s.
+SILENCE_MS = 1_500
+# A stream that nothing used for this long is closed, so that streams do not grow with the fleet.
+IDLE_MS = 20_000
+
+
+@frozen
+class LostCall:
+    """Tell that a call got no reply and whether its frame left this node."""
+
+    sent: bool
+    text: str
+
+
+@define(eq=False)
+class PeerStream:
+    """Keep one stream to a node and match replies with calls."""
+
+    address: str
+    hello: Callable[[], Hello]
+    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    clock: Clock
+    log: DecisionLog
+    ids: count = field(factory=lambda: count(1))
+    connection: StreamConnection | None = None
+    ready: asyncio.Event = field(factory=asyncio.Event)
+    waiters: dict[int, asyncio.Future[Result[Reply, LostCall]]] = field(factory=dict)
+    task: asyncio.Task | None = None
+    used_ms: int = 0
+    silent: bool = False
+
+    async def call(self, execute: Execute) -> Result[Reply, LostCall]:
+        """Send a call and wait for its reply; cancelling it cancels the run."""
+        self.used_ms = self.clock.now_ms()
+        if self.task is None or self.task.done():
+            self.ready.clear()
+            self.task = asyncio.get_running_loop().create_task(self.run())
+        opened_by = self.task
+        while not self.ready.is_set():
+            if opened_by.done():
+                return Error(LostCall(False, f"no connection to {self.address}"))
+            waiting = asyncio.get_running_loop().create_task(self.ready.wait())
+            try:
+                await asyncio.wait({waiting, opened_by}, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                waiting.cancel()
+        connection = self.connection
+        if connection is None or not connection.has_room():
+            return Error(LostCall(False, f"{self.address} does not read"))
+        return await self.exchange(connection, execute)
+
+    async def exchange(
+        self, connection: StreamConnection, execute: Execute
+    ) -> Result[Reply, LostCall]:
+        """Send a call on an open stream and wait for its reply."""
+        execute.call_id = next(self.ids)
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters[execute.call_id] = waiter
+        connection.send(encode_execute(execute))
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            connection.send(encode_frame(FrameKind.CANCEL, execute.call_id))
+            raise
+        finally:
+            del self.waiters[execute.call_id]
+
+    async def run(self) -> None:
+        """Open the stream and watch over it until it breaks or is idle."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, self.connection = await loop.create_connection(
+                    lambda: StreamConnection(self.clock, self.handle, None, self.record),
+                    host,
+                    int(port),
+                )
+        except (OSError, TimeoutError) as error:
+            self.record(f"cannot connect: {error!r}")
+            return
+        connection = self.connection
+        hello = self.hello()
+        connection.send(encode_frame(FrameKind.HELLO, hello.node, hello.service, hello.version))
+        self.ready.set()
+        try:
+            await self.watch(connection)
+        finally:
+            self.ready.clear()
+            self.connection = None
+            connection.close()
+            for waiter in self.waiters.values():
+                if not waiter.done():
+                    waiter.set_result(Error(LostCall(True, f"lost {self.address}")))
+
+    async def watch(self, connection: StreamConnection) -> None:
+        """Ask a silent peer for a sign of life; return when there is none or no use."""
+        while True:
+            try:
+                async with asyncio.timeout(PING_S):
+                    await connection.closed.wait()
+                self.record(f"the stream ended with {len(self.waiters)} calls in flight")
+                return
+            except TimeoutError:
+                pass
+            now_ms = self.clock.now_ms()
+            quiet_ms = now_ms - connection.heard_ms
+            if not self.waiters:
+                if now_ms - self.used_ms > IDLE_MS:
+                    return
+                continue
+            if quiet_ms > SILENCE_MS:
+                self.record(f"silent for {quiet_ms} ms with {len(self.waiters)} calls in flight")
+                return
+            if quiet_ms > PING_S * 1000:
+                connection.send(encode_frame(FrameKind.PING))
+
+    def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
+        """Handle one frame of the peer."""
+        if kind is FrameKind.REPLY:
+            reply = decode_reply(fields)
+            waiter = self.waiters.get(reply.call_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(Ok(reply))
+        elif kind is not FrameKind.PONG:
+            self.receive_news(connection, kind, fields)
+
+    def record(self, choice: str) -> None:
+        """Log what became of the stream."""
+        self.log.record("peer", "", f"{self.address}: {choice}")
+
+
+@define(eq=False)
+class PeerStreams:
+    """Hold the streams to other nodes by address."""
+
+    hello: Callable[[], Hello]
+    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    clock: Clock
+    log: DecisionLog
+    streams: dict[str, PeerStream] = field(factory=dict)
+
+    def stream(self, address: str) -> PeerStream:
+        """Return the stream to a node."""
+        found = self.streams.get(address)
+        if found is None:
+            found = PeerStream(address, self.hello, self.receive_news, self.clock, self.log)
+            self.streams[address] = found
+        return found
+
+    def close(self) -> None:
+        """Close all streams."""
+        for stream in self.streams.values():
+            if stream.task is not None:
+                stream.task.cancel()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Functions that read the state of a sidecar node."""
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -0,0 +1,139 @@
+"""State of a sidecar node, divided by owner; all of it is lost when its process ends."""
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+from attrs import define, field, frozen
+from basilhill.backends import BackendDirectory
+from basilhill.balancing import LoadTable
+from basilhill.clocks import Clock
+from basilhill.configuration import Configuration, RequestLimits
+from basilhill.retry_quota import RetryQuota
+from basilhill.slots import SlotGate
+from basilhill.suspects import SuspectTable
+from basilhill.verdicts import Refusal
+
+from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.http_client import ConnectionPool
+
+# Slots of the own server until its entry is read; servers have 13 and more.
+UNKNOWN_SLOTS = 10
+SUSPECT_TTL_MS = 60_000
+
+
+@frozen
+class StoreAddress:
+    """Tell where the platform's store is."""
+
+    address: str
+    history_ms: int
+
+
+@frozen
+class SidecarSettings:
+    """Hold the settings of one sidecar node; names ending in _ms are milliseconds."""
+
+    node: str
+    address: str
+    data_centre: str
+    service: str
+    backend_address: str
+    client_port: int
+    peer_port: int
+    ready_port: int
+    metrics_port: int
+    store: StoreAddress
+    configuration_apply_ms: int
+    drain_ms: int
+    grace_ms: int
+    contact_ms: int
+    retry_ratio: float
+    retry_window_ms: int
+    retry_minimum: int
+
+
+@define(eq=False)
+class ConfigurationInForce:
+    """Hold the configuration that this node serves by; written by `apply_configuration`."""
+
+    configuration: Configuration | None = None
+    raw: bytes = b""
+    applied_ms: int = 0
+    source: str = ""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def limits(self) -> RequestLimits:
+        """Return the limits for clients."""
+        return self.configuration.limits if self.configuration else RequestLimits()
+
+
+@define(eq=False)
+class StoreView:
+    """Hold what is known of the store; written by `follow_store`."""
+
+    reachable: bool = False
+    lost_ms: int = 0
+    read_ms: int = 0
+    revision: int = 0
+
+
+@define(eq=False)
+class OriginState:
+    """Hold what this node knows as origin of requests; written by `serve_request`."""
+
+    loads: LoadTable
+    splits: dict[str, int] = field(factory=dict)
+    split_offset: float = 0.0
+    quotas: dict[str, RetryQuota] = field(factory=dict)
+    longest_ms: dict[str, int] = field(factory=dict)
+    open_requests: int = 0
+    random: Random = field(factory=Random)
+
+
+@define(eq=False)
+class GateState:
+    """Hold the slots of the own backend server; written by `execute_call`."""
+
+    pool: ConnectionPool
+    slots: SlotGate = field(factory=lambda: SlotGate(UNKNOWN_SLOTS))
+    waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
+    server_id: str = ""
+    suspects: SuspectTable = field(factory=lambda: SuspectTable(SUSPECT_TTL_MS))
+
+
+@define(eq=False)
+class NodeLife:
+    """Hold the tasks of the node and whether it is leaving; written by `node`."""
+
+    leaving: bool = False
+    started_ms: int = 0
+    tasks: set[asyncio.Task] = field(factory=set)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Run a coroutine as a task that is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+
+@define(eq=False)
+class SidecarState:
+    """Hold the parts of a node for the code that wires them."""
+
+    settings: SidecarSettings
+    clock: Clock
+    log: DecisionLog
+    in_force: ConfigurationInForce
+    store: StoreView
+    directory: BackendDirectory
+    origin: OriginState
+    gate: GateState
+    life: NodeLife
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -0,0 +1,72 @@
+"""Connections that carry frames between two sidecar nodes."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from basilhill.clocks import Clock
+
+from basilhill_node.sidecar.frames import FrameKind, FrameReader, MalformedFrameError
+from basilhill_node.sidecar.http_client import set_socket_options
+
+FrameHandler = Callable[["StreamConnection", FrameKind, list[Any]], None]
+
+# Bytes that wait for a peer which does not read; above it calls are refused, not queued.
+OUTBOX_BYTES = 4 << 20
+
+
+class StreamConnection(asyncio.Protocol):
+    """Send frames, and hand over those that arrive."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        handle: FrameHandler,
+        opened: Callable[["StreamConnection"], None] | None = None,
+        failed: Callable[[str], None] | None = None,
+    ) -> None:
+        self.clock = clock
+        self.handle = handle
+        self.opened = opened
+        self.failed = failed
+        self.reader = FrameReader()
+        self.transport: asyncio.Transport | None = None
+        self.closed = asyncio.Event()
+        self.peer = ""
+        self.heard_ms = clock.now_ms()
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Keep the transport."""
+        self.transport = transport
+        set_socket_options(transport)
+        if self.opened is not None:
+            self.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Handle the frames that are complete; a malformed one ends the stream."""
+        self.heard_ms = self.clock.now_ms()
+        try:
+            for kind, fields in self.reader.feed(data):
+                self.handle(self, kind, fields)
+        except (MalformedFrameError, ValueError, TypeError, IndexError) as error:
+            if self.failed is not None:
+                self.failed(f"malformed frame: {error!r}")
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the task of the stream."""
+        self.closed.set()
+
+    def has_room(self) -> bool:
+        """Tell whether the peer reads what is sent."""
+        return self.transport.get_write_buffer_size() < OUTBOX_BYTES
+
+    def send(self, data: bytes) -> None:
+        """Send one frame."""
+        if not self.closed.is_set():
+            self.transport.write(data)
+
+    def close(self) -> None:
+        """Close at once."""
+        if self.transport is not None:
+            self.transport.abort()
