Refuse customers' requests at their origin by the load of the services on their way

A second fault: a stream that had been idle counted as silent at its next call and was cut. Change: each gate keeps an admission level by rank, reported on replies and passed up the routes; origins refuse new requests by it; calls inside requests inherit their rank and wait as long as they may; failures count against a server only beyond those of its siblings.

--- a/packages/basilhill/src/basilhill/balancing.py
+++ b/packages/basilhill/src/basilhill/balancing.py
@@ -5,13 +5,17 @@
 
 @define(eq=False)
 class TargetLoad:
-    """Hold the own calls in flight to one server, its last report and its failures in a row."""
+    """Hold the own calls in flight to one server, its last report and its share of failures.
+
+    Failures in a row count only what shows that the server or the way to it is gone.
+    """
 
     server_id: str
     in_flight: int = 0
     reported: int = 0
     in_flight_at_report: int = 0
     refused_until_ms: int = 0
+    failure_rate: float = 0.0
     failures: int = 0
     ejected_until_ms: int = 0
 
--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -4,6 +4,8 @@
 
 EJECT_AFTER_FAILURES = 4
 EJECTION_MS = 2_000
+# Weight of the newest outcome in a server's share of failures: about the last 20 calls count.
+FAILURE_WEIGHT = 0.05
 # A server that refused a call is left out for this time while others have room.
 REFUSAL_MS = 50
 
@@ -37,13 +39,20 @@
     target.refused_until_ms = now_ms + REFUSAL_MS
 
 
-def record_success(target: TargetLoad) -> None:
-    """Forget the failures of a server that answered."""
+def record_answer(target: TargetLoad, failed: bool) -> None:
+    """Count an answer of a server; one that reports a failure may have its cause elsewhere."""
     target.failures = 0
+    count_failure(target, failed)
 
 
-def record_failure(target: TargetLoad, now_ms: int) -> bool:
-    """Count a failure; return whether the server was ejected for it."""
+def count_failure(target: TargetLoad, failed: bool) -> None:
+    """Move the share of failures of a server towards its newest outcome."""
+    target.failure_rate += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - target.failure_rate)
+
+
+def record_loss(target: TargetLoad, now_ms: int) -> bool:
+    """Count a call without an answer; return whether the server was ejected for it."""
+    count_failure(target, failed=True)
     target.failures += 1
     if target.failures < EJECT_AFTER_FAILURES:
         return False
--- /dev/null
+++ b/packages/basilhill/src/basilhill/levels.py
@@ -0,0 +1,35 @@
+"""Admission levels: how urgent a customer's request must be for a server's present load."""
+
+from attrs import define, field
+
+
+@define(eq=False)
+class AdmissionLevel:
+    """Hold the level of one server and the work asked for since the last adjustment.
+
+    Requests are admitted whose rank plus a random number below 1 is less than the level, so that
+    the level 5.3 admits all ranks below 5 and 3 in 10 requests of rank 5.
+    """
+
+    highest: float
+    level: float
+    adjusted_ms: int = 0
+    work_ms: dict[int, float] = field(factory=dict)
+    recent_ms: dict[int, float] = field(factory=dict)
+
+
+@define
+class LevelReport:
+    """Hold the level of a route at one server and when it was reported."""
+
+    level: float
+    reported_ms: int
+
+
+@define(eq=False)
+class RouteLevels:
+    """Hold the reported levels of routes by server, and the routes called within each route."""
+
+    highest: float
+    reports: dict[str, dict[str, LevelReport]] = field(factory=dict)
+    called: dict[str, set[str]] = field(factory=dict)
--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -7,10 +7,13 @@
 
 # Up to this load calls stay in the own data centre; bytes between data centres cost.
 NEAR_LOAD = 0.7
+# Servers compared for one call. Two are enough to spread load and keep nodes from acting alike;
+# three find one of the faster servers more often.
+SERVERS_COMPARED = 3
 # A cold server serves about half of what its slots promise.
 COLD_FACTOR = 2.0
-# Each failure in a row makes a server look this much fuller.
-FAILURE_FACTOR = 0.5
+# A server that fails all requests, while another one fails none, looks this much fuller.
+FAILURE_FACTOR = 8.0
 
 
 def usable_entries(
@@ -30,19 +33,32 @@
     return sound or present
 
 
+def least_failure_rate(directory: BackendDirectory, loads: LoadTable, service: str) -> float:
+    """Return the share of failures of a service's best server."""
+    rates = (
+        loads.targets[entry.server_id].failure_rate
+        for entry in directory.services.get(service, ())
+        if entry.server_id in loads.targets
+    )
+    return min(rates, default=0.0)
+
+
 def is_doubtful(loads: LoadTable, entry: BackendEntry, now_ms: int) -> bool:
     """Tell whether a server was ejected or refused a call a moment ago."""
     target = loads.targets.get(entry.server_id)
     return target is not None and max(target.ejected_until_ms, target.refused_until_ms) > now_ms
 
 
-def load_of(loads: LoadTable, entry: BackendEntry, now_ms: int) -> float:
-    """Return the expected calls per slot of a server after one more call."""
+def load_of(loads: LoadTable, entry: BackendEntry, now_ms: int, least_rate: float = 0.0) -> float:
+    """Return the expected calls per slot of a server after one more call.
+
+    Failures that all servers share, such as those of a service that they call, do not count.
+    """
     factor = COLD_FACTOR if entry.warm_ms > now_ms else 1.0
     target = loads.targets.get(entry.server_id)
     if target is None:
         return factor / max(1, entry.slots)
-    factor *= 1 + FAILURE_FACTOR * target.failures
+    factor *= 1 + FAILURE_FACTOR * max(0.0, target.failure_rate - least_rate)
     return (calls_of(target) + 1) * factor / max(1, entry.slots)
 
 
@@ -61,17 +77,22 @@
 ) -> BackendEntry | None:
     """Return a near server with room, else the less loaded of two random ones."""
     usable = usable_entries(directory, loads, service, now_ms, excluded)
+    least_rate = least_failure_rate(directory, loads, service)
     near = [entry for entry in usable if entry.data_centre == loads.data_centre]
-    best = least_loaded(near, loads, now_ms, random)
-    if best is not None and load_of(loads, best, now_ms) <= NEAR_LOAD:
+    best = least_loaded(near, loads, now_ms, least_rate, random)
+    if best is not None and load_of(loads, best, now_ms, least_rate) <= NEAR_LOAD:
         return best
-    return least_loaded(usable, loads, now_ms, random)
+    return least_loaded(usable, loads, now_ms, least_rate, random)
 
 
 def least_loaded(
-    entries: list[BackendEntry], loads: LoadTable, now_ms: int, random: Random
+    entries: list[BackendEntry],
+    loads: LoadTable,
+    now_ms: int,
+    least_rate: float,
+    random: Random,
 ) -> BackendEntry | None:
-    """Return the less loaded of two random servers."""
-    if len(entries) > 2:
-        entries = random.sample(entries, 2)
-    return min(entries, key=lambda entry: load_of(loads, entry, now_ms), default=None)
+    """Return the least loaded of a few random servers."""
+    if len(entries) > SERVERS_COMPARED:
+        entries = random.sample(entries, SERVERS_COMPARED)
+    return min(entries, key=lambda entry: load_of(loads, entry, now_ms, least_rate), default=None)
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -21,6 +21,7 @@
 NOT_EXECUTED = "basilhill-not-executed"
 CALLER_SERVICE = "basilhill-caller-service"
 RETRY_AFTER = "retry-after"
+ID_SEPARATOR = "."
 MISDIRECTED = 421
 # Headers that the node sets itself on the way to a server.
 SET_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE))
@@ -46,7 +47,10 @@
         except (ValueError, OverflowError):
             return Error(f"the deadline {text!r} is no number of milliseconds")
         request_id = header_value(request.headers, REQUEST_ID) or ""
-        return Ok(RequestTerms(request_id, deadline_ms, host))
+        # Seen on the wire, not in the pages: the id of a call that a server makes begins with the
+        # id of the request that it runs. An id of another form only loses the parent's rank.
+        parent_id = request_id.rpartition(ID_SEPARATOR)[0] or None
+        return Ok(RequestTerms(request_id, deadline_ms, host, parent_id))
 
     def client_headers(self, request: HttpRequest) -> list[Header]:
         """Return the headers of a client that a server gets."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -5,6 +5,7 @@
 from attrs import define
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
+from basilhill.commands.levels import adjust_level, count_work
 from basilhill.commands.slots import release_slot, request_slot, start_next, withdraw_request
 from basilhill.queries.slots import drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
@@ -20,7 +21,10 @@
     ConnectionFailedError,
 )
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
-from basilhill_node.sidecar.state import GateState
+from basilhill_node.sidecar.ranks import split_rank
+from basilhill_node.sidecar.state import GateState, RunningCall
+
+ADJUST_S = 0.1
 
 # A call that cannot be repeated uses a connection only if the server used it this lately, because
 # a server may close an idle connection while the request is on its way.
@@ -45,9 +49,11 @@
             self.record(call, Error(refusal), arrived_ms, arrived_ms)
             return Error(refusal)
         started_ms = self.clock.now_ms()
+        self.gate.running[call.request_id] = RunningCall(call.route, *split_rank(call.rank))
         try:
             outcome = await self.run(call, arrived_ms)
         finally:
+            self.gate.running.pop(call.request_id, None)
             release_slot(self.gate.slots, self.clock.now_ms() - started_ms)
             self.start_waiting()
         self.record(call, outcome, arrived_ms, started_ms)
@@ -63,6 +69,7 @@
     async def enter(self, call: Execute, arrived_ms: int) -> Refusal | None:
         """Take a slot, after waiting for it if need be; return a refusal without one."""
         slots = self.gate.slots
+        count_work(self.gate.level, split_rank(call.rank)[0], slots.service_ms)
         grant = request_slot(slots, call.rank, call.patience_ms, arrived_ms)
         for displaced in grant.displaced:
             self.refuse_waiting(displaced)
@@ -154,6 +161,18 @@
         self.gate.pool.put_back(connection)
         return self.dialect.decode_answer(response)
 
+    async def adjust(self) -> None:
+        """Adjust the admission level at fixed intervals until cancelled."""
+        while True:
+            await asyncio.sleep(ADJUST_S)
+            before = self.gate.level.level
+            adjust_level(self.gate.level, self.gate.slots, self.clock.now_ms())
+            if int(before) != int(self.gate.level.level):
+                slots = self.gate.slots
+                text = f"level {before:.2f} to {self.gate.level.level:.2f}"
+                reason = f"slots {slots.in_flight}/{slots.slots} queue {len(slots.waiting)}"
+                self.log.record("level", "", text, reason)
+
     def record(self, call: Execute, outcome: Outcome, arrived_ms: int, started_ms: int) -> None:
         """Log the decision about a call."""
         slots = self.gate.slots
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -8,16 +8,18 @@
 from basilhill.commands.balancing import (
     begin_send,
     end_send,
-    record_failure,
+    record_answer,
+    record_loss,
     record_refusal,
     record_report,
-    record_success,
     target_of,
 )
+from basilhill.commands.levels import record_called, record_level
 from basilhill.commands.retry_quota import count_request, spend_retry_quota
 from basilhill.configuration import Route
-from basilhill.queries.balancing import choose_backend
+from basilhill.queries.balancing import choose_backend, least_failure_rate
 from basilhill.queries.configuration import find_route, split_service
+from basilhill.queries.levels import admits, route_level, tree_level
 from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
     Answer,
@@ -36,6 +38,7 @@
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.ranks import call_rank, request_rank
 from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
 
 # Servers that may refuse a call for want of a slot before the client is told so.
@@ -48,8 +51,10 @@
 GATEWAY_TIMEOUT = 504
 # Deadlines below this share of the longest one seen on a route mark a client that came back.
 RETURNED_SHARE = 0.97
-RETRY_AFTER_MIN_MS = 100
-RETRY_AFTER_SPREAD_MS = 400
+# Clients that are refused for load come back within this time, spread evenly.
+RETRY_AFTER_MS = (200, 600)
+# Above this share of failures at the best server of a service, its failures are not retried.
+COMMON_FAILURE_RATE = 0.1
 
 
 @define(eq=False)
@@ -64,6 +69,7 @@
     deadline_ms: int
     ends_ms: int
     rank: int
+    depth: int
     patience_ms: int
     tried: set[str] = field(factory=set)
     reached: int = 0
@@ -111,7 +117,8 @@
             refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {terms.host}{request.path}")
             return self.finish(terms, Error(refusal), arrived_ms, "no route")
         opened = self.open_request(request, terms, route, arrived_ms)
-        outcome = await self.dispatch(opened)
+        refusal = self.level_refusal(opened)
+        outcome = Error(refusal) if refusal else await self.dispatch(opened)
         detail = (
             f"route {route.name} service {opened.service} version {self.in_force.version} "
             f"rank {opened.rank} servers {opened.reached} refusals {opened.refused} "
@@ -132,8 +139,14 @@
         returned = given_ms < RETURNED_SHARE * longest_ms
         deadline_ms = arrived_ms + given_ms
         ends_ms = min(deadline_ms, arrived_ms + route.timeout_ms)
-        rank = 2 * route.priority + (0 if returned else 1)
-        patience_ms = int(route.target_ms * PATIENCE_SHARE)
+        parent = self.gate.gate.running.get(terms.parent_id) if terms.parent_id else None
+        if parent is None:
+            rank, depth = request_rank(route.priority, returned), 0
+            patience_ms = int(route.target_ms * PATIENCE_SHARE)
+        else:
+            # The call of an admitted request waits as long as it may: failing it fails all.
+            record_called(self.origin.levels, parent.route, route.name)
+            rank, depth, patience_ms = parent.rank, parent.depth + 1, LONGEST_MS
         count_request(self.quota(service), arrived_ms)
         return OpenRequest(
             request,
@@ -144,9 +157,20 @@
             deadline_ms,
             ends_ms,
             rank,
+            depth,
             patience_ms,
         )
 
+    def level_refusal(self, opened: OpenRequest) -> Refusal | None:
+        """Return the refusal of a customer's request for which its servers have no room."""
+        if opened.depth:
+            return None
+        level = route_level(self.origin.levels, opened.route.name, opened.arrived_ms)
+        if admits(level, opened.rank, self.origin.random.random()):
+            return None
+        text = f"level {level:.2f} is below rank {opened.rank}"
+        return not_run(Reason.OVERLOADED, text, self.origin.random.randint(*RETRY_AFTER_MS))
+
     def quota(self, service: str) -> RetryQuota:
         """Return the retries that this node may send to a service."""
         quota = self.origin.quotas.get(service)
@@ -200,7 +224,7 @@
                 if outcome.ok.status < SERVER_ERROR or outcome.ok.status == GATEWAY_TIMEOUT:
                     return outcome
                 opened.failed = outcome.ok
-                if not self.may_repeat(opened):
+                if self.failure_is_common(opened) or not self.may_repeat(opened):
                     return outcome
                 continue
             last = outcome.error
@@ -217,6 +241,11 @@
             return Ok(opened.failed)
         return Error(opened.uncertain or last)
 
+    def failure_is_common(self, opened: OpenRequest) -> bool:
+        """Tell whether all servers of a service fail often, so that another would fail too."""
+        rate = least_failure_rate(self.directory, self.origin.loads, opened.service)
+        return rate > COMMON_FAILURE_RATE
+
     def may_repeat(self, opened: OpenRequest) -> bool:
         """Tell whether a request that may have run may reach another server."""
         return (
@@ -234,12 +263,12 @@
             entry.server_id,
             opened.terms.request_id,
             self.settings.service,
-            opened.service,
+            opened.route.name,
             opened.route.idempotent,
             opened.ends_ms - now_ms,
             opened.deadline_ms - now_ms,
             min(opened.patience_ms, opened.ends_ms - now_ms),
-            opened.rank,
+            call_rank(opened.rank, opened.depth),
             opened.request.method,
             opened.request.target,
             self.dialect.client_headers(opened.request),
@@ -256,8 +285,13 @@
 
     async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
         """Run a call on the own server or on that of a peer."""
+        levels, route = self.origin.levels, execute.route
         if entry.address == self.settings.backend_address:
-            return await self.gate.execute(execute)
+            outcome = await self.gate.execute(execute)
+            now_ms = self.clock.now_ms()
+            level = tree_level(levels, route, self.gate.gate.level.level, now_ms)
+            record_level(levels, route, entry.server_id, level, now_ms)
+            return outcome
         stream = self.peers.stream(f"{entry.host}:{self.settings.peer_port}")
         result = await stream.call(execute)
         if result.is_error():
@@ -265,8 +299,10 @@
             if lost.sent:
                 return Error(may_have_run(Reason.CONNECTION_LOST, lost.text))
             return Error(not_run(Reason.UNREACHABLE, lost.text))
-        record_report(target_of(self.origin.loads, entry.server_id), result.ok.running)
-        return result.ok.outcome
+        reply = result.ok
+        record_report(target_of(self.origin.loads, entry.server_id), reply.running)
+        record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
+        return reply.outcome
 
     def judge(self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome) -> None:
         """Record what an outcome says of a server and of the request."""
@@ -274,16 +310,15 @@
         now_ms = self.clock.now_ms()
         if outcome.is_ok():
             opened.reached += 1
-            if outcome.ok.status < SERVER_ERROR:
-                record_success(target)
-                return
-            failed = outcome.ok.status != GATEWAY_TIMEOUT
+            status = outcome.ok.status
+            record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
+            return
+        reason = outcome.error.reason
+        if outcome.error.verdict is Verdict.NOT_RUN:
+            opened.refused += 1
+            record_refusal(target, now_ms)
         else:
-            failed = outcome.error.reason is not Reason.OVERLOADED
-            if outcome.error.verdict is Verdict.NOT_RUN:
-                opened.refused += 1
-                record_refusal(target, now_ms)
-            else:
-                opened.reached += 1
-        if failed and record_failure(target, now_ms):
-            self.gate.log.record("route", "", f"ejected {entry.server_id}", f"{target.failures}")
+            opened.reached += 1
+        lost = reason in (Reason.CONNECTION_LOST, Reason.UNREACHABLE)
+        if lost and record_loss(target, now_ms):
+            self.gate.log.record("route", "", f"ejected {entry.server_id}", outcome.error.text)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -16,6 +16,8 @@
     request_id: str
     deadline_ms: int | None
     host: str
+    # The running request within which a backend server makes this one, where its id tells.
+    parent_id: str | None = None
 
 
 @frozen
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -18,6 +18,8 @@
 # Bodies have at most 64 MB by the operators' limits; msgpack adds little.
 LONGEST_FRAME = 80 << 20
 VERDICTS = (Verdict.ANSWERED, Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
+# Levels travel as whole numbers, which take fewer bytes.
+LEVEL_STEPS = 256
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(list[Any])
 
@@ -57,7 +59,7 @@
     server_id: str
     request_id: str
     caller_service: str
-    service: str
+    route: str
     idempotent: bool
     remaining_ms: int
     deadline_ms: int
@@ -71,12 +73,12 @@
 
 @define(eq=False)
 class Reply:
-    """Carry the outcome of a run, the calls on the server and the sender's configuration."""
+    """Carry the outcome of a run, the calls on the server and the admission level of its route."""
 
     call_id: int
     outcome: Any
     running: int = 0
-    version: int = 0
+    level: float = 0.0
 
 
 @frozen
@@ -101,7 +103,7 @@
         execute.server_id,
         execute.request_id,
         execute.caller_service,
-        execute.service,
+        execute.route,
         execute.idempotent,
         execute.remaining_ms,
         execute.deadline_ms,
@@ -123,26 +125,27 @@
 
 def encode_reply(reply: Reply) -> bytes:
     """Return the bytes of a Reply frame."""
-    kind, call_id, running, version = FrameKind.REPLY, reply.call_id, reply.running, reply.version
+    kind, call_id, running = FrameKind.REPLY, reply.call_id, reply.running
+    level = round(reply.level * LEVEL_STEPS)
     if reply.outcome.is_ok():
         answer = reply.outcome.ok
         content = (answer.status, flatten(answer.headers), answer.body)
-        return encode_frame(kind, call_id, running, version, 0, content)
+        return encode_frame(kind, call_id, running, level, 0, content)
     refusal = reply.outcome.error
     content = (refusal.reason.value, refusal.text, refusal.retry_after_ms)
-    return encode_frame(kind, call_id, running, version, VERDICTS.index(refusal.verdict), content)
+    return encode_frame(kind, call_id, running, level, VERDICTS.index(refusal.verdict), content)
 
 
 def decode_reply(fields: list[Any]) -> Reply:
     """Return a Reply record."""
-    call_id, running, version, verdict, content = fields
+    call_id, running, level, verdict, content = fields
     if verdict == 0:
         status, headers, body = content
         outcome = Ok(Answer(status, tuple(unflatten(headers)), body))
     else:
         reason, text, retry_after_ms = content
         outcome = Error(Refusal(VERDICTS[verdict], Reason(reason), text, retry_after_ms))
-    return Reply(call_id, outcome, running, version)
+    return Reply(call_id, outcome, running, level / LEVEL_STEPS)
 
 
 def flatten(headers: list[Header] | tuple[Header, ...]) -> list[str]:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -114,9 +114,7 @@
     origin = Origin(
         settings, state.origin, state.in_force, state.directory, gate, peers, dialect, clock
     )
-    listener = PeerListener(
-        gate, lambda: state.in_force.version, greet, receive_news, clock, state.log
-    )
+    listener = PeerListener(gate, state.origin.levels, greet, receive_news, clock, state.log)
     front = HttpServer(origin.serve, lambda: state.in_force.limits, clock, state.log)
     ready = HttpServer(answer_ready(state), RequestLimits, clock, state.log)
     return Sidecar(state, gate, peers, origin, listener, follower, front, ready)
@@ -139,6 +137,7 @@
     await node.ready.start(settings.address, settings.ready_port)
     state.life.spawn(node.follower.run())
     state.life.spawn(close_idle_connections(node))
+    state.life.spawn(node.gate.adjust())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stopped.set)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -6,7 +6,8 @@
 
 from attrs import define, field
 from basilhill.clocks import Clock
-from basilhill.queries.slots import used_share
+from basilhill.levels import RouteLevels
+from basilhill.queries.levels import tree_level
 from basilhill.verdicts import Reason, may_have_run
 from expression import Error
 
@@ -39,7 +40,7 @@
     """Serve the streams of other nodes."""
 
     gate: ServerGate
-    version: Callable[[], int]
+    levels: RouteLevels
     greet: Callable[[StreamConnection, Hello], None]
     receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
     clock: Clock
@@ -99,17 +100,14 @@
             outcome = Error(may_have_run(Reason.INTERNAL, "the node failed"))
         slots = self.gate.gate.slots
         running = slots.in_flight + len(slots.waiting)
-        reply = Reply(call.call_id, outcome, running, self.version())
+        level = tree_level(self.levels, call.route, self.gate.gate.level.level, self.clock.now_ms())
+        reply = Reply(call.call_id, outcome, running, level)
         incoming.connection.send(encode_reply(reply))
 
     def record(self, choice: str) -> None:
         """Log a fault of a stream."""
         self.log.record("peer", "", choice)
 
-    def load(self) -> float:
-        """Return the calls per slot of the own server."""
-        return used_share(self.gate.gate.slots)
-
     def close(self) -> None:
         """Stop listening and close all streams."""
         if self.server is not None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -81,6 +81,9 @@
         """Send a call on an open stream and wait for its reply."""
         execute.call_id = next(self.ids)
         waiter = asyncio.get_running_loop().create_future()
+        if not self.waiters:
+            # Nothing was asked of the peer before, so its silence until now means nothing.
+            connection.heard_ms = self.clock.now_ms()
         self.waiters[execute.call_id] = waiter
         connection.send(encode_execute(execute))
         try:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -10,6 +10,7 @@
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock
 from basilhill.configuration import Configuration, RequestLimits
+from basilhill.levels import AdmissionLevel, RouteLevels
 from basilhill.retry_quota import RetryQuota
 from basilhill.slots import SlotGate
 from basilhill.suspects import SuspectTable
@@ -21,6 +22,8 @@
 # Slots of the own server until its entry is read; servers have 13 and more.
 UNKNOWN_SLOTS = 10
 SUSPECT_TTL_MS = 60_000
+# Above the ranks of all requests: priorities of configurations are small numbers.
+HIGHEST_LEVEL = 40.0
 
 
 @frozen
@@ -89,6 +92,7 @@
     """Hold what this node knows as origin of requests; written by `serve_request`."""
 
     loads: LoadTable
+    levels: RouteLevels = field(factory=lambda: RouteLevels(HIGHEST_LEVEL))
     splits: dict[str, int] = field(factory=dict)
     split_offset: float = 0.0
     quotas: dict[str, RetryQuota] = field(factory=dict)
@@ -97,12 +101,23 @@
     random: Random = field(factory=Random)
 
 
+@frozen
+class RunningCall:
+    """Hold what the calls that a running request makes inherit from it."""
+
+    route: str
+    rank: int
+    depth: int
+
+
 @define(eq=False)
 class GateState:
     """Hold the slots of the own backend server; written by `execute_call`."""
 
     pool: ConnectionPool
     slots: SlotGate = field(factory=lambda: SlotGate(UNKNOWN_SLOTS))
+    level: AdmissionLevel = field(factory=lambda: AdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL))
+    running: dict[str, RunningCall] = field(factory=dict)
     waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
     server_id: str = ""
     suspects: SuspectTable = field(factory=lambda: SuspectTable(SUSPECT_TTL_MS))
