--- a/packages/basilhill_node/src/basilhill_node/logs.py
+++ b/packages/basilhill_node/src/basilhill_node/logs.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections import deque
+from collections.abc import Callable
 from queue import Empty, Full, Queue
 from threading import Thread
 from typing import Any
@@ -81,11 +82,23 @@
         )
 
 
+def encode_text_line(message: dict[str, Any]) -> str:
+    """Return a message as one line of text."""
+    text = message.get("text") or message.get("reason", "")
+    return f"{message['timestamp']:.3f} {message['message_type']}: {text}\n"
+
+
 class LineWriter:
     """Write lines to a file descriptor from a thread, so that no call waits for its reader."""
 
-    def __init__(self, descriptor: int, waiting: int = LINES_WAITING) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        waiting: int = LINES_WAITING,
+        encode: Callable[[dict[str, Any]], str] | None = None,
+    ) -> None:
         self.descriptor = descriptor
+        self.encode = encode or encode_text_line
         self.lines: Queue[str | None] = Queue(waiting)
         # Each count only rises and belongs to one thread, so that none of it is overwritten.
         self.lost = 0
@@ -96,9 +109,8 @@
 
     def write(self, message: dict[str, Any]) -> None:
         """Queue a message as one line; count it as lost when the queue is full."""
-        text = message.get("text") or message.get("reason", "")
         try:
-            self.lines.put_nowait(f"{message['timestamp']:.3f} {message['message_type']}: {text}\n")
+            self.lines.put_nowait(self.encode(message))
         except Full:
             self.lost += 1
 
@@ -111,9 +123,9 @@
             text = "".join(line for line in batch if line is not None)
             lost = self.lost + self.unwritten
             if lost > self.reported:
-                text += (
-                    f"{time.time():.3f} log: {lost - self.reported} lines omitted, "
-                    "standard output blocked\n"
+                lines = f"{lost - self.reported} lines omitted, standard output blocked"
+                text += self.encode(
+                    {"timestamp": time.time(), "message_type": "log", "text": lines}
                 )
                 self.reported = lost
             self.write_all(text.encode(errors="backslashreplace"))
@@ -162,9 +174,9 @@
         self.writer.write({"timestamp": record.created, "message_type": record.name, "text": line})
 
 
-def start_logging() -> None:
+def start_logging(encode: Callable[[dict[str, Any]], str] = encode_text_line) -> None:
     """Log to standard output, because VMs have no disks."""
-    writer = LineWriter(sys.stdout.fileno())
+    writer = LineWriter(sys.stdout.fileno(), encode=encode)
     eliot.add_destinations(writer.write)
     logging.getLogger().addHandler(LibraryHandler(writer))
     atexit.register(writer.close)
--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -11,6 +11,7 @@
 HIGHEST_US = 600_000_000
 COUNTER_BYTES = 4
 SERVER_ERROR = 500
+PERCENTILES = (50, 90, 99, 99.9)
 
 
 def new_histogram() -> HdrHistogram:
--- a/packages/basilhill_node/src/basilhill_node/platform/__main__.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/__main__.py
@@ -12,23 +12,26 @@
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import PlatformStore
+from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
+from basilhill_node.sidecar.event_log import encode_json_line
 from basilhill_node.sidecar.node import build_sidecar, run_sidecar
 
 SETTINGS_VARIABLE = "BASILHILL_CONFIG"
 EXIT_UNUSABLE = 2
 
 
-async def run(data: bytes) -> int:
+async def run(path: Path, data: bytes) -> int:
     """Run a node with the settings of a file until it is told to leave."""
     settings = decode_settings(data)
     if settings.is_error():
         print(f"basilhill: {settings.error}", file=sys.stderr)
         return EXIT_UNUSABLE
-    start_logging()
+    start_logging(encode_json_line)
     clock = SystemClock()
     store = PlatformStore.at(settings.ok.store.address, clock)
     node = build_sidecar(settings.ok, store, PlatformDecoder(), PlatformDialect(), clock)
-    await run_sidecar(node)
+    reloader = SettingsReloader(path, decode_settings, settings.ok, node.state.log)
+    await run_sidecar(node, reloader)
     return 0
 
 
@@ -38,7 +41,7 @@
     if not path:
         print(f"basilhill: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
         return EXIT_UNUSABLE
-    return uvloop.run(run(Path(path).read_bytes()))
+    return uvloop.run(run(Path(path), Path(path).read_bytes()))
 
 
 if __name__ == "__main__":
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -8,8 +8,8 @@
 from basilhill_node.sidecar.state import SidecarSettings, StoreAddress
 
 MS_PER_S = 1000
-# The second port for traffic between nodes carries metrics.
-METRICS_OFFSET = 1
+# The same on all days, as `deploy/system.toml` names it; the platform's own ports change daily.
+METRICS_PORT = 9464
 
 
 def decode_settings(data: bytes) -> Result[SidecarSettings, str]:
@@ -27,7 +27,6 @@
     own, network = tables["self"], tables["network"]
     # The table `platform` holds another one of that name, which is the store.
     store, bounds = tables["platform"]["platform"], tables["terms"]["bounds"]
-    first_port = int(network["portRange"][0])
     return SidecarSettings(
         node=own["nodeName"],
         address=own["ip"],
@@ -38,7 +37,7 @@
         # `inbound` is free for traffic between nodes, with the same port on each VM.
         peer_port=port_of(network["listen"]["inbound"]),
         ready_port=port_of(network["listen"]["ready"]),
-        metrics_port=first_port + METRICS_OFFSET,
+        metrics_port=METRICS_PORT,
         store=StoreAddress(store["address"], int(store["historyS"] * MS_PER_S)),
         configuration_apply_ms=int(bounds["configApplyS"] * MS_PER_S),
         drain_ms=int(bounds["drainS"] * MS_PER_S),
--- a/packages/basilhill_node/src/basilhill_node/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/queries/exposition.py
@@ -2,17 +2,14 @@
 
 from collections.abc import Iterator
 
-from basilhill.verdicts import Verdict
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
     CounterMetricFamily,
     GaugeMetricFamily,
     Metric,
-    SummaryMetricFamily,
 )
 
-from basilhill_node.metrics import ActionMetrics
-from basilhill_node.queries.outcomes import PERCENTILES
+from basilhill_node.queries.action_metrics import action_counters, latencies
 from basilhill_node.queries.status import is_ready
 from basilhill_node.state import NodeState
 
@@ -45,8 +42,8 @@
     def collect(self) -> Iterator[Metric]:
         """Yield each metric family."""
         yield from gauges(self.node)
-        yield from action_counters(self.node)
-        yield latencies(self.node)
+        yield from action_counters(self.node.metrics)
+        yield latencies(self.node.metrics)
         refusals = CounterMetricFamily(
             "basilhill_refused_requests",
             "Requests refused before they were customer actions",
@@ -72,49 +69,3 @@
     }
     for name, value in values.items():
         yield GaugeMetricFamily(f"basilhill_{name}", HELP_OF_GAUGE[name], value=float(value))
-
-
-def action_counters(node: NodeState) -> Iterator[CounterMetricFamily]:
-    """Yield the outcomes per kind of customer action."""
-    verdicts = CounterMetricFamily(
-        "basilhill_actions", "Customer actions by verdict", labels=["action", "verdict"]
-    )
-    reasons = CounterMetricFamily(
-        "basilhill_action_refusals", "Refused actions by reason", labels=["action", "reason"]
-    )
-    failed = CounterMetricFamily(
-        "basilhill_actions_failed", "Answers with a status from 500", labels=["action"]
-    )
-    retries = CounterMetricFamily(
-        "basilhill_retries", "Retries spent, whole call chains", labels=["action"]
-    )
-    for action, metrics in node.metrics.actions.items():
-        for verdict in Verdict:
-            verdicts.add_metric([action, verdict.value], metrics.verdicts[verdict])
-        for reason, count in metrics.reasons.items():
-            reasons.add_metric([action, reason.value], count)
-        failed.add_metric([action], metrics.failed)
-        retries.add_metric([action], metrics.retries)
-    yield from (verdicts, reasons, failed, retries)
-
-
-def latencies(node: NodeState) -> SummaryMetricFamily:
-    """Return the time to an answer per kind of customer action, in seconds."""
-    family = SummaryMetricFamily(
-        "basilhill_action_latency_seconds", "Time to an answer", labels=["action"]
-    )
-    for action, metrics in node.metrics.actions.items():
-        add_latencies(family, action, metrics)
-    return family
-
-
-def add_latencies(family: SummaryMetricFamily, action: str, metrics: ActionMetrics) -> None:
-    """Add the percentiles, count and sum of one kind of action."""
-    histogram = metrics.latency_us
-    count = histogram.get_total_count()
-    if count:
-        values = histogram.get_percentile_to_value_dict(PERCENTILES)
-        for percentile, value in values.items():
-            labels = {"action": action, "quantile": f"{percentile / 100:g}"}
-            family.add_sample(family.name, labels, value / 1e6)
-    family.add_metric([action], count, metrics.latency_sum_us / 1e6)
--- a/packages/basilhill_node/src/basilhill_node/queries/outcomes.py
+++ b/packages/basilhill_node/src/basilhill_node/queries/outcomes.py
@@ -4,11 +4,9 @@
 
 from basilhill.verdicts import Verdict
 
-from basilhill_node.metrics import ActionMetrics
+from basilhill_node.metrics import PERCENTILES, ActionMetrics
 from basilhill_node.state import NodeState
 
-PERCENTILES = (50, 90, 99, 99.9)
-
 
 def outcomes(node: NodeState, service: str = "") -> dict[str, Any]:
     """Return the outcomes per kind of action since the start, of one service or of all."""
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_news.py
@@ -0,0 +1,149 @@
+"""Exchange with peers what a node without the store cannot read itself."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from attrs import define, field
+from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.clocks import Clock
+from basilhill.commands.suspects import apply_report
+from basilhill.suspects import SuspectReport, SuspectTable
+
+from basilhill_node.sidecar.commands.update_view import ViewUpdater
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.frames import FrameKind, Hello, encode_frame
+from basilhill_node.sidecar.state import ConfigurationInForce, SidecarSettings, StoreView
+from basilhill_node.sidecar.streams import StreamConnection
+
+# Ids of departed servers that a peer is told, the newest ones.
+DEPARTED_TOLD = 50
+
+
+@define(eq=False)
+class PeerStanding:
+    """Hold what a peer said of itself on one stream."""
+
+    version: int
+    store_reachable: bool
+
+
+@define(eq=False)
+class NewsExchange:
+    """Tell peers versions, and those without the store also servers and configurations."""
+
+    settings: SidecarSettings
+    in_force: ConfigurationInForce
+    directory: BackendDirectory
+    store: StoreView
+    suspects: SuspectTable
+    updater: ViewUpdater
+    clock: Clock
+    log: EventLog
+    peers: dict[StreamConnection, PeerStanding] = field(factory=dict)
+
+    def hello(self) -> bytes:
+        """Return the frame that introduces this node and says what it has."""
+        return encode_frame(
+            FrameKind.HELLO,
+            self.settings.node,
+            self.settings.service,
+            self.in_force.version,
+            self.store.reachable,
+        )
+
+    def open(self, connection: StreamConnection) -> None:
+        """Introduce this node on a new stream."""
+        connection.send(self.hello())
+
+    def close(self, connection: StreamConnection) -> None:
+        """Forget a stream that has ended."""
+        self.peers.pop(connection, None)
+
+    def receive(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
+        """Handle one frame of a peer that carries news."""
+        if kind is FrameKind.HELLO:
+            self.receive_hello(connection, Hello(*fields))
+        elif kind is FrameKind.CONFIGURATION:
+            self.updater.put_configuration(fields[0], connection.peer)
+        elif kind is FrameKind.ENTRIES and not self.store.reachable:
+            self.receive_entries(connection.peer, *fields)
+        elif kind is FrameKind.SUSPECTS:
+            report = SuspectReport(fields[0], frozenset(fields[1]), fields[2])
+            if apply_report(self.suspects, report, self.clock.now_ms()):
+                self.log.record("suspect", "told by peer", fingerprint=report.fingerprint)
+
+    def receive_hello(self, connection: StreamConnection, hello: Hello) -> None:
+        """Send a peer what it lacks."""
+        first = connection not in self.peers
+        connection.peer = hello.node
+        self.peers[connection] = PeerStanding(hello.version, hello.store_reachable)
+        if first:
+            self.log.record("peer", "greeted", peer=hello.node, version=hello.version)
+        if hello.version < self.in_force.version and not hello.store_reachable:
+            connection.send(encode_frame(FrameKind.CONFIGURATION, self.in_force.raw))
+        if not hello.store_reachable and self.store.reachable:
+            self.send_entries(connection, self.directory.entries.values())
+
+    def send_entries(self, connection: StreamConnection, entries: Iterable[BackendEntry]) -> None:
+        """Tell a peer about servers and those that have departed lately."""
+        now_ms = self.clock.now_ms()
+        rows = [
+            [
+                entry.server_id,
+                entry.service,
+                entry.address,
+                entry.data_centre,
+                entry.slots,
+                entry.draining,
+                max(0, entry.warm_ms - now_ms),
+                entry.born_ms,
+            ]
+            for entry in entries
+        ]
+        departed = list(self.directory.departed)[-DEPARTED_TOLD:]
+        connection.send(encode_frame(FrameKind.ENTRIES, rows, departed))
+
+    def receive_entries(self, peer: str, rows: list[list[Any]], departed: list[str]) -> None:
+        """Take what a peer with the store knows of servers."""
+        now_ms = self.clock.now_ms()
+        for row in rows:
+            *head, cold_ms, born_ms = row
+            warm_ms = now_ms + cold_ms if cold_ms else 0
+            self.updater.put(BackendEntry(*head, warm_ms, born_ms), peer)
+        for server_id in departed:
+            self.updater.remove(server_id, peer)
+
+    def broadcast_standing(self) -> None:
+        """Tell all peers the version in force and whether the store is reachable.
+
+        Peers with a newer version or with the store answer by sending what this node lacks.
+        """
+        frame = self.hello()
+        for connection in tuple(self.peers):
+            connection.send(frame)
+
+    def version_changed(self) -> None:
+        """Send a new configuration to the peers that cannot read it themselves."""
+        frame = encode_frame(FrameKind.CONFIGURATION, self.in_force.raw)
+        for connection, standing in tuple(self.peers.items()):
+            if not standing.store_reachable and standing.version < self.in_force.version:
+                connection.send(frame)
+                standing.version = self.in_force.version
+
+    def entries_changed(self, server_ids: set[str]) -> None:
+        """Tell the peers without the store of servers that changed or are gone."""
+        if not self.store.reachable:
+            return
+        entries = self.directory.entries
+        changed = [entries[key] for key in server_ids if key in entries]
+        for connection, standing in tuple(self.peers.items()):
+            if not standing.store_reachable:
+                self.send_entries(connection, changed)
+
+    def publish_suspect(self, report: SuspectReport) -> None:
+        """Tell all peers of a request that may have crashed a server."""
+        frame = encode_frame(
+            FrameKind.SUSPECTS, report.fingerprint, sorted(report.crashes), report.cleared
+        )
+        for connection in tuple(self.peers):
+            connection.send(frame)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -12,8 +12,9 @@
 from basilhill.verdicts import Outcome, Reason, Refusal, may_have_run, not_run, verdict_of
 from expression import Error
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.commands.screen_request import CrashScreen
 from basilhill_node.sidecar.dialect import Dialect, ServerTerms
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.http_client import (
     IDLE_MS,
@@ -37,14 +38,19 @@
 
     gate: GateState
     directory: BackendDirectory
+    screen: CrashScreen
     dialect: Dialect
     clock: Clock
-    log: DecisionLog
+    log: EventLog
 
     async def execute(self, call: Execute) -> Outcome:
         """Wait for a slot and run a call; return its answer or whether it may have run."""
         arrived_ms = self.clock.now_ms()
-        refusal = self.leaving_refusal(call) or await self.enter(call, arrived_ms)
+        refusal = (
+            self.leaving_refusal(call)
+            or self.screen.refusal(call)
+            or await self.enter(call, arrived_ms)
+        )
         if refusal is not None:
             self.record(call, Error(refusal), arrived_ms, arrived_ms)
             return Error(refusal)
@@ -57,6 +63,7 @@
             release_slot(self.gate.slots, self.clock.now_ms() - started_ms)
             self.start_waiting()
         self.record(call, outcome, arrived_ms, started_ms)
+        await self.screen.judge(call, outcome)
         return outcome
 
     def leaving_refusal(self, call: Execute) -> Refusal | None:
@@ -169,23 +176,36 @@
             adjust_level(self.gate.level, self.gate.slots, self.clock.now_ms())
             if int(before) != int(self.gate.level.level):
                 slots = self.gate.slots
-                text = f"level {before:.2f} to {self.gate.level.level:.2f}"
-                reason = f"slots {slots.in_flight}/{slots.slots} queue {len(slots.waiting)}"
-                self.log.record("level", "", text, reason)
+                self.log.record(
+                    "level",
+                    "changed",
+                    before=round(before, 2),
+                    after=round(self.gate.level.level, 2),
+                    in_flight=slots.in_flight,
+                    slots=slots.slots,
+                    queued=len(slots.waiting),
+                )
 
     def record(self, call: Execute, outcome: Outcome, arrived_ms: int, started_ms: int) -> None:
         """Log the decision about a call."""
         slots = self.gate.slots
-        result = outcome.ok.status if outcome.is_ok() else outcome.error.reason.value
-        self.log.record(
-            "execute",
-            call.request_id,
-            f"{verdict_of(outcome).value} {result}",
-            f"server {call.server_id} rank {call.rank} waited {started_ms - arrived_ms} ms "
-            f"ran {self.clock.now_ms() - started_ms} ms slots {slots.in_flight}/{slots.slots} "
-            f"queue {len(slots.waiting)}"
-            + (f" {outcome.error.text}" if outcome.is_error() else ""),
-        )
+        inputs = {
+            "route": call.route,
+            "server": call.server_id,
+            "rank": call.rank,
+            "waited_ms": started_ms - arrived_ms,
+            "ran_ms": self.clock.now_ms() - started_ms,
+            "in_flight": slots.in_flight,
+            "slots": slots.slots,
+            "queued": len(slots.waiting),
+        }
+        if outcome.is_ok():
+            inputs["status"] = outcome.ok.status
+        else:
+            inputs["reason"] = outcome.error.reason.value
+            inputs["problem"] = outcome.error.text
+        event = verdict_of(outcome).value
+        self.log.record("execute", event, call.request_id, outcome.is_ok(), **inputs)
 
 
 def granted(waiter: asyncio.Future[Refusal | None]) -> bool:
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
@@ -0,0 +1,84 @@
+"""Take over changes of the settings file without a restart."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+
+from attrs import define, field, fields
+from expression import Result
+
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.state import SidecarSettings
+
+# The file may change without a signal; one look takes a few microseconds.
+POLL_S = 2.0
+# What a running node cannot change: where it listens and which server it stands beside.
+FIXED = frozenset(
+    (
+        "node",
+        "address",
+        "data_centre",
+        "service",
+        "backend_address",
+        "client_port",
+        "peer_port",
+        "ready_port",
+        "store",
+    )
+)
+
+
+@define(eq=False)
+class SettingsReloader:
+    """Watch the settings file and change the settings in place."""
+
+    path: Path
+    decode: Callable[[bytes], Result[SidecarSettings, str]]
+    settings: SidecarSettings
+    log: EventLog
+    hung_up: asyncio.Event = field(factory=asyncio.Event)
+    data: bytes = b""
+
+    async def run(self) -> None:
+        """Reload after a signal or a silent change, until cancelled."""
+        self.data = self.path.read_bytes()
+        while True:
+            try:
+                async with asyncio.timeout(POLL_S):
+                    await self.hung_up.wait()
+            except TimeoutError:
+                pass
+            signalled = self.hung_up.is_set()
+            self.hung_up.clear()
+            self.reload(signalled)
+
+    def reload(self, signalled: bool) -> None:
+        """Read the file; keep the settings in force when it cannot be used."""
+        try:
+            data = self.path.read_bytes()
+        except OSError as error:
+            self.log.record("settings", "cannot be read", problem=repr(error))
+            return
+        if data == self.data and not signalled:
+            return
+        self.data = data
+        result = self.decode(data)
+        if result.is_error():
+            self.log.record("settings", "refused", problem=result.error)
+            return
+        changed = self.changed_names(result.ok)
+        for name in changed:
+            if name not in FIXED:
+                setattr(self.settings, name, getattr(result.ok, name))
+        self.log.record(
+            "settings",
+            "reloaded",
+            signalled=signalled,
+            changed=[name for name in changed if name not in FIXED],
+            after_restart=[name for name in changed if name in FIXED],
+        )
+
+    def changed_names(self, read: SidecarSettings) -> list[str]:
+        """Return the names of the settings that differ from those in force."""
+        names = (attribute.name for attribute in fields(SidecarSettings))
+        return [name for name in names if getattr(read, name) != getattr(self.settings, name)]
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/screen_request.py
@@ -0,0 +1,88 @@
+"""Keep requests that crash backend servers from crashing more of them."""
+
+from collections.abc import Callable
+
+from attrs import define, field
+from basilhill.calls import CallRequest
+from basilhill.clocks import Clock
+from basilhill.commands.suspects import apply_report
+from basilhill.queries.suspects import fingerprint_of, suspicion_of
+from basilhill.suspects import SuspectReport, SuspectTable, Suspicion
+from basilhill.verdicts import Outcome, Reason, Refusal, not_run
+
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.frames import Execute
+from basilhill_node.sidecar.http_client import ConnectionFailedError, ConnectionPool
+
+# A crash breaks the connections of all calls in flight within this time.
+ONE_CRASH_MS = 200
+RETRY_AFTER_MS = 1_000
+
+
+@define(eq=False)
+class CrashScreen:
+    """Refuse requests that ran during several crashes."""
+
+    suspects: SuspectTable
+    pool: ConnectionPool
+    clock: Clock
+    log: EventLog
+    publish: Callable[[SuspectReport], None] = field(default=lambda _report: None)
+    crashes: int = 0
+    crashed_ms: int = 0
+
+    def refusal(self, call: Execute) -> Refusal | None:
+        """Return the refusal of a request that is held to crash servers."""
+        if not self.suspects.records:
+            return None
+        now_ms = self.clock.now_ms()
+        if suspicion_of(self.suspects, fingerprint(call), now_ms) is not Suspicion.REFUSED:
+            return None
+        text = "backend servers crashed while this request ran"
+        return not_run(Reason.SUSPECT, text, RETRY_AFTER_MS)
+
+    async def judge(self, call: Execute, outcome: Outcome) -> None:
+        """Mark a request whose server crashed, clear one that ran cleanly."""
+        if outcome.is_ok():
+            self.clear(call)
+        elif outcome.error.reason is Reason.CONNECTION_LOST and await self.server_is_down():
+            self.mark(call)
+
+    async def server_is_down(self) -> bool:
+        """Tell whether the server accepts no connection; a single lost one is no crash."""
+        try:
+            self.pool.put_back(await self.pool.connect())
+        except ConnectionFailedError:
+            return True
+        return False
+
+    def mark(self, call: Execute) -> None:
+        """Record a crash during which a request ran."""
+        now_ms = self.clock.now_ms()
+        if self.crashes == 0 or now_ms - self.crashed_ms > ONE_CRASH_MS:
+            self.crashes += 1
+            self.crashed_ms = now_ms
+        crash = f"{call.server_id}/{self.crashes}"
+        report = SuspectReport(fingerprint(call), frozenset({crash}))
+        if apply_report(self.suspects, report, now_ms):
+            self.log.record(
+                "suspect", "ran in a crash", call.request_id, fingerprint=report.fingerprint
+            )
+            self.publish(report)
+
+    def clear(self, call: Execute) -> None:
+        """Forget the crashes of a request that ran cleanly after them."""
+        if not self.suspects.records:
+            return
+        record = self.suspects.records.get(fingerprint(call))
+        if record is None or not record.crashes - record.cleared:
+            return
+        report = SuspectReport(record.fingerprint, record.crashes, cleared=True)
+        apply_report(self.suspects, report, self.clock.now_ms())
+        self.publish(report)
+
+
+def fingerprint(call: Execute) -> str:
+    """Return the hash by which copies of a request are recognised; their ids differ."""
+    request = CallRequest(call.caller_service, call.method, call.target, (), call.body)
+    return fingerprint_of(request, ())
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -1,6 +1,7 @@
 """Serve the requests of clients and of the own backend server from their origin."""
 
 import asyncio
+from typing import Any
 
 from attrs import define, field
 from basilhill.backends import BackendDirectory, BackendEntry
@@ -23,6 +24,7 @@
 from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
     Answer,
+    CallReply,
     Outcome,
     Reason,
     Refusal,
@@ -33,6 +35,7 @@
 )
 from expression import Error, Ok
 
+from basilhill_node.metrics import Metrics
 from basilhill_node.sidecar.commands.execute_call import ServerGate
 from basilhill_node.sidecar.dialect import Dialect, RequestTerms
 from basilhill_node.sidecar.frames import Execute
@@ -89,6 +92,7 @@
     gate: ServerGate
     peers: PeerStreams
     dialect: Dialect
+    metrics: Metrics
     clock: Clock
 
     async def serve(self, request: HttpRequest) -> HttpResponse:
@@ -96,7 +100,7 @@
         arrived_ms = self.clock.now_ms()
         terms = self.dialect.decode_terms(request)
         if terms.is_error():
-            self.gate.log.record("serve", "", "rejected", terms.error)
+            self.gate.log.record("serve", "rejected", problem=terms.error)
             return HttpResponse(400, body=terms.error.encode())
         self.origin.open_requests += 1
         try:
@@ -111,20 +115,31 @@
         configuration = self.in_force.configuration
         if configuration is None:
             refusal = not_run(Reason.NO_SERVER, "no configuration is known yet", 500)
-            return self.finish(terms, Error(refusal), arrived_ms, "no route")
+            return self.finish(
+                terms, Error(refusal), arrived_ms, {"version": self.in_force.version}
+            )
         route = find_route(configuration, terms.host, request.path)
         if route is None:
             refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {terms.host}{request.path}")
-            return self.finish(terms, Error(refusal), arrived_ms, "no route")
+            return self.finish(
+                terms, Error(refusal), arrived_ms, {"version": self.in_force.version}
+            )
         opened = self.open_request(request, terms, route, arrived_ms)
         refusal = self.level_refusal(opened)
         outcome = Error(refusal) if refusal else await self.dispatch(opened)
-        detail = (
-            f"route {route.name} service {opened.service} version {self.in_force.version} "
-            f"rank {opened.rank} servers {opened.reached} refusals {opened.refused} "
-            f"left {opened.ends_ms - self.clock.now_ms()} ms"
-        )
-        return self.finish(terms, outcome, arrived_ms, detail)
+        inputs = {
+            "route": route.name,
+            "service": opened.service,
+            "version": self.in_force.version,
+            "version_age_ms": arrived_ms - self.in_force.applied_ms,
+            "rank": opened.rank,
+            "depth": opened.depth,
+            "servers": sorted(opened.tried),
+            "reached": opened.reached,
+            "refusals": opened.refused,
+            "left_ms": opened.ends_ms - self.clock.now_ms(),
+        }
+        return self.finish(terms, outcome, arrived_ms, inputs)
 
     def open_request(
         self, request: HttpRequest, terms: RequestTerms, route: Route, arrived_ms: int
@@ -185,14 +200,20 @@
         return quota
 
     def finish(
-        self, terms: RequestTerms, outcome: Outcome, arrived_ms: int, detail: str
+        self, terms: RequestTerms, outcome: Outcome, arrived_ms: int, inputs: dict[str, Any]
     ) -> HttpResponse:
         """Log the outcome of a request and return its response."""
-        took_ms = self.clock.now_ms() - arrived_ms
-        result = outcome.ok.status if outcome.is_ok() else outcome.error.reason.value
-        choice = f"{verdict_of(outcome).value} {result} after {took_ms} ms"
-        text = "" if outcome.is_ok() else f" {outcome.error.text}"
-        self.gate.log.record("serve", terms.request_id, choice, detail + text)
+        took_ms = inputs["took_ms"] = self.clock.now_ms() - arrived_ms
+        reply = CallReply(outcome, max(0, inputs.get("reached", 0) - 1))
+        self.metrics.record_action(inputs.get("route", "none"), reply, took_ms * 1000)
+        if outcome.is_ok():
+            inputs["status"] = outcome.ok.status
+        else:
+            inputs["reason"] = outcome.error.reason.value
+            inputs["problem"] = outcome.error.text
+        routine = outcome.is_ok() and outcome.ok.status < SERVER_ERROR
+        event = verdict_of(outcome).value
+        self.gate.log.record("serve", event, terms.request_id, routine, **inputs)
         if outcome.is_ok():
             return self.dialect.encode_answer(outcome.ok)
         return self.dialect.encode_refusal(outcome.error, terms.request_id)
@@ -321,4 +342,10 @@
             opened.reached += 1
         lost = reason in (Reason.CONNECTION_LOST, Reason.UNREACHABLE)
         if lost and record_loss(target, now_ms):
-            self.gate.log.record("route", "", f"ejected {entry.server_id}", outcome.error.text)
+            self.gate.log.record(
+                "route",
+                "ejected",
+                opened.terms.request_id,
+                server=entry.server_id,
+                problem=outcome.error.text,
+            )
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/update_view.py
@@ -0,0 +1,108 @@
+"""Put configurations and entries of servers in force, from the store or from peers."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.balancing import LoadTable
+from basilhill.clocks import Clock
+from basilhill.commands.backends import expire_held, put_entry, remove_entry, replace_entries
+from basilhill.commands.balancing import forget_target
+
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.state import ConfigurationInForce, GateState, SidecarSettings
+from basilhill_node.sidecar.store import StoreDecoder
+
+
+@define(eq=False)
+class ViewUpdater:
+    """Change what the node believes of routes and servers, and log each change."""
+
+    settings: SidecarSettings
+    decoder: StoreDecoder
+    in_force: ConfigurationInForce
+    directory: BackendDirectory
+    loads: LoadTable
+    gate: GateState
+    clock: Clock
+    log: EventLog
+    # Called with the ids of servers that changed or are gone.
+    entries_changed: Callable[[set[str]], None] = field(default=lambda _ids: None)
+    version_changed: Callable[[], None] = field(default=lambda: None)
+
+    def put_configuration(self, data: bytes, source: str) -> bool:
+        """Put a newer configuration in force; return whether it is."""
+        result = self.decoder.decode_configuration(data)
+        if result.is_error():
+            self.log.record("config", "refused", source=source, problem=result.error)
+            return False
+        configuration, before = result.ok, self.in_force.version
+        if configuration.version <= before:
+            # A version never goes back within an incarnation, whoever reports an older one.
+            return False
+        self.in_force.configuration = configuration
+        self.in_force.raw = data
+        self.in_force.applied_ms = self.clock.now_ms()
+        self.in_force.source = source
+        self.log.record(
+            "config",
+            "in force",
+            version=configuration.version,
+            before=before,
+            source=source,
+            bytes=len(data),
+        )
+        self.version_changed()
+        return True
+
+    def put(self, entry: BackendEntry, source: str) -> None:
+        """Add or change a server."""
+        before = self.directory.entries.get(entry.server_id)
+        if before is not None and before.born_ms != entry.born_ms:
+            # A reborn server knows nothing of before, and nothing before tells of its load.
+            forget_target(self.loads, entry.server_id)
+        if put_entry(self.directory, entry):
+            self.note_change(entry, source)
+            self.entries_changed({entry.server_id})
+
+    def remove(self, server_id: str, source: str) -> None:
+        """Remove a server."""
+        if remove_entry(self.directory, server_id):
+            forget_target(self.loads, server_id)
+            self.log.record("servers", "removed", server=server_id, source=source)
+            self.entries_changed({server_id})
+
+    def replace(self, entries: Iterable[BackendEntry], held_until_ms: int) -> None:
+        """Take a whole list; after an outage, missing servers are held for a while."""
+        changed, missing = replace_entries(self.directory, entries, held_until_ms)
+        for server_id in changed:
+            self.note_change(self.directory.entries[server_id], "store")
+        if missing:
+            event = "missing, held" if held_until_ms else "removed"
+            self.log.record("servers", event, servers=sorted(missing), source="store")
+        if changed or missing:
+            self.entries_changed(changed | missing)
+
+    def expire(self, now_ms: int) -> None:
+        """Remove the servers that did not come back after an outage."""
+        expired = expire_held(self.directory, now_ms)
+        if expired:
+            self.log.record("servers", "did not come back", servers=sorted(expired))
+            self.entries_changed(expired)
+
+    def note_change(self, entry: BackendEntry, source: str) -> None:
+        """Log a new or changed server; take the slots of the own one."""
+        self.log.record(
+            "servers",
+            "draining" if entry.draining else "ready",
+            server=entry.server_id,
+            service=entry.service,
+            address=entry.address,
+            slots=entry.slots,
+            born_ms=entry.born_ms,
+            cold_ms=max(0, entry.warm_ms - self.clock.now_ms()),
+            source=source,
+        )
+        if entry.address == self.settings.backend_address:
+            self.gate.slots.slots = entry.slots
+            self.gate.server_id = entry.server_id
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -49,6 +49,7 @@
     node: str
     service: str
     version: int
+    store_reachable: bool
 
 
 @define(eq=False)
@@ -81,14 +82,6 @@
     level: float = 0.0
 
 
-@frozen
-class PeerEntries:
-    """Carry the servers that a node lists and those that have departed, to one without a store."""
-
-    entries: list[list[Any]]
-    departed: list[str] = field(factory=list)
-
-
 def encode_frame(kind: FrameKind, *fields: Any) -> bytes:
     """Return the bytes of a frame."""
     data = ENCODER.encode((int(kind), *fields))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -10,7 +10,7 @@
 from basilhill.configuration import RequestLimits
 from basilhill.verdicts import Header
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, encode_response
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -40,7 +40,7 @@
     handler: Handler
     limits: Callable[[], RequestLimits]
     clock: Clock
-    log: DecisionLog
+    log: EventLog
     connections: set["ServerConnection"] = field(factory=set)
     leaving: bool = False
     server: asyncio.Server | None = None
@@ -214,7 +214,7 @@
         if self.last:
             return
         self.last = True
-        self.server.log.record("front", "", f"rejected with {status}", text)
+        self.server.log.record("front", "rejected", status=status, problem=text)
         response = HttpResponse(status, body=text.encode())
         self.enqueue(Exchange(False, False, response=response))
 
@@ -245,7 +245,7 @@
         try:
             return await exchange.task
         except Exception as error:
-            self.server.log.record("front", "", "a handler failed", repr(error))
+            self.server.log.record("front", "handler failed", problem=repr(error))
             return HttpResponse(500, body=b"internal error")
 
     def close_if_idle(self) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -4,25 +4,29 @@
 import gc
 import signal
 from collections.abc import Callable
-from typing import Any
 
 from attrs import define, field
 from basilhill.backends import BackendDirectory
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock, SystemClock
 from basilhill.configuration import RequestLimits
+from basilhill.verdicts import Header
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.commands.exchange_news import NewsExchange
 from basilhill_node.sidecar.commands.execute_call import ServerGate
 from basilhill_node.sidecar.commands.follow_store import StoreFollower
+from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
+from basilhill_node.sidecar.commands.screen_request import CrashScreen
 from basilhill_node.sidecar.commands.serve_request import Origin
+from basilhill_node.sidecar.commands.update_view import ViewUpdater
 from basilhill_node.sidecar.dialect import Dialect
-from basilhill_node.sidecar.frames import FrameKind, Hello
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_client import ConnectionPool
 from basilhill_node.sidecar.http_server import HttpServer
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.queries.exposition import exposition
 from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import (
     ConfigurationInForce,
@@ -34,7 +38,6 @@
     StoreView,
 )
 from basilhill_node.sidecar.store import Store, StoreDecoder
-from basilhill_node.sidecar.streams import StreamConnection
 
 POOL_SWEEP_S = 1.0
 # The platform takes a node out after two misses of a question a second.
@@ -56,6 +59,7 @@
     follower: StoreFollower
     front: HttpServer
     ready: HttpServer
+    metrics: HttpServer
     stopped: asyncio.Event = field(factory=asyncio.Event)
 
 
@@ -64,7 +68,7 @@
     state = SidecarState(
         settings,
         clock,
-        DecisionLog(clock),
+        EventLog(clock),
         ConfigurationInForce(),
         StoreView(),
         BackendDirectory(),
@@ -87,37 +91,50 @@
     """Wire the parts of a node."""
     clock = clock or SystemClock()
     state = new_state(settings, clock)
-    gate = ServerGate(state.gate, state.directory, dialect, clock, state.log)
-    follower = StoreFollower(
+    log = state.log
+    updater = ViewUpdater(
         settings,
-        store,
         decoder,
         state.in_force,
         state.directory,
         state.origin.loads,
         state.gate,
+        clock,
+        log,
+    )
+    news = NewsExchange(
+        settings,
+        state.in_force,
+        state.directory,
         state.store,
+        state.gate.suspects,
+        updater,
         clock,
-        state.log,
+        log,
     )
-
-    def hello() -> Hello:
-        return Hello(settings.node, settings.service, state.in_force.version)
-
-    def greet(connection: StreamConnection, hello: Hello) -> None:
-        state.log.record("peer", "", f"greeted by {hello.node}", f"version {hello.version}")
-
-    def receive_news(connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
-        state.log.record("peer", "", f"news {kind.name}", connection.peer)
-
-    peers = PeerStreams(hello, receive_news, clock, state.log)
+    updater.entries_changed = news.entries_changed
+    updater.version_changed = news.version_changed
+    state.store.changed = news.broadcast_standing
+    screen = CrashScreen(state.gate.suspects, state.gate.pool, clock, log, news.publish_suspect)
+    gate = ServerGate(state.gate, state.directory, screen, dialect, clock, log)
+    follower = StoreFollower(store, decoder, updater, state.store, clock, log)
+    peers = PeerStreams(news, clock, log)
     origin = Origin(
-        settings, state.origin, state.in_force, state.directory, gate, peers, dialect, clock
+        settings,
+        state.origin,
+        state.in_force,
+        state.directory,
+        gate,
+        peers,
+        dialect,
+        state.metrics,
+        clock,
     )
-    listener = PeerListener(gate, state.origin.levels, greet, receive_news, clock, state.log)
-    front = HttpServer(origin.serve, lambda: state.in_force.limits, clock, state.log)
-    ready = HttpServer(answer_ready(state), RequestLimits, clock, state.log)
-    return Sidecar(state, gate, peers, origin, listener, follower, front, ready)
+    listener = PeerListener(gate, state.origin.levels, news, clock, log)
+    front = HttpServer(origin.serve, lambda: state.in_force.limits, clock, log)
+    ready = HttpServer(answer_ready(state), RequestLimits, clock, log)
+    metrics = HttpServer(answer_metrics(state), RequestLimits, clock, log)
+    return Sidecar(state, gate, peers, origin, listener, follower, front, ready, metrics)
 
 
 def answer_ready(state: SidecarState) -> Callable:
@@ -129,19 +146,40 @@
     return handle
 
 
-async def run_sidecar(node: Sidecar) -> None:
+def answer_metrics(state: SidecarState) -> Callable:
+    """Return the handler of questions for metrics."""
+
+    async def handle(_request: HttpRequest) -> HttpResponse:
+        content_type = Header("content-type", "text/plain; version=0.0.4; charset=utf-8")
+        return HttpResponse(200, [content_type], exposition(state))
+
+    return handle
+
+
+async def run_sidecar(node: Sidecar, reloader: SettingsReloader | None = None) -> None:
     """Run a node until it is told to leave."""
     state, settings = node.state, node.state.settings
     await node.listener.start(settings.address, settings.peer_port)
     await node.front.start(settings.address, settings.client_port)
     await node.ready.start(settings.address, settings.ready_port)
+    await node.metrics.start(settings.address, settings.metrics_port)
     state.life.spawn(node.follower.run())
     state.life.spawn(close_idle_connections(node))
     state.life.spawn(node.gate.adjust())
     loop = asyncio.get_running_loop()
+    if reloader is not None:
+        state.life.spawn(reloader.run())
+        loop.add_signal_handler(signal.SIGHUP, reloader.hung_up.set)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.stopped.set)
-    state.log.record("node", "", f"serving {settings.service} at {settings.address}")
+    state.log.record(
+        "node",
+        "started",
+        node=settings.node,
+        service=settings.service,
+        data_centre=settings.data_centre,
+        address=settings.address,
+    )
     # What lives now lives as long as the process, so that collections need not visit it.
     gc.collect()
     gc.freeze()
@@ -160,7 +198,7 @@
     """Finish what was read, then close everything."""
     state = node.state
     state.life.leaving = True
-    state.log.record("node", "", "leaving", f"{state.origin.open_requests} requests in flight")
+    state.log.record("node", "leaving", requests=state.origin.open_requests)
     started_ms = state.clock.now_ms()
     node.front.leave()
     while True:
@@ -172,9 +210,10 @@
         ):
             break
         await asyncio.sleep(QUIET_POLL_S)
-    state.log.record("node", "", "stopped", f"{state.origin.open_requests} requests cut off")
+    state.log.record("node", "stopped", cut_off=state.origin.open_requests)
     node.front.close()
     node.ready.close()
+    node.metrics.close()
     node.listener.close()
     node.peers.close()
     for task in tuple(state.life.tasks):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -1,7 +1,6 @@
 """Streams of other nodes, whose calls run on the backend server beside this one."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -11,12 +10,12 @@
 from basilhill.verdicts import Reason, may_have_run
 from expression import Error
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.commands.exchange_news import NewsExchange
 from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
     Execute,
     FrameKind,
-    Hello,
     Reply,
     decode_execute,
     encode_frame,
@@ -41,10 +40,9 @@
 
     gate: ServerGate
     levels: RouteLevels
-    greet: Callable[[StreamConnection, Hello], None]
-    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    news: NewsExchange
     clock: Clock
-    log: DecisionLog
+    log: EventLog
     streams: dict[StreamConnection, IncomingStream] = field(factory=dict)
     server: asyncio.Server | None = None
 
@@ -58,12 +56,14 @@
     def open(self, connection: StreamConnection) -> None:
         """Keep a new stream and watch for its end."""
         incoming = self.streams[connection] = IncomingStream(connection)
+        self.news.open(connection)
         asyncio.get_running_loop().create_task(self.watch(incoming))
 
     async def watch(self, incoming: IncomingStream) -> None:
         """Cancel the calls of a stream that has ended, since nobody gets their replies."""
         await incoming.connection.closed.wait()
         del self.streams[incoming.connection]
+        self.news.close(incoming.connection)
         for task in tuple(incoming.calls.values()):
             task.cancel()
 
@@ -77,12 +77,8 @@
                 task.cancel()
         elif kind is FrameKind.PING:
             connection.send(PONG)
-        elif kind is FrameKind.HELLO:
-            hello = Hello(*fields)
-            connection.peer = hello.node
-            self.greet(connection, hello)
         else:
-            self.receive_news(connection, kind, fields)
+            self.news.receive(connection, kind, fields)
 
     def start_call(self, incoming: IncomingStream, call: Execute) -> None:
         """Run a call as a task that replies on its stream."""
@@ -96,7 +92,7 @@
         try:
             outcome = await self.gate.execute(call)
         except Exception as error:
-            self.log.record("execute", call.request_id, "failed", repr(error))
+            self.log.record("execute", "failed", call.request_id, problem=repr(error))
             outcome = Error(may_have_run(Reason.INTERNAL, "the node failed"))
         slots = self.gate.gate.slots
         running = slots.in_flight + len(slots.waiting)
@@ -104,9 +100,9 @@
         reply = Reply(call.call_id, outcome, running, level)
         incoming.connection.send(encode_reply(reply))
 
-    def record(self, choice: str) -> None:
+    def record(self, event: str) -> None:
         """Log a fault of a stream."""
-        self.log.record("peer", "", choice)
+        self.log.record("peer", event)
 
     def close(self) -> None:
         """Stop listening and close all streams."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -1,7 +1,6 @@
 """Streams to the nodes beside other backend servers, opened when a call needs them."""
 
 import asyncio
-from collections.abc import Callable
 from itertools import count
 from typing import Any
 
@@ -9,11 +8,11 @@
 from basilhill.clocks import Clock
 from expression import Error, Ok, Result
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.sidecar.commands.exchange_news import NewsExchange
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
     Execute,
     FrameKind,
-    Hello,
     Reply,
     decode_reply,
     encode_execute,
@@ -26,6 +25,8 @@
 PING_S = 0.25
 # Peers slowed 5 times by the platform still answered within 1 s.
 SILENCE_MS = 1_500
+# A peer that is silent for this long gets no new calls while another server may take them.
+DOUBT_MS = 600
 # A stream that nothing used for this long is closed, so that streams do not grow with the fleet.
 IDLE_MS = 20_000
 
@@ -43,10 +44,9 @@
     """Keep one stream to a node and match replies with calls."""
 
     address: str
-    hello: Callable[[], Hello]
-    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    news: NewsExchange
     clock: Clock
-    log: DecisionLog
+    log: EventLog
     ids: count = field(factory=lambda: count(1))
     connection: StreamConnection | None = None
     ready: asyncio.Event = field(factory=asyncio.Event)
@@ -71,8 +71,8 @@
             finally:
                 waiting.cancel()
         connection = self.connection
-        if connection is None or not connection.has_room():
-            return Error(LostCall(False, f"{self.address} does not read"))
+        if connection is None or self.silent or not connection.has_room():
+            return Error(LostCall(False, f"{self.address} is silent or does not read"))
         return await self.exchange(connection, execute)
 
     async def exchange(
@@ -101,7 +101,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.connection = await loop.create_connection(
-                    lambda: StreamConnection(self.clock, self.handle, None, self.record),
+                    lambda: StreamConnection(self.clock, self.handle, self.news.open, self.record),
                     host,
                     int(port),
                 )
@@ -109,15 +109,15 @@
             self.record(f"cannot connect: {error!r}")
             return
         connection = self.connection
-        hello = self.hello()
-        connection.send(encode_frame(FrameKind.HELLO, hello.node, hello.service, hello.version))
         self.ready.set()
         try:
             await self.watch(connection)
         finally:
             self.ready.clear()
             self.connection = None
+            self.silent = False
             connection.close()
+            self.news.close(connection)
             for waiter in self.waiters.values():
                 if not waiter.done():
                     waiter.set_result(Error(LostCall(True, f"lost {self.address}")))
@@ -128,7 +128,7 @@
             try:
                 async with asyncio.timeout(PING_S):
                     await connection.closed.wait()
-                self.record(f"the stream ended with {len(self.waiters)} calls in flight")
+                self.record("the stream ended")
                 return
             except TimeoutError:
                 pass
@@ -139,8 +139,11 @@
                     return
                 continue
             if quiet_ms > SILENCE_MS:
-                self.record(f"silent for {quiet_ms} ms with {len(self.waiters)} calls in flight")
+                self.record(f"cut after {quiet_ms} ms of silence")
                 return
+            if self.silent is not (quiet_ms > DOUBT_MS):
+                self.silent = not self.silent
+                self.record("silent" if self.silent else "heard again")
             if quiet_ms > PING_S * 1000:
                 connection.send(encode_frame(FrameKind.PING))
 
@@ -152,28 +155,27 @@
             if waiter is not None and not waiter.done():
                 waiter.set_result(Ok(reply))
         elif kind is not FrameKind.PONG:
-            self.receive_news(connection, kind, fields)
+            self.news.receive(connection, kind, fields)
 
-    def record(self, choice: str) -> None:
+    def record(self, event: str) -> None:
         """Log what became of the stream."""
-        self.log.record("peer", "", f"{self.address}: {choice}")
+        self.log.record("peer", event, address=self.address, calls=len(self.waiters))
 
 
 @define(eq=False)
 class PeerStreams:
     """Hold the streams to other nodes by address."""
 
-    hello: Callable[[], Hello]
-    receive_news: Callable[[StreamConnection, FrameKind, list[Any]], None]
+    news: NewsExchange
     clock: Clock
-    log: DecisionLog
+    log: EventLog
     streams: dict[str, PeerStream] = field(factory=dict)
 
     def stream(self, address: str) -> PeerStream:
         """Return the stream to a node."""
         found = self.streams.get(address)
         if found is None:
-            found = PeerStream(address, self.hello, self.receive_news, self.clock, self.log)
+            found = PeerStream(address, self.news, self.clock, self.log)
             self.streams[address] = found
         return found
 
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -0,0 +1,64 @@
+"""Metrics of a sidecar node in the usual exposition format."""
+
+from collections.abc import Iterator
+
+from basilhill_node.sidecar.queries.readiness import is_ready
+from basilhill_node.sidecar.state import SidecarState
+
+HELP_OF_GAUGE = {
+    "ready": "1 if the node takes requests",
+    "store_reachable": "1 if the platform's store answered last",
+    "store_age_ms": "Time since the store's last answer",
+    "configuration_version": "Version of the configuration in force",
+    "backend_servers": "Backend servers listed",
+    "open_requests": "Requests of which this node is the origin",
+    "slots": "Slots of the own backend server",
+    "slots_in_flight": "Slots in use",
+    "slots_queued": "Calls that wait for a slot",
+    "admission_level": "Ranks below it are admitted by the own server",
+    "retries_in_window": "Retries sent within the budget window, all services",
+    "backend_connections": "Connections opened to the own backend server so far",
+}
+
+
+def gauge_values(state: SidecarState) -> dict[str, float]:
+    """Return what a node holds now by name."""
+    slots = state.gate.slots
+    return {
+        "ready": is_ready(state.life, state.in_force),
+        "store_reachable": state.store.reachable,
+        "store_age_ms": state.clock.now_ms() - state.store.read_ms,
+        "configuration_version": state.in_force.version,
+        "backend_servers": len(state.directory.entries),
+        "open_requests": state.origin.open_requests,
+        "slots": slots.slots,
+        "slots_in_flight": slots.in_flight,
+        "slots_queued": len(slots.waiting),
+        "admission_level": state.gate.level.level,
+        "retries_in_window": sum(len(q.retries) for q in state.origin.quotas.values()),
+        "backend_connections": state.gate.pool.opened,
+    }
+
+
+def exposition(state: SidecarState) -> bytes:
+    """Return all metrics as text."""
+    # Imported at the first question, because the library takes 13 MB that most nodes never need.
+    from prometheus_client import CollectorRegistry, generate_latest
+    from prometheus_client.core import GaugeMetricFamily
+
+    from basilhill_node.queries.action_metrics import action_counters, latencies
+
+    class Collector:
+        """Hand the metrics of this node to the library."""
+
+        def collect(self) -> Iterator:
+            """Yield all metrics."""
+            for name, value in gauge_values(state).items():
+                help_text = HELP_OF_GAUGE[name]
+                yield GaugeMetricFamily(f"basilhill_{name}", help_text, value=float(value))
+            yield from action_counters(state.metrics)
+            yield latencies(state.metrics)
+
+    registry = CollectorRegistry()
+    registry.register(Collector())
+    return generate_latest(registry)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -1,7 +1,7 @@
 """State of a sidecar node, divided by owner; all of it is lost when its process ends."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
 from typing import Any
 
@@ -16,7 +16,8 @@
 from basilhill.suspects import SuspectTable
 from basilhill.verdicts import Refusal
 
-from basilhill_node.logs import DecisionLog
+from basilhill_node.metrics import Metrics
+from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_client import ConnectionPool
 
 # Slots of the own server until its entry is read; servers have 13 and more.
@@ -34,9 +35,12 @@
     history_ms: int
 
 
-@frozen
+@define
 class SidecarSettings:
-    """Hold the settings of one sidecar node; names ending in _ms are milliseconds."""
+    """Hold the settings of one sidecar node; names ending in _ms are milliseconds.
+
+    Written by `reload_settings` only.
+    """
 
     node: str
     address: str
@@ -85,6 +89,8 @@
     lost_ms: int = 0
     read_ms: int = 0
     revision: int = 0
+    # Called when the store is lost or reached again.
+    changed: Callable[[], None] = field(default=lambda: None)
 
 
 @define(eq=False)
@@ -145,10 +151,11 @@
 
     settings: SidecarSettings
     clock: Clock
-    log: DecisionLog
+    log: EventLog
     in_force: ConfigurationInForce
     store: StoreView
     directory: BackendDirectory
     origin: OriginState
     gate: GateState
     life: NodeLife
+    metrics: Metrics = field(factory=Metrics)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -22,8 +22,8 @@
         self,
         clock: Clock,
         handle: FrameHandler,
-        opened: Callable[["StreamConnection"], None] | None = None,
-        failed: Callable[[str], None] | None = None,
+        opened: Callable[["StreamConnection"], None],
+        failed: Callable[[str], None],
     ) -> None:
         self.clock = clock
         self.handle = handle
@@ -39,8 +39,7 @@
         """Keep the transport."""
         self.transport = transport
         set_socket_options(transport)
-        if self.opened is not None:
-            self.opened(self)
+        self.opened(self)
 
     def data_received(self, data: bytes) -> None:
         """Handle the frames that are complete; a malformed one ends the stream."""
@@ -49,8 +48,7 @@
             for kind, fields in self.reader.feed(data):
                 self.handle(self, kind, fields)
         except (MalformedFrameError, ValueError, TypeError, IndexError) as error:
-            if self.failed is not None:
-                self.failed(f"malformed frame: {error!r}")
+            self.failed(f"malformed frame: {error!r}")
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
