--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -6,8 +6,6 @@
 EJECTION_MS = 2_000
 # Weight of the newest outcome in a server's share of failures: about the last 20 calls count.
 FAILURE_WEIGHT = 0.05
-# A server that refused a call is left out for this time while others have room.
-REFUSAL_MS = 50
 
 
 def target_of(loads: LoadTable, server_id: str) -> TargetLoad:
@@ -34,9 +32,9 @@
     target.in_flight_at_report = target.in_flight
 
 
-def record_refusal(target: TargetLoad, now_ms: int) -> None:
-    """Leave a server out for a moment that had no room."""
-    target.refused_until_ms = now_ms + REFUSAL_MS
+def record_refusal(target: TargetLoad, now_ms: int, period_ms: int) -> None:
+    """Leave a server out for a while that took no call."""
+    target.refused_until_ms = now_ms + period_ms
 
 
 def record_answer(target: TargetLoad, failed: bool) -> None:
--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -13,7 +13,9 @@
 # Slots that the work of a rank fills at least to count as present.
 LEAST_WORK = 0.01
 # Levels rise at most this much in a window; reports reach the origins over several hops.
-RISE_MAX = 0.08
+RISE_MAX = 0.12
+# One call in a shorter window would look like a flood.
+SHORTEST_WINDOW_MS = 50
 # A window changes the level only by this part, because earlier changes are still on their way.
 DAMPING = 0.5
 
@@ -25,7 +27,9 @@
 
 def adjust_level(level: AdmissionLevel, gate: SlotGate, now_ms: int) -> None:
     """Move the level so that the work of the admitted ranks fits the slots."""
-    elapsed_ms = max(1, now_ms - level.adjusted_ms)
+    elapsed_ms = now_ms - level.adjusted_ms
+    if elapsed_ms < SHORTEST_WINDOW_MS:
+        return
     level.adjusted_ms = now_ms
     for rank in level.recent_ms.keys() | level.work_ms.keys():
         newest = level.work_ms.get(rank, 0.0) / elapsed_ms
--- a/packages/basilhill/src/basilhill/commands/retry_quota.py
+++ b/packages/basilhill/src/basilhill/commands/retry_quota.py
@@ -5,10 +5,12 @@
 from basilhill.retry_quota import RetryQuota
 
 
-def count_request(quota: RetryQuota, now_ms: int) -> None:
-    """Count a first arrival, which earns a share of a retry."""
+def count_request(quota: RetryQuota, now_ms: int, repeated: bool = False) -> None:
+    """Count a request; a call made by a repeated run spends a retry, whatever is left."""
     quota.requests.append(now_ms)
     drop_old(quota.requests, now_ms - quota.window_ms)
+    if repeated:
+        quota.retries.append(now_ms)
 
 
 def spend_retry_quota(quota: RetryQuota, now_ms: int) -> bool:
--- /dev/null
+++ b/packages/basilhill/tests/test_backends.py
@@ -0,0 +1,58 @@
+"""Tests of the list of backend servers: changes, departures and outages of the store."""
+
+from attrs import evolve
+from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.commands.backends import expire_held, put_entry, remove_entry, replace_entries
+
+FIRST = BackendEntry("i-1", "calendar", "10.0.0.1:80", "buc-a", 10)
+SECOND = BackendEntry("i-2", "calendar", "10.0.0.2:80", "buc-a", 10)
+
+
+def directory(*entries: BackendEntry) -> BackendDirectory:
+    filled = BackendDirectory()
+    replace_entries(filled, entries)
+    return filled
+
+
+def test_put_tells_changes_from_repeats():
+    filled = directory(FIRST)
+    assert not put_entry(filled, evolve(FIRST, warm_ms=500))
+    assert put_entry(filled, evolve(FIRST, draining=True))
+    assert [entry.draining for entry in filled.services["calendar"]] == [True]
+
+
+def test_entry_that_moves_to_another_service_leaves_the_old_one():
+    filled = directory(FIRST)
+    put_entry(filled, evolve(FIRST, service="deposits"))
+    assert filled.services["calendar"] == []
+
+
+def test_removed_server_counts_as_departed_until_it_registers_again():
+    filled = directory(FIRST)
+    assert remove_entry(filled, "i-1")
+    assert "i-1" in filled.departed
+    put_entry(filled, FIRST)
+    assert "i-1" not in filled.departed
+
+
+def test_servers_missing_after_an_outage_are_held_then_dropped():
+    """Guards against losing live servers whose entries lapsed while the store was away."""
+    filled = directory(FIRST, SECOND)
+    _, missing = replace_entries(filled, [FIRST], held_until_ms=2_500)
+    assert missing == {"i-2"} and "i-2" in filled.entries
+    assert expire_held(filled, 2_499) == set()
+    assert expire_held(filled, 2_500) == {"i-2"}
+    assert filled.entries.keys() == {"i-1"}
+
+
+def test_server_that_registers_again_after_an_outage_is_kept():
+    filled = directory(FIRST, SECOND)
+    replace_entries(filled, [FIRST], held_until_ms=2_500)
+    put_entry(filled, SECOND)
+    assert expire_held(filled, 9_999) == set()
+
+
+def test_servers_missing_from_a_list_without_an_outage_are_gone_at_once():
+    filled = directory(FIRST, SECOND)
+    replace_entries(filled, [FIRST])
+    assert filled.entries.keys() == {"i-1"}
--- /dev/null
+++ b/packages/basilhill/tests/test_levels.py
@@ -0,0 +1,141 @@
+"""Tests of admission levels under patterns of load, without network."""
+
+from collections.abc import Callable
+from random import Random
+
+from basilhill.commands.levels import (
+    adjust_level,
+    count_work,
+    forget_levels,
+    record_called,
+    record_level,
+)
+from basilhill.commands.slots import release_slot, request_slot, start_next
+from basilhill.levels import AdmissionLevel, RouteLevels
+from basilhill.queries.levels import admits, route_level, tree_level
+from basilhill.slots import SlotDecision, SlotGate
+
+HIGHEST = 40.0
+SLOTS, SERVICE_MS = 13, 22
+WINDOW_MS = 100
+# Calls a second that the slots carry.
+CAPACITY = SLOTS * 1000 / SERVICE_MS
+BOOKING, BROWSING = 1, 5
+
+
+class Simulation:
+    """Run one server with its slots and its level in steps of a millisecond."""
+
+    def __init__(self) -> None:
+        self.random = Random(7)
+        self.gate = SlotGate(SLOTS, service_ms=SERVICE_MS)
+        self.level = AdmissionLevel(HIGHEST, HIGHEST)
+        self.ends: dict[int, int] = {}
+        self.offered = {BOOKING: 0, BROWSING: 0}
+        self.served = {BOOKING: 0, BROWSING: 0}
+        self.longest_queue = 0
+
+    def run(self, start_ms: int, end_ms: int, rates: Callable[[int], dict[int, float]]) -> None:
+        """Offer requests of each rank at a rate per second."""
+        for now_ms in range(start_ms, end_ms):
+            for _ in range(self.ends.pop(now_ms, 0)):
+                release_slot(self.gate, SERVICE_MS)
+            while start_next(self.gate) is not None:
+                self.begin(now_ms)
+            for rank, rate in rates(now_ms).items():
+                if self.random.random() < rate / 1000:
+                    self.arrive(rank, now_ms)
+            if now_ms % WINDOW_MS == 0:
+                adjust_level(self.level, self.gate, now_ms)
+            self.longest_queue = max(self.longest_queue, len(self.gate.waiting))
+
+    def arrive(self, rank: int, now_ms: int) -> None:
+        """Admit a request by the level and give it a slot or a place in the queue."""
+        self.offered[rank] += 1
+        if not admits(self.level.level, rank, self.random.random()):
+            return
+        self.served[rank] += 1
+        count_work(self.level, rank, SERVICE_MS)
+        if request_slot(self.gate, rank, 60_000, now_ms).decision is SlotDecision.STARTED:
+            self.begin(now_ms)
+
+    def begin(self, now_ms: int) -> None:
+        """Note when a call that has started ends."""
+        self.ends[now_ms + SERVICE_MS] = self.ends.get(now_ms + SERVICE_MS, 0) + 1
+
+    def share(self, rank: int) -> float:
+        """Return the share of the requests of a rank that were admitted."""
+        return self.served[rank] / max(1, self.offered[rank])
+
+    def forget(self) -> None:
+        """Count from here on."""
+        self.offered = {BOOKING: 0, BROWSING: 0}
+        self.served = {BOOKING: 0, BROWSING: 0}
+        self.longest_queue = len(self.gate.waiting)
+
+
+def rates(booking: float, browsing: float) -> Callable[[int], dict[int, float]]:
+    return lambda _: {BOOKING: booking * CAPACITY, BROWSING: browsing * CAPACITY}
+
+
+def test_quiet_load_is_admitted_whole():
+    simulation = Simulation()
+    simulation.run(0, 5_000, rates(0.2, 0.5))
+    assert simulation.share(BROWSING) == 1.0
+
+
+def test_burst_refuses_browsing_only_and_keeps_the_queue_short():
+    """Guards against calls inside admitted requests that wait behind a burst of new ones."""
+    simulation = Simulation()
+    simulation.run(0, 2_000, rates(0.2, 0.5))
+    simulation.run(2_000, 3_000, rates(0.3, 1.5))
+    simulation.forget()
+    simulation.run(3_000, 8_000, rates(0.3, 1.5))
+    assert simulation.share(BOOKING) == 1.0
+    assert 0.3 < simulation.share(BROWSING) < 0.5
+    assert simulation.longest_queue * SERVICE_MS / SLOTS < 150
+
+
+def test_level_opens_soon_after_a_burst():
+    simulation = Simulation()
+    simulation.run(0, 4_000, rates(0.3, 1.5))
+    simulation.run(4_000, 7_000, rates(0.2, 0.4))
+    simulation.forget()
+    simulation.run(7_000, 8_000, rates(0.2, 0.4))
+    assert simulation.share(BROWSING) == 1.0
+
+
+def test_flood_of_bookings_refuses_all_browsing_first():
+    simulation = Simulation()
+    simulation.run(0, 2_000, rates(1.4, 0.5))
+    simulation.forget()
+    simulation.run(2_000, 6_000, rates(1.4, 0.5))
+    assert simulation.share(BROWSING) < 0.05
+    assert simulation.share(BOOKING) > 0.55
+
+
+def test_level_of_a_route_is_the_mean_of_its_servers():
+    levels = RouteLevels(HIGHEST)
+    record_level(levels, "pantry", "i-1", 4.0, 0)
+    record_level(levels, "pantry", "i-2", 6.0, 0)
+    assert route_level(levels, "pantry", 100) == 5.0
+
+
+def test_old_report_rises_so_that_a_refused_route_is_tried_again():
+    """Guards against a route that stays closed because no reply brings a newer level."""
+    levels = RouteLevels(HIGHEST)
+    record_level(levels, "pantry", "i-1", 0.0, 0)
+    assert route_level(levels, "pantry", 300) == 0.0
+    assert route_level(levels, "pantry", 2_300) == 2.0
+    forget_levels(levels, 20_000)
+    assert route_level(levels, "pantry", 20_000) == HIGHEST
+
+
+def test_route_takes_the_strictest_level_on_its_way():
+    """Guards against admitting browsing whose deep calls find no slot."""
+    levels = RouteLevels(HIGHEST)
+    record_called(levels, "browse", "table")
+    record_called(levels, "browse", "prices")
+    record_level(levels, "table", "i-1", 4.5, 0)
+    assert tree_level(levels, "browse", 30.0, 0) == 4.5
+    assert tree_level(levels, "deposit", 30.0, 0) == 30.0
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -0,0 +1,78 @@
+"""Stand-in for a backend server of the users' platform, with the faults that it may show."""
+
+import asyncio
+from collections import Counter
+
+from aiohttp import web
+from attrs import define, field
+
+ATTEMPT_ID = "Basilhill-Attempt-Id"
+SIGNATURE = "Basilhill-Response-Signature"
+
+
+@define(eq=False)
+class PlainServer:
+    """Count the runs of each request and answer with the server's own signature."""
+
+    server_id: str
+    service: str
+    run_ms: int = 5
+    # Status of the answers, 200 for a success.
+    status: int = 200
+    rejects: bool = False
+    resets: bool = False
+    draining: bool = False
+    # Path of a call that each run makes through the node at this address.
+    calls: tuple[str, str, str] | None = None
+    session: object | None = None
+    running: int = 0
+    most_running: int = 0
+    arrivals: Counter[str] = field(factory=Counter)
+    runs: Counter[str] = field(factory=Counter)
+    headers: list[dict[str, str]] = field(factory=list)
+    cancelled: int = 0
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Run one request."""
+        attempt = request.headers[ATTEMPT_ID]
+        echo = {ATTEMPT_ID: attempt}
+        self.arrivals[attempt] += 1
+        self.headers.append(dict(request.headers))
+        if request.headers.get("Basilhill-Target-Instance") != self.server_id:
+            return web.Response(status=421, headers=echo | {"Basilhill-Instance-Id": "i-other"})
+        if self.rejects:
+            return web.Response(status=503, headers=echo | {"Basilhill-Not-Executed": "1"})
+        self.runs[attempt] += 1
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            body = await request.read()
+            await asyncio.sleep(self.run_ms / 1000)
+            if not await self.make_call(attempt):
+                return web.Response(status=500, headers=echo | {SIGNATURE: self.server_id})
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+        if self.resets:
+            request.transport.abort()
+        headers = echo | {SIGNATURE: f"{self.server_id}.{attempt}"}
+        text = f"{request.method} {request.path_qs} ".encode() + body
+        return web.Response(status=self.status, body=text, headers=headers)
+
+    async def make_call(self, attempt: str) -> bool:
+        """Make the call within a run, if there is one; tell whether it was answered."""
+        if self.calls is None:
+            return True
+        address, host, path = self.calls
+        headers = {"Host": host, ATTEMPT_ID: f"{attempt}.1", "Basilhill-Deadline-Ms": "900"}
+        async with self.session.get(f"http://{address}{path}", headers=headers) as response:
+            return response.status == 200
+
+
+def build_server(server: PlainServer) -> web.Application:
+    """Return the application of a backend server."""
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", server.handle)
+    return app
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
@@ -0,0 +1,91 @@
+"""Stand-in for the users' platform store: range, watch, history and outages."""
+
+import asyncio
+from base64 import b64encode
+
+import orjson
+from aiohttp import web
+from attrs import define, field
+
+PAGE_ITEMS = 50
+
+
+@define(eq=False)
+class PlatformStoreState:
+    """Hold the items, their history and the faults to bring about."""
+
+    items: dict[str, dict] = field(factory=dict)
+    events: list[dict] = field(factory=list)
+    revision: int = 1
+    oldest: int = 0
+    down: bool = False
+    reads: int = 0
+    changed: asyncio.Event = field(factory=asyncio.Event)
+
+    def put(self, key: str, value: dict | bytes) -> None:
+        """Write an item."""
+        data = value if isinstance(value, bytes) else orjson.dumps(value)
+        self.revision += 1
+        item = {"key": key, "value": b64encode(data).decode(), "revision": self.revision}
+        self.items[key] = item
+        self.note(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        self.revision += 1
+        del self.items[key]
+        self.note({"key": key, "revision": self.revision, "removed": True})
+
+    def forget_history(self) -> None:
+        """Drop the history, so that watches must read again."""
+        self.oldest = self.revision
+        self.note(None)
+
+    def note(self, event: dict | None) -> None:
+        """Wake the watches."""
+        if event is not None:
+            self.events.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def build_store(state: PlatformStoreState) -> web.Application:
+    """Return the application that serves the nodes."""
+
+    async def kv_range(request: web.Request) -> web.Response:
+        state.reads += 1
+        if state.down:
+            return web.Response(status=503)
+        prefix, after = request.query["prefix"], request.query.get("after", "")
+        keys = sorted(key for key in state.items if key.startswith(prefix) and key > after)
+        page = [state.items[key] for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return web.json_response({"items": page, "hasMore": more, "asOf": state.revision})
+
+    async def kv_watch(request: web.Request) -> web.Response:
+        state.reads += 1
+        prefix, after = request.query["prefix"], int(request.query["after"])
+        deadline = asyncio.get_running_loop().time() + int(request.query["waitMs"]) / 1000
+        while True:
+            if state.down:
+                return web.Response(status=503)
+            if after < state.oldest:
+                return web.Response(status=410)
+            events = [
+                event
+                for event in state.events
+                if event["revision"] > after and event["key"].startswith(prefix)
+            ]
+            left_s = deadline - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                return web.json_response({"events": events, "asOf": state.revision})
+            try:
+                async with asyncio.timeout(left_s):
+                    await state.changed.wait()
+            except TimeoutError:
+                continue
+
+    app = web.Application()
+    app.router.add_get("/basilhill/kv-range", kv_range)
+    app.router.add_get("/basilhill/kv-watch", kv_watch)
+    return app
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
@@ -0,0 +1,210 @@
+"""A small fleet of sidecar nodes in one process, with stand-ins for servers and store."""
+
+import asyncio
+from contextlib import AsyncExitStack
+from itertools import count
+from random import Random
+
+import aiohttp
+from aiohttp import web
+from attrs import define, field
+from basilhill.clocks import SystemClock
+from basilhill_node.platform.decoder import PlatformDecoder
+from basilhill_node.platform.http import PlatformDialect
+from basilhill_node.platform.store import PlatformStore
+from basilhill_node.sidecar.node import Sidecar, build_sidecar, close_sidecar, start_sidecar
+from basilhill_node.sidecar.state import SidecarSettings, StoreAddress
+
+from basilhill_fakes.plain_server import ATTEMPT_ID, PlainServer, build_server
+from basilhill_fakes.platform_store import PlatformStoreState, build_store
+
+CLIENT_PORT, PEER_PORT, READY_PORT, METRICS_PORT, SERVER_PORT = 8304, 8300, 8302, 9464, 8301
+STORE_PORT = 8309
+HOST = "shop.example"
+READY_POLL_S = 0.02
+READY_WAIT_S = 5.0
+
+
+def path_rule(name: str, prefix: str, service: str, **changes) -> dict:
+    """Return a route as the platform writes it."""
+    rule = {
+        "name": name,
+        "prefix": prefix,
+        "kind": "idempotent",
+        "timeoutS": 2,
+        "targetLatencyS": 0.5,
+        "priority": 1,
+        "service": service,
+        "attempts": 2,
+    }
+    return rule | changes
+
+
+def configuration(version: int, *paths: dict) -> dict:
+    """Return a configuration as the platform writes it."""
+    services = sorted({rule["service"] for rule in paths if "service" in rule})
+    return {
+        "version": f"{version:08x}",
+        "services": [
+            {"name": name, "healthPath": "/health", "maxConnections": 500} for name in services
+        ],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeoutS": 3,
+            "idleTimeoutS": 15,
+        },
+        "virtualHosts": [{"host": HOST, "paths": list(paths)}],
+    }
+
+
+@define(eq=False)
+class Machine:
+    """Hold one VM: its address, backend server and node."""
+
+    address: str
+    data_centre: str
+    server: PlainServer
+    node: Sidecar | None = None
+    runner: web.AppRunner | None = None
+
+    def entry(self, **changes) -> dict:
+        """Return the entry of the server as it registers itself."""
+        table = {
+            "service": self.server.service,
+            "address": f"{self.address}:{SERVER_PORT}",
+            "zone": self.data_centre,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldRemainingS": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        return table | changes
+
+
+@define(eq=False)
+class SidecarFleet:
+    """Run nodes, servers and the store on loopback addresses."""
+
+    prefix: str = field(factory=lambda: "127.{}.{}".format(*Random().choices(range(70, 250), k=2)))
+    store: PlatformStoreState = field(factory=PlatformStoreState)
+    machines: list[Machine] = field(factory=list)
+    ids: count = field(factory=lambda: count(1))
+    opened: AsyncExitStack = field(factory=AsyncExitStack)
+    session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "SidecarFleet":
+        """Start the store."""
+        self.session = aiohttp.ClientSession()
+        self.opened.push_async_callback(self.session.close)
+        await self.serve(build_store(self.store), f"{self.prefix}.250", STORE_PORT)
+        return self
+
+    async def __aexit__(self, *_error) -> None:
+        """Stop everything."""
+        for machine in self.machines:
+            self.stop_node(machine)
+        await self.opened.aclose()
+
+    async def serve(self, app: web.Application, address: str, port: int) -> web.AppRunner:
+        """Serve an application until the fleet ends."""
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await runner.setup()
+        await web.TCPSite(runner, address, port).start()
+        self.opened.push_async_callback(runner.cleanup)
+        return runner
+
+    async def add(self, service: str, data_centre: str = "a", **changes) -> Machine:
+        """Start a VM with a server and a node, and register the server."""
+        number = len(self.machines) + 1
+        server = PlainServer(f"i-{number}", service, session=self.session)
+        machine = Machine(f"{self.prefix}.{number}", data_centre, server)
+        self.machines.append(machine)
+        machine.runner = await self.serve(build_server(server), machine.address, SERVER_PORT)
+        self.register(machine, **changes)
+        await self.start_node(machine)
+        return machine
+
+    def register(self, machine: Machine, **changes) -> None:
+        """Write the entry of a server."""
+        self.store.put(f"servers/{machine.server.server_id}", machine.entry(**changes))
+
+    async def start_node(self, machine: Machine) -> None:
+        """Start the node of a VM."""
+        settings = self.settings(machine)
+        clock = SystemClock()
+        store = PlatformStore.at(settings.store.address, clock)
+        machine.node = build_sidecar(settings, store, PlatformDecoder(), PlatformDialect(), clock)
+        await start_sidecar(machine.node)
+
+    def stop_node(self, machine: Machine) -> None:
+        """End the node of a VM at once."""
+        if machine.node is not None:
+            close_sidecar(machine.node)
+            machine.node = None
+
+    def settings(self, machine: Machine) -> SidecarSettings:
+        """Return the settings of the node of a VM."""
+        return SidecarSettings(
+            node=f"node-{machine.address}",
+            address=machine.address,
+            data_centre=machine.data_centre,
+            service=machine.server.service,
+            backend_address=f"{machine.address}:{SERVER_PORT}",
+            client_port=CLIENT_PORT,
+            peer_port=PEER_PORT,
+            ready_port=READY_PORT,
+            metrics_port=METRICS_PORT,
+            store=StoreAddress(f"{self.prefix}.250:{STORE_PORT}", 20_000),
+            configuration_apply_ms=2_000,
+            drain_ms=2_000,
+            grace_ms=6_000,
+            contact_ms=3_000,
+            retry_ratio=0.2,
+            retry_window_ms=10_000,
+            retry_minimum=48,
+        )
+
+    async def until(self, condition) -> None:
+        """Wait until a condition holds; TimeoutError when it does not."""
+        async with asyncio.timeout(READY_WAIT_S):
+            while not condition():  # noqa: ASYNC110 - the parts of a node offer no event for it
+                await asyncio.sleep(READY_POLL_S)
+
+    async def settled(self, version: int) -> None:
+        """Wait until all nodes have a version and all servers."""
+        nodes = [machine.node for machine in self.machines if machine.node is not None]
+        listed = sum(key.startswith("servers/") for key in self.store.items)
+        await self.until(
+            lambda: all(
+                node.state.in_force.version >= version
+                and len(node.state.directory.entries) == listed
+                for node in nodes
+            )
+        )
+
+    async def ask(
+        self, machine: Machine, path: str, method: str = "GET", body: bytes = b"", **headers: str
+    ) -> "ClientAnswer":
+        """Send one client attempt to the node of a VM."""
+        attempt = headers.pop("attempt", f"attempt{next(self.ids)}")
+        sent = {"Host": HOST, ATTEMPT_ID: attempt, "Basilhill-Deadline-Ms": "2000"} | headers
+        url = f"http://{machine.address}:{CLIENT_PORT}{path}"
+        async with self.session.request(method, url, headers=sent, data=body or None) as response:
+            text = await response.read()
+            received = {name.lower(): value for name, value in response.headers.items()}
+            return ClientAnswer(attempt, response.status, received, text)
+
+
+@define(frozen=True)
+class ClientAnswer:
+    """Hold what a client got for one attempt."""
+
+    attempt: str
+    status: int
+    headers: dict[str, str]
+    body: bytes
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -19,6 +19,7 @@
 DEADLINE = "basilhill-deadline-ms"
 SERVER_ID = "basilhill-target-instance"
 NOT_EXECUTED = "basilhill-not-executed"
+INSTANCE_ID = "basilhill-instance-id"
 CALLER_SERVICE = "basilhill-caller-service"
 RETRY_AFTER = "retry-after"
 ID_SEPARATOR = "."
@@ -73,10 +74,11 @@
     def decode_answer(self, response: HttpResponse) -> Result[Answer, Refusal]:
         """Return the answer of a backend server, or its statement that it did not run."""
         if response.status == MISDIRECTED:
-            return Error(not_run(Reason.REJECTED, "another server has the address"))
+            found = header_value(response.headers, INSTANCE_ID) or "another server"
+            return Error(not_run(Reason.MISDIRECTED, f"{found} has the address"))
         if header_value(response.headers, NOT_EXECUTED) is not None:
             text = f"the server refused with {response.status}"
-            return Error(not_run(Reason.OVERLOADED, text))
+            return Error(not_run(Reason.SERVER_REFUSED, text))
         headers = tuple(forwarded_headers(response.headers, frozenset()))
         return Ok(Answer(response.status, headers, response.body))
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_news.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_news.py
@@ -65,12 +65,14 @@
             self.receive_hello(connection, Hello(*fields))
         elif kind is FrameKind.CONFIGURATION:
             self.updater.put_configuration(fields[0], connection.peer)
-        elif kind is FrameKind.ENTRIES and not self.store.reachable:
+        elif kind is FrameKind.ENTRIES and self.takes_entries(connection):
             self.receive_entries(connection.peer, *fields)
         elif kind is FrameKind.SUSPECTS:
             report = SuspectReport(fields[0], frozenset(fields[1]), fields[2])
             if apply_report(self.suspects, report, self.clock.now_ms()):
                 self.log.record("suspect", "told by peer", fingerprint=report.fingerprint)
+                # News only, so that a report ends once it has reached every node.
+                self.publish_suspect(report)
 
     def receive_hello(self, connection: StreamConnection, hello: Hello) -> None:
         """Send a peer what it lacks."""
@@ -81,7 +83,7 @@
             self.log.record("peer", "greeted", peer=hello.node, version=hello.version)
         if hello.version < self.in_force.version and not hello.store_reachable:
             connection.send(encode_frame(FrameKind.CONFIGURATION, self.in_force.raw))
-        if not hello.store_reachable and self.store.reachable:
+        if not hello.store_reachable and (self.store.reachable or hello.version == 0):
             self.send_entries(connection, self.directory.entries.values())
 
     def send_entries(self, connection: StreamConnection, entries: Iterable[BackendEntry]) -> None:
@@ -103,6 +105,16 @@
         departed = list(self.directory.departed)[-DEPARTED_TOLD:]
         connection.send(encode_frame(FrameKind.ENTRIES, rows, departed))
 
+    def takes_entries(self, connection: StreamConnection) -> bool:
+        """Tell whether a peer knows more of the servers than this node.
+
+        A peer without the store helps only a node that has just started and knows none.
+        """
+        standing = self.peers.get(connection)
+        if self.store.reachable or standing is None:
+            return False
+        return standing.store_reachable or not self.directory.entries
+
     def receive_entries(self, peer: str, rows: list[list[Any]], departed: list[str]) -> None:
         """Take what a peer with the store knows of servers."""
         now_ms = self.clock.now_ms()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -26,6 +26,9 @@
 from basilhill_node.sidecar.state import GateState, RunningCall
 
 ADJUST_S = 0.1
+# A call that waits in vain is refused this long before its end, so that the origin still learns
+# that it has not run.
+REPLY_MS = 30
 
 # A call that cannot be repeated uses a connection only if the server used it this lately, because
 # a server may close an idle connection while the request is on its way.
@@ -55,7 +58,9 @@
             self.record(call, Error(refusal), arrived_ms, arrived_ms)
             return Error(refusal)
         started_ms = self.clock.now_ms()
-        self.gate.running[call.request_id] = RunningCall(call.route, *split_rank(call.rank))
+        self.gate.running[call.request_id] = RunningCall(
+            call.route, *split_rank(call.rank), call.repeated
+        )
         try:
             outcome = await self.run(call, arrived_ms)
         finally:
@@ -71,6 +76,8 @@
         entry = self.directory.entries.get(call.server_id)
         if call.server_id in self.directory.departed or (entry is not None and entry.draining):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
+        if call.server_id in self.gate.denied_ids:
+            return not_run(Reason.LEAVING, f"the server is no longer {call.server_id}")
         return None
 
     async def enter(self, call: Execute, arrived_ms: int) -> Refusal | None:
@@ -84,10 +91,11 @@
             return None
         if grant.decision is SlotDecision.REFUSED:
             return self.overload_refusal()
+        patience_ms = min(call.patience_ms, call.remaining_ms - REPLY_MS)
         waiter = asyncio.get_running_loop().create_future()
         self.gate.waiters[grant.request.sequence] = waiter
         try:
-            async with asyncio.timeout(call.patience_ms / 1000):
+            async with asyncio.timeout(max(0, patience_ms) / 1000):
                 return await waiter
         except TimeoutError:
             if granted(waiter):
@@ -166,7 +174,10 @@
 
         response = await connection.exchange(data, accepts, call.method == "HEAD")
         self.gate.pool.put_back(connection)
-        return self.dialect.decode_answer(response)
+        outcome = self.dialect.decode_answer(response)
+        if outcome.is_error() and outcome.error.reason is Reason.MISDIRECTED:
+            self.gate.denied_ids.add(call.server_id)
+        return outcome
 
     async def adjust(self) -> None:
         """Adjust the admission level at fixed intervals until cancelled."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -54,8 +54,16 @@
 GATEWAY_TIMEOUT = 504
 # Deadlines below this share of the longest one seen on a route mark a client that came back.
 RETURNED_SHARE = 0.97
+# Refusals of a backend server itself, which count as arrivals there.
+SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
+# A server that had no room for a call is left out for this time while others have some.
+REFUSAL_MS = 50
+# The entry of a server that is gone changes within three heartbeats of 1.5 s.
+STALE_ENTRY_MS = 2_000
 # Clients that are refused for load come back within this time, spread evenly.
 RETRY_AFTER_MS = (200, 600)
+# Part of the fleet's retry budget that nodes spend, since they start with an empty history.
+QUOTA_SHARE = 0.6
 # Above this share of failures at the best server of a service, its failures are not retried.
 COMMON_FAILURE_RATE = 0.1
 
@@ -73,6 +81,7 @@
     ends_ms: int
     rank: int
     depth: int
+    repeated: bool
     patience_ms: int
     tried: set[str] = field(factory=set)
     reached: int = 0
@@ -156,13 +165,14 @@
         ends_ms = min(deadline_ms, arrived_ms + route.timeout_ms)
         parent = self.gate.gate.running.get(terms.parent_id) if terms.parent_id else None
         if parent is None:
-            rank, depth = request_rank(route.priority, returned), 0
+            rank, depth, repeated = request_rank(route.priority, returned), 0, False
             patience_ms = int(route.target_ms * PATIENCE_SHARE)
         else:
             # The call of an admitted request waits as long as it may: failing it fails all.
             record_called(self.origin.levels, parent.route, route.name)
             rank, depth, patience_ms = parent.rank, parent.depth + 1, LONGEST_MS
-        count_request(self.quota(service), arrived_ms)
+            repeated = parent.repeated
+        count_request(self.quota(service), arrived_ms, repeated)
         return OpenRequest(
             request,
             terms,
@@ -173,6 +183,7 @@
             ends_ms,
             rank,
             depth,
+            repeated,
             patience_ms,
         )
 
@@ -191,12 +202,12 @@
         quota = self.origin.quotas.get(service)
         if quota is None:
             quota = self.origin.quotas[service] = RetryQuota(
-                self.settings.retry_ratio,
+                self.settings.retry_ratio * QUOTA_SHARE,
                 self.settings.retry_window_ms,
-                self.settings.retry_minimum,
+                0.0,
             )
         nodes = len({entry.host for entry in self.directory.entries.values()})
-        quota.minimum = self.settings.retry_minimum / max(1, nodes)
+        quota.minimum = self.settings.retry_minimum * QUOTA_SHARE / max(1, nodes)
         return quota
 
     def finish(
@@ -245,15 +256,19 @@
                 if outcome.ok.status < SERVER_ERROR or outcome.ok.status == GATEWAY_TIMEOUT:
                     return outcome
                 opened.failed = outcome.ok
-                if self.failure_is_common(opened) or not self.may_repeat(opened):
+                repeatable = opened.route.idempotent and not self.failure_is_common(opened)
+                if not (repeatable and self.may_repeat(opened)):
                     return outcome
                 continue
             last = outcome.error
             if last.verdict is Verdict.MAY_HAVE_RUN:
                 opened.uncertain = last
+                if not (opened.route.idempotent and self.may_repeat(opened)):
+                    return self.give_up(opened, last)
+            elif last.reason in SERVER_REFUSALS:
                 if not self.may_repeat(opened):
                     return self.give_up(opened, last)
-            elif opened.refused >= GATES_TRIED:
+            elif last.reason is Reason.SUSPECT or opened.refused >= GATES_TRIED:
                 return self.give_up(opened, last)
 
     def give_up(self, opened: OpenRequest, last: Refusal) -> Outcome:
@@ -268,11 +283,9 @@
         return rate > COMMON_FAILURE_RATE
 
     def may_repeat(self, opened: OpenRequest) -> bool:
-        """Tell whether a request that may have run may reach another server."""
-        return (
-            opened.route.idempotent
-            and opened.reached < opened.route.attempts
-            and spend_retry_quota(self.quota(opened.service), self.clock.now_ms())
+        """Tell whether a request that has reached a server may reach another one."""
+        return opened.reached < opened.route.attempts and spend_retry_quota(
+            self.quota(opened.service), self.clock.now_ms()
         )
 
     async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
@@ -290,6 +303,7 @@
             opened.deadline_ms - now_ms,
             min(opened.patience_ms, opened.ends_ms - now_ms),
             call_rank(opened.rank, opened.depth),
+            opened.repeated or opened.reached > 0,
             opened.request.method,
             opened.request.target,
             self.dialect.client_headers(opened.request),
@@ -335,11 +349,16 @@
             record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
             return
         reason = outcome.error.reason
-        if outcome.error.verdict is Verdict.NOT_RUN:
-            opened.refused += 1
-            record_refusal(target, now_ms)
-        else:
+        if outcome.error.verdict is Verdict.MAY_HAVE_RUN or reason in SERVER_REFUSALS:
             opened.reached += 1
+        else:
+            opened.refused += 1
+        if reason in (Reason.LEAVING, Reason.MISDIRECTED):
+            record_refusal(target, now_ms, STALE_ENTRY_MS)
+        elif reason is Reason.SERVER_REFUSED:
+            record_answer(target, failed=True)
+        elif outcome.error.verdict is Verdict.NOT_RUN:
+            record_refusal(target, now_ms, REFUSAL_MS)
         lost = reason in (Reason.CONNECTION_LOST, Reason.UNREACHABLE)
         if lost and record_loss(target, now_ms):
             self.gate.log.record(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/update_view.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/update_view.py
@@ -62,6 +62,7 @@
             # A reborn server knows nothing of before, and nothing before tells of its load.
             forget_target(self.loads, entry.server_id)
         if put_entry(self.directory, entry):
+            self.gate.denied_ids.discard(entry.server_id)
             self.note_change(entry, source)
             self.entries_changed({entry.server_id})
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -66,6 +66,7 @@
     deadline_ms: int
     patience_ms: int
     rank: int
+    repeated: bool
     method: str
     target: str
     headers: list[Header]
@@ -102,6 +103,7 @@
         execute.deadline_ms,
         execute.patience_ms,
         execute.rank,
+        execute.repeated,
         execute.method,
         execute.target,
         flatten(execute.headers),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -158,6 +158,22 @@
 
 async def run_sidecar(node: Sidecar, reloader: SettingsReloader | None = None) -> None:
     """Run a node until it is told to leave."""
+    await start_sidecar(node)
+    loop = asyncio.get_running_loop()
+    if reloader is not None:
+        node.state.life.spawn(reloader.run())
+        loop.add_signal_handler(signal.SIGHUP, reloader.hung_up.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, node.stopped.set)
+    # What lives now lives as long as the process, so that collections need not visit it.
+    gc.collect()
+    gc.freeze()
+    await node.stopped.wait()
+    await leave(node)
+
+
+async def start_sidecar(node: Sidecar) -> None:
+    """Listen and start the tasks of a node; OSError when an address is in use."""
     state, settings = node.state, node.state.settings
     await node.listener.start(settings.address, settings.peer_port)
     await node.front.start(settings.address, settings.client_port)
@@ -166,12 +182,6 @@
     state.life.spawn(node.follower.run())
     state.life.spawn(close_idle_connections(node))
     state.life.spawn(node.gate.adjust())
-    loop = asyncio.get_running_loop()
-    if reloader is not None:
-        state.life.spawn(reloader.run())
-        loop.add_signal_handler(signal.SIGHUP, reloader.hung_up.set)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stopped.set)
     state.log.record(
         "node",
         "started",
@@ -180,11 +190,6 @@
         data_centre=settings.data_centre,
         address=settings.address,
     )
-    # What lives now lives as long as the process, so that collections need not visit it.
-    gc.collect()
-    gc.freeze()
-    await node.stopped.wait()
-    await leave(node)
 
 
 async def close_idle_connections(node: Sidecar) -> None:
@@ -211,10 +216,15 @@
             break
         await asyncio.sleep(QUIET_POLL_S)
     state.log.record("node", "stopped", cut_off=state.origin.open_requests)
-    node.front.close()
-    node.ready.close()
-    node.metrics.close()
+    close_sidecar(node)
+
+
+def close_sidecar(node: Sidecar) -> None:
+    """Close everything at once."""
+    for server in (node.front, node.ready, node.metrics):
+        server.close()
     node.listener.close()
     node.peers.close()
-    for task in tuple(state.life.tasks):
+    node.state.gate.pool.close()
+    for task in tuple(node.state.life.tasks):
         task.cancel()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -114,6 +114,7 @@
     route: str
     rank: int
     depth: int
+    repeated: bool
 
 
 @define(eq=False)
@@ -126,6 +127,8 @@
     running: dict[str, RunningCall] = field(factory=dict)
     waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
     server_id: str = ""
+    # Ids that the own server has denied; calls to them would only reach it in vain.
+    denied_ids: set[str] = field(factory=set)
     suspects: SuspectTable = field(factory=lambda: SuspectTable(SUSPECT_TTL_MS))
 
 
--- /dev/null
+++ b/packages/basilhill_node/tests/test_frames.py
@@ -0,0 +1,73 @@
+"""Tests of the frames between sidecar nodes."""
+
+import pytest
+from basilhill.verdicts import Answer, Header, Reason, Verdict, may_have_run, not_run
+from basilhill_node.sidecar.frames import (
+    Execute,
+    FrameKind,
+    FrameReader,
+    MalformedFrameError,
+    Reply,
+    decode_execute,
+    decode_reply,
+    encode_execute,
+    encode_frame,
+    encode_reply,
+)
+from expression import Error, Ok
+from hypothesis import given
+from hypothesis import strategies as st
+
+HEADERS = [Header("accept", "*/*"), Header("x", "ä")]
+
+
+def read(data: bytes):
+    return list(FrameReader().feed(data))
+
+
+def test_execute_survives_the_way():
+    sent = Execute(
+        7, "i-1", "id", "shop", "r-1", True, 900, 950, 40, 31, False, "POST", "/a?b", HEADERS, b"\0"
+    )
+    ((kind, fields),) = read(encode_execute(sent))
+    received = decode_execute(fields)
+    assert kind is FrameKind.EXECUTE
+    names = [name for name in Execute.__slots__ if name != "__weakref__"]
+    assert all(getattr(received, name) == getattr(sent, name) for name in names)
+
+
+@pytest.mark.parametrize(
+    "outcome",
+    [
+        Ok(Answer(200, tuple(HEADERS), b"body")),
+        Error(not_run(Reason.OVERLOADED, "full", 250)),
+        Error(may_have_run(Reason.CONNECTION_LOST, "gone")),
+    ],
+)
+def test_reply_survives_the_way(outcome):
+    ((_, fields),) = read(encode_reply(Reply(3, outcome, 5, 4.25)))
+    reply = decode_reply(fields)
+    assert (reply.call_id, reply.running, reply.level) == (3, 5, 4.25)
+    assert reply.outcome == outcome
+
+
+def test_verdict_of_a_refusal_is_never_softened_on_the_way():
+    """Guards against telling a client that a request has not run although it may have."""
+    sent = Reply(1, Error(may_have_run(Reason.DEADLINE, "late")))
+    ((_, fields),) = read(encode_reply(sent))
+    assert decode_reply(fields).outcome.error.verdict is Verdict.MAY_HAVE_RUN
+
+
+@given(st.lists(st.binary(max_size=40), max_size=6), st.integers(1, 9))
+def test_frames_are_cut_out_of_any_pieces(bodies, size):
+    data = b"".join(encode_frame(FrameKind.CONFIGURATION, body) for body in bodies)
+    reader, found = FrameReader(), []
+    for start in range(0, len(data), size):
+        found.extend(fields[0] for _, fields in reader.feed(data[start : start + size]))
+    assert found == bodies
+
+
+@pytest.mark.parametrize("data", [b"\xff\xff\xff\xff", b"\0\0\0\1\xc1", b"\0\0\0\2\x91\x63"])
+def test_bytes_that_are_no_frame_are_refused(data):
+    with pytest.raises(MalformedFrameError):
+        read(data)
--- /dev/null
+++ b/packages/basilhill_node/tests/test_http_client.py
@@ -0,0 +1,155 @@
+"""Tests of HTTP towards backend servers: spoilt, late, early and endless answers."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from basilhill.clocks import SystemClock
+from basilhill_node.platform.http import PlatformDialect
+from basilhill_node.sidecar.http_client import ConnectionFailedError, ConnectionPool
+
+ADDRESS = "127.0.0.1"
+REQUEST = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+def answer(body: bytes, request_id: str = "one", *headers: str) -> bytes:
+    lines = ("HTTP/1.1 200 OK", f"Basilhill-Attempt-Id: {request_id}", *headers)
+    return "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode() + body
+
+
+@asynccontextmanager
+async def serving(*answers: bytes, reset: bool = False, close: bool = False):
+    """Serve connections on which each request gets the next answer as it is."""
+    left = list(answers)
+
+    async def handle(reader, writer):
+        try:
+            while left and await reader.readuntil(b"\r\n\r\n"):
+                writer.write(left.pop(0))
+                await writer.drain()
+                if close or reset:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        if reset:
+            writer.transport.abort()
+        writer.close()
+
+    server = await asyncio.start_server(handle, ADDRESS, 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = ConnectionPool(f"{ADDRESS}:{port}", SystemClock())
+    try:
+        yield pool
+    finally:
+        pool.close()
+        server.close()
+
+
+async def ask(pool: ConnectionPool, request_id: str = "one"):
+    dialect = PlatformDialect()
+    connection = await pool.take()
+    async with asyncio.timeout(1):
+        response = await connection.exchange(
+            REQUEST, lambda headers: dialect.echoes(headers, request_id)
+        )
+    pool.put_back(connection)
+    return response
+
+
+async def test_connection_is_used_again():
+    async with serving(answer(b"first"), answer(b"second", "two")) as pool:
+        assert (await ask(pool)).body == b"first"
+        assert (await ask(pool, "two")).body == b"second"
+        assert pool.opened == 1
+
+
+async def test_second_answer_behind_the_first_belongs_to_no_request():
+    """Guards against handing a client the extra answer of an earlier request."""
+    async with serving(answer(b"first") + answer(b"extra"), answer(b"second", "two")) as pool:
+        assert (await ask(pool)).body == b"first"
+        await asyncio.sleep(0.05)
+        assert (await ask(pool, "two")).body == b"second"
+        assert pool.opened == 2
+
+
+async def test_extra_answer_that_comes_late_is_skipped_by_its_id():
+    """Guards against an extra answer that arrives where the next one is expected."""
+    late = answer(b"late", "one") + answer(b"second", "two")
+    async with serving(answer(b"first"), late) as pool:
+        assert (await ask(pool)).body == b"first"
+        assert (await ask(pool, "two")).body == b"second"
+        assert pool.idle == []
+
+
+async def test_truncated_answer_is_no_answer():
+    whole = answer(b"0123456789")
+    async with serving(whole[:-4], close=True) as pool:
+        with pytest.raises(ConnectionFailedError) as failed:
+            await ask(pool)
+        assert failed.value.sent
+
+
+async def test_answer_without_a_length_ends_with_its_connection():
+    head = b"HTTP/1.1 200 OK\r\nBasilhill-Attempt-Id: one\r\n\r\n"
+    async with serving(head + b"endless", close=True) as pool:
+        assert (await ask(pool)).body == b"endless"
+        assert pool.idle == []
+
+
+async def test_answer_without_a_length_that_is_reset_is_not_whole():
+    head = b"HTTP/1.1 200 OK\r\nBasilhill-Attempt-Id: one\r\n\r\n"
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head + b"begin")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        # Closing with a linger of 0 sends a reset.
+        import socket
+        import struct
+
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    server = await asyncio.start_server(handle, ADDRESS, 0)
+    pool = ConnectionPool(f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", SystemClock())
+    with pytest.raises(ConnectionFailedError):
+        await ask(pool)
+    server.close()
+
+
+async def test_bytes_that_are_no_answer_are_refused():
+    async with serving(b"\x00\x01garbage\r\n\r\n") as pool:
+        with pytest.raises(ConnectionFailedError):
+            await ask(pool)
+
+
+async def test_connection_that_the_server_will_close_is_not_kept():
+    async with serving(answer(b"last", "one", "Connection: close")) as pool:
+        await ask(pool)
+        assert pool.idle == []
+
+
+async def test_stated_idle_time_bounds_reuse():
+    async with serving(answer(b"a", "one", "Keep-Alive: timeout=1")) as pool:
+        await ask(pool)
+        assert pool.idle[0].idle_ms == 500
+
+
+async def test_connection_is_dropped_when_a_request_is_cancelled():
+    """Guards against an answer to a cancelled request that meets the next one."""
+    async with serving(b"", b"") as pool:
+        connection = await pool.take()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await connection.exchange(REQUEST, None)
+        pool.put_back(connection)
+        assert pool.idle == []
+
+
+async def test_refused_connection_was_not_sent():
+    pool = ConnectionPool(f"{ADDRESS}:1", SystemClock())
+    with pytest.raises(ConnectionFailedError) as failed:
+        await ask(pool)
+    assert not failed.value.sent
--- /dev/null
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -0,0 +1,159 @@
+"""Tests of HTTP towards clients: framing, order, limits, and clients that leave."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from basilhill.clocks import SystemClock
+from basilhill.configuration import RequestLimits
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.http_server import HttpServer
+from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
+
+ADDRESS = "127.0.0.1"
+LIMITS = RequestLimits(header_bytes=2_000, body_bytes=1_000, header_ms=300, idle_ms=600)
+
+
+class Recorder:
+    """Answer with the body that came, after a time that the path names."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.cancelled = 0
+
+    async def __call__(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
+        try:
+            await asyncio.sleep(int(request.path.strip("/") or 0) / 1000)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return HttpResponse(200, body=request.path.encode() + request.body)
+
+
+@asynccontextmanager
+async def served():
+    recorder, clock = Recorder(), SystemClock()
+    server = HttpServer(recorder, lambda: LIMITS, clock, EventLog(clock))
+    await server.start(ADDRESS, 0)
+    port = server.server.sockets[0].getsockname()[1]
+    try:
+        yield recorder, server, port
+    finally:
+        server.close()
+
+
+async def talk(port: int, data: bytes, wait_s: float = 2.0) -> bytes:
+    """Send bytes and return all that comes until the server closes or is silent."""
+    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    writer.write(data)
+    received = b""
+    try:
+        async with asyncio.timeout(wait_s):
+            while part := await reader.read(65_536):
+                received += part
+    except TimeoutError:
+        pass
+    writer.close()
+    return received
+
+
+def get(path: str, *headers: str) -> bytes:
+    return "\r\n".join((f"GET {path} HTTP/1.1", "Host: a", *headers, "", "")).encode()
+
+
+async def test_pipelined_requests_run_together_and_are_answered_in_order():
+    async with served() as (recorder, _, port):
+        started = asyncio.get_running_loop().time()
+        data = get("/200") + get("/100") + get("/7", "Connection: close")
+        received = await talk(port, data)
+        assert asyncio.get_running_loop().time() - started < 0.29
+        places = [received.index(body) for body in (b"/200", b"/100", b"/7")]
+        assert places == sorted(places)
+        assert received.count(b"HTTP/1.1 200") == 3
+
+
+async def test_chunked_body_arrives_whole_and_is_followed_by_the_next_request():
+    head = b"POST /0 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = head + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" + get("/1", "Connection: close")
+    async with served() as (recorder, _, port):
+        await talk(port, data)
+        assert [request.body for request in recorder.requests] == [b"abcde", b""]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        b"GET /0 HTTP/1.1\r\n\r\n",
+        b"GET /0 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        b"GET http://b/0 HTTP/1.1\r\nHost: a\r\n\r\n",
+        b"\x16\x03\x01 nonsense\r\n\r\n",
+    ],
+)
+async def test_request_that_two_readers_may_read_differently_is_refused(data):
+    """Guards against a request smuggled inside another one."""
+    async with served() as (recorder, _, port):
+        received = await talk(port, data + get("/1"))
+        assert received.startswith(b"HTTP/1.1 400")
+        assert recorder.requests == []
+
+
+async def test_bytes_behind_a_bad_request_are_not_read_as_another_one():
+    async with served() as (recorder, _, port):
+        received = await talk(port, get("/0") + b"BAD\r\n\r\n" + get("/1"))
+        assert received.count(b"HTTP/1.1 200") == 1
+        assert received.count(b"HTTP/1.1 400") == 1
+        assert len(recorder.requests) == 1
+
+
+async def test_limits_of_header_and_body():
+    async with served() as (recorder, _, port):
+        assert (await talk(port, get("/0", "A: " + "x" * 3_000))).startswith(b"HTTP/1.1 431")
+        long = b"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: 2000\r\n\r\n" + b"x" * 2_000
+        assert (await talk(port, long)).startswith(b"HTTP/1.1 413")
+        assert recorder.requests == []
+
+
+async def test_client_that_leaves_cancels_its_request():
+    """Guards against servers that work on for clients that are gone."""
+    async with served() as (recorder, _, port):
+        _, writer = await asyncio.open_connection(ADDRESS, port)
+        writer.write(get("/2000"))
+        await asyncio.sleep(0.1)
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert recorder.cancelled == 1
+
+
+async def test_header_that_does_not_end_gets_408_and_an_idle_connection_is_closed():
+    async with served() as (_, _, port):
+        assert (await talk(port, b"GET /0 HTTP/1.1\r\nHost")).startswith(b"HTTP/1.1 408")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        assert await talk(port, b"") == b""
+        assert 0.5 < loop.time() - started < 1.5
+
+
+async def test_leaving_server_answers_what_was_read_and_closes():
+    """Guards against requests cut off at a graceful stop."""
+    async with served() as (_, server, port):
+        task = asyncio.create_task(talk(port, get("/200")))
+        await asyncio.sleep(0.1)
+        server.leave()
+        received = await task
+        assert received.startswith(b"HTTP/1.1 200") and b"connection: close" in received
+        assert not server.connections
+
+
+async def test_keep_alive_of_an_old_client_is_declined():
+    async with served() as (_, _, port):
+        received = await talk(port, b"GET /0 HTTP/1.0\r\nHost: a\r\n\r\n")
+        assert received.startswith(b"HTTP/1.1 200") and b"connection: close" in received
+
+
+async def test_head_gets_no_body():
+    async with served() as (_, _, port):
+        received = await talk(port, b"HEAD /0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        assert received.endswith(b"\r\n\r\n") and b"content-length: 2" in received
--- /dev/null
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -0,0 +1,226 @@
+"""Tests of the adapter: each message of the platform decoded once, bad ones with a reason."""
+
+import msgspec
+import pytest
+from basilhill.verdicts import Header, Reason, Verdict, may_have_run, not_run
+from basilhill_node.platform.configuration import decode_configuration
+from basilhill_node.platform.entries import decode_entry
+from basilhill_node.platform.http import PlatformDialect
+from basilhill_node.platform.settings import decode_settings
+from basilhill_node.platform.store import decode_item, decode_page
+from basilhill_node.sidecar.dialect import ServerTerms
+from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, header_value
+from basilhill_node.sidecar.store import StoreFailedError
+
+SETTINGS = {
+    "self": {
+        "nodeName": "sidecar-a-1",
+        "ip": "10.1.0.8",
+        "zone": "a",
+        "service": "calendar",
+        "appAddr": "10.1.0.8:8301",
+    },
+    "network": {
+        "listen": {
+            "inbound": "10.1.0.8:8300",
+            "outbound": "10.1.0.8:8304",
+            "ready": "10.1.0.8:8302",
+        },
+        "portRange": [7620, 7635],
+    },
+    "platform": {"platform": {"address": "10.200.1.7:8309", "historyS": 20}},
+    "terms": {
+        "bounds": {
+            "configApplyS": 2,
+            "drainS": 2.5,
+            "graceS": 6.0,
+            "contactS": 3,
+            "retryBudgetRatio": 0.2,
+            "budgetWindowS": 10,
+            "budgetMinRetries": 48,
+        }
+    },
+}
+PATHS = [
+    {
+        "name": "r-1",
+        "prefix": "/a/",
+        "kind": "idempotent",
+        "timeoutS": 5,
+        "targetLatencyS": 1.2,
+        "priority": 2,
+        "trafficSplit": [
+            {"service": "calendar", "weight": 90},
+            {"service": "flavours", "weight": 10},
+        ],
+        "attempts": 2,
+    },
+    {
+        "name": "r-2",
+        "prefix": "/a/b/",
+        "kind": "non_idempotent",
+        "timeoutS": 0.8,
+        "targetLatencyS": 1.5,
+        "priority": 0,
+        "service": "deposits",
+        "attempts": 1,
+    },
+]
+CONFIGURATION = {
+    "version": "0000001f",
+    "services": [{"name": "calendar", "healthPath": "/health", "maxConnections": 538}],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeoutS": 3,
+        "idleTimeoutS": 15,
+    },
+    "virtualHosts": [{"host": "shop.example", "paths": PATHS}],
+}
+ENTRY = {
+    "service": "calendar",
+    "address": "10.1.0.8:8301",
+    "zone": "a",
+    "version": "v1",
+    "slots": 73,
+    "state": "ready",
+    "coldRemainingS": 1.5,
+    "sequence": 4,
+    "born": 1777091799000,
+}
+
+
+def encoded(table) -> bytes:
+    return msgspec.json.encode(table)
+
+
+def test_settings_are_decoded_into_milliseconds():
+    settings = decode_settings(encoded(SETTINGS)).ok
+    assert (settings.service, settings.drain_ms, settings.client_port) == ("calendar", 2500, 8304)
+    assert settings.store.address == "10.200.1.7:8309"
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", encoded({**SETTINGS, "terms": {}})])
+def test_settings_that_cannot_be_used_are_refused_with_a_reason(data):
+    assert decode_settings(data).error
+
+
+def test_configuration_is_decoded():
+    found = decode_configuration(encoded(CONFIGURATION)).ok
+    assert found.version == 31
+    second, first = found.routes["shop.example"]
+    assert (first.name, first.idempotent, first.timeout_ms, first.attempts) == (
+        "r-1",
+        True,
+        5000,
+        2,
+    )
+    assert [part.service for part in first.services] == ["calendar", "flavours"]
+    assert (second.name, second.idempotent, second.priority) == ("r-2", False, 0)
+    assert found.limits.idle_ms == 15_000
+
+
+@pytest.mark.parametrize("missing", ["version", "virtualHosts", "limits"])
+def test_incomplete_configuration_is_refused_whole(missing):
+    table = {key: value for key, value in CONFIGURATION.items() if key != missing}
+    assert missing in decode_configuration(encoded(table)).error
+
+
+def test_entry_is_decoded_with_its_own_clock():
+    entry = decode_entry("i-1", encoded(ENTRY), now_ms=1_000).ok
+    assert (entry.server_id, entry.slots, entry.warm_ms, entry.draining) == (
+        "i-1",
+        73,
+        2_500,
+        False,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "paused"},
+        {"slots": "many"},
+        {"slots": 0},
+        {"address": None},
+        {"address": "nowhere"},
+        {"service": 7},
+        {"coldRemainingS": None},
+        {"born": "now"},
+    ],
+)
+def test_entry_of_another_writer_names_no_server(change):
+    assert "i-1" in decode_entry("i-1", encoded({**ENTRY, **change}), 0).error
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"[1]", b"null"])
+def test_unreadable_entry_names_no_server(data):
+    assert decode_entry("i-1", data, 0).is_error()
+
+
+def test_item_with_spoilt_value_is_kept_without_one():
+    assert decode_item({"key": "servers/i-1", "value": "?", "revision": 4}).value == b""
+    assert decode_item({"key": "servers/i-1", "revision": 4, "removed": True}).value is None
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"asOf": "x"}'])
+def test_answer_of_the_store_that_cannot_be_read_is_a_failure(body):
+    with pytest.raises(StoreFailedError):
+        decode_page(body)
+
+
+def test_terms_of_a_request():
+    dialect = PlatformDialect()
+    headers = [
+        Header("host", "Shop.Example:80"),
+        Header("basilhill-attempt-id", "ab.cd"),
+        Header("basilhill-deadline-ms", "250"),
+    ]
+    terms = dialect.decode_terms(HttpRequest("GET", "/a/", headers)).ok
+    assert (terms.host, terms.deadline_ms, terms.parent_id) == ("shop.example", 250, "ab")
+    bad = [Header("basilhill-deadline-ms", "soon")]
+    assert dialect.decode_terms(HttpRequest("GET", "/a/", bad)).is_error()
+
+
+def test_server_gets_the_callers_service_whatever_the_client_sent():
+    """Guards against a client that claims to be another service."""
+    dialect = PlatformDialect()
+    request = HttpRequest(
+        "GET",
+        "/a/",
+        [
+            Header("basilhill-caller-service", "forged"),
+            Header("connection", "x-hop"),
+            Header("x-hop", "1"),
+            Header("accept", "*/*"),
+        ],
+    )
+    headers = dialect.server_headers(
+        dialect.client_headers(request), ServerTerms("id", 250, "i-1", "own")
+    )
+    assert header_value(headers, "basilhill-caller-service") == "own"
+    assert [header.name for header in headers][:1] == ["accept"]
+    assert header_value(headers, "x-hop") is None
+
+
+def test_only_the_servers_own_statement_says_that_it_did_not_run():
+    dialect = PlatformDialect()
+    not_executed = HttpResponse(503, [Header("basilhill-not-executed", "1")])
+    assert dialect.decode_answer(not_executed).error.verdict is Verdict.NOT_RUN
+    assert dialect.decode_answer(HttpResponse(503)).ok.status == 503
+    assert dialect.decode_answer(HttpResponse(421)).error.reason is Reason.MISDIRECTED
+
+
+@pytest.mark.parametrize(
+    ("refusal", "status", "retry_after"),
+    [
+        (not_run(Reason.OVERLOADED, "full", 250), 503, "0.250"),
+        (not_run(Reason.UNKNOWN_CALL, "no route"), 404, None),
+        (may_have_run(Reason.CONNECTION_LOST, "gone"), 502, None),
+        (may_have_run(Reason.DEADLINE, "late"), 504, None),
+    ],
+)
+def test_status_promises_only_what_the_verdict_says(refusal, status, retry_after):
+    response = PlatformDialect().encode_refusal(refusal, "id")
+    assert response.status == status
+    assert header_value(response.headers, "retry-after") == retry_after
