Compute admission levels from the whole demand, not from the work admitted

Change: calls carry the share with which their request was admitted; dividing by it gives the demand without refusals, and the level is the point where that demand fits the slots. Ruled out: slower steps (the swing grows slower, not smaller, in the simulation of the test). Retry-After is a share of the client's time, so that short requests come back in time.

--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -8,21 +8,24 @@
 TARGET_SHARE = 0.9
 # Work that waits is to be done within this time beside the work that arrives.
 BACKLOG_MS = 500
-# Weight of the newest window of about 100 ms in the work by rank.
-WINDOW_WEIGHT = 0.35
-# Slots that the work of a rank fills at least to count as present.
-LEAST_WORK = 0.01
-# Levels rise at most this much in a window; reports reach the origins over several hops.
-RISE_MAX = 0.12
+# Weight of the newest window of about 100 ms in the demand by rank: a memory of half a second.
+WINDOW_WEIGHT = 0.18
 # One call in a shorter window would look like a flood.
 SHORTEST_WINDOW_MS = 50
-# A window changes the level only by this part, because earlier changes are still on their way.
-DAMPING = 0.5
+# The least share of admitted requests that is taken for exact; smaller ones rest on few calls.
+LEAST_SHARE = 0.05
+# A level rises by this part of the way to its new place in a window, and falls at once.
+RISE_PART = 0.5
 
 
-def count_work(level: AdmissionLevel, rank: int, work_ms: float) -> None:
-    """Add the slot time that a call asks for."""
-    level.work_ms[rank] = level.work_ms.get(rank, 0.0) + work_ms
+def count_work(level: AdmissionLevel, rank: int, work_ms: float, share: float = 1.0) -> None:
+    """Add the slot time of a call whose request was admitted with a share of its like.
+
+    Dividing by the share gives the demand without any refusals. A level that follows admitted
+    work instead swings, because calls arrive up to seconds after their request was admitted.
+    """
+    whole_ms = work_ms / max(LEAST_SHARE, share)
+    level.work_ms[rank] = level.work_ms.get(rank, 0.0) + whole_ms
 
 
 def adjust_level(level: AdmissionLevel, gate: SlotGate, now_ms: int) -> None:
@@ -31,46 +34,25 @@
     if elapsed_ms < SHORTEST_WINDOW_MS:
         return
     level.adjusted_ms = now_ms
-    for rank in level.recent_ms.keys() | level.work_ms.keys():
+    for rank in level.demand.keys() | level.work_ms.keys():
         newest = level.work_ms.get(rank, 0.0) / elapsed_ms
-        before = level.recent_ms.get(rank, newest)
-        level.recent_ms[rank] = before + WINDOW_WEIGHT * (newest - before)
+        before = level.demand.get(rank, 0.0)
+        level.demand[rank] = before + WINDOW_WEIGHT * (newest - before)
     level.work_ms.clear()
-    slots = max(1, gate.slots)
     backlog = len(gate.waiting) * gate.service_ms / BACKLOG_MS
-    excess = sum(level.recent_ms.values()) + backlog - TARGET_SHARE * slots
-    top = 1.0 + max((r for r, work in level.recent_ms.items() if work > LEAST_WORK), default=0)
-    if excess > 0:
-        level.level = min(level.level, top)
-        level.level = max(0.0, level.level - DAMPING * fall(level, excess))
-    elif level.level < top:
-        level.level += DAMPING * rise(level, -excess)
-    else:
-        level.level = level.highest
-
-
-def fall(level: AdmissionLevel, excess: float) -> float:
-    """Return how far the level must fall to refuse work, the least urgent first."""
-    position, bottom = level.level, 0.0
-    while excess > 0 and position > bottom:
-        rank = int(position) if position > int(position) else int(position) - 1
-        admitted_share = position - rank
-        work = level.recent_ms.get(rank, 0.0)
-        if work > excess:
-            return level.level - (position - admitted_share * excess / work)
-        excess -= work
-        position = float(rank)
-    return level.level - position
-
-
-def rise(level: AdmissionLevel, room: float) -> float:
-    """Return how far the level may rise to fill free slots."""
-    rank = int(level.level)
-    admitted_share = level.level - rank
-    work = level.recent_ms.get(rank, 0.0)
-    if admitted_share <= 0 or work <= 0:
-        return RISE_MAX
-    return min(RISE_MAX, room * admitted_share / work)
+    fitting = fitting_level(level, TARGET_SHARE * max(1, gate.slots) - backlog)
+    if fitting > level.level:
+        fitting = min(fitting, level.level + RISE_PART * max(1.0, fitting - level.level))
+    level.level = fitting
+
+
+def fitting_level(level: AdmissionLevel, room: float) -> float:
+    """Return the level whose admitted ranks fill free slots, the most urgent first."""
+    for rank, demand in sorted(level.demand.items()):
+        if demand > room:
+            return rank + max(0.0, room) / demand
+        room -= demand
+    return level.highest
 
 
 def record_level(
--- a/packages/basilhill/src/basilhill/levels.py
+++ b/packages/basilhill/src/basilhill/levels.py
@@ -5,17 +5,19 @@
 
 @define(eq=False)
 class AdmissionLevel:
-    """Hold the level of one server and the work asked for since the last adjustment.
+    """Hold the level of one server and the work that all customers together ask of it.
 
     Requests are admitted whose rank plus a random number below 1 is less than the level, so that
-    the level 5.3 admits all ranks below 5 and 3 in 10 requests of rank 5.
+    the level 5.3 admits all ranks below 5 and 3 in 10 requests of rank 5. Work is counted as if
+    every request had been admitted: a call whose request was one of 3 in 10 counts 10 / 3 times.
     """
 
     highest: float
     level: float
     adjusted_ms: int = 0
     work_ms: dict[int, float] = field(factory=dict)
-    recent_ms: dict[int, float] = field(factory=dict)
+    # Slots that the requests of each rank would fill.
+    demand: dict[int, float] = field(factory=dict)
 
 
 @define
--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -12,7 +12,7 @@
 )
 from basilhill.commands.slots import release_slot, request_slot, start_next
 from basilhill.levels import AdmissionLevel, RouteLevels
-from basilhill.queries.levels import admits, route_level, tree_level
+from basilhill.queries.levels import admits, admitted_share, route_level, tree_level
 from basilhill.slots import SlotDecision, SlotGate
 
 HIGHEST = 40.0
@@ -55,10 +55,31 @@
         if not admits(self.level.level, rank, self.random.random()):
             return
         self.served[rank] += 1
-        count_work(self.level, rank, SERVICE_MS)
+        count_work(self.level, rank, SERVICE_MS, admitted_share(self.level.level, rank))
         if request_slot(self.gate, rank, 60_000, now_ms).decision is SlotDecision.STARTED:
             self.begin(now_ms)
 
+    def run_delayed(self, start_ms: int, end_ms: int, rate: float, delay_ms: int) -> list[float]:
+        """Offer browsing whose calls arrive later; return the admitted share of each second."""
+        due: dict[int, list[float]] = {}
+        shares, offered, admitted = [], 0, 0
+        for now_ms in range(start_ms, end_ms):
+            if self.random.random() < rate / 1000:
+                offered += 1
+                share = admitted_share(self.level.level, BROWSING)
+                if self.random.random() < share:
+                    admitted += 1
+                    late_ms = now_ms + self.random.randint(1, 2 * delay_ms)
+                    due.setdefault(late_ms, []).append(share)
+            for share in due.pop(now_ms, []):
+                count_work(self.level, BROWSING, SERVICE_MS, share)
+            if now_ms % WINDOW_MS == 0:
+                adjust_level(self.level, self.gate, now_ms)
+            if now_ms % 1_000 == 999:
+                shares.append(admitted / max(1, offered))
+                offered = admitted = 0
+        return shares
+
     def begin(self, now_ms: int) -> None:
         """Note when a call that has started ends."""
         self.ends[now_ms + SERVICE_MS] = self.ends.get(now_ms + SERVICE_MS, 0) + 1
@@ -96,6 +117,12 @@
     assert simulation.longest_queue * SERVICE_MS / SLOTS < 150
 
 
+def test_level_does_not_swing_when_calls_come_long_after_their_request():
+    """Guards against refusing all and nothing in turn, seen on days of high load."""
+    shares = Simulation().run_delayed(0, 16_000, 1.6 * CAPACITY, 700)
+    assert all(0.45 < share < 0.68 for share in shares[4:])
+
+
 def test_level_opens_soon_after_a_burst():
     simulation = Simulation()
     simulation.run(0, 4_000, rates(0.3, 1.5))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -59,7 +59,7 @@
             return Error(refusal)
         started_ms = self.clock.now_ms()
         self.gate.running[call.request_id] = RunningCall(
-            call.route, *split_rank(call.rank), call.repeated
+            call.route, *split_rank(call.rank), call.repeated, call.share
         )
         try:
             outcome = await self.run(call, arrived_ms)
@@ -83,7 +83,8 @@
     async def enter(self, call: Execute, arrived_ms: int) -> Refusal | None:
         """Take a slot, after waiting for it if need be; return a refusal without one."""
         slots = self.gate.slots
-        count_work(self.gate.level, split_rank(call.rank)[0], slots.service_ms)
+        rank, _ = split_rank(call.rank)
+        count_work(self.gate.level, rank, slots.service_ms, call.share)
         grant = request_slot(slots, call.rank, call.patience_ms, arrived_ms)
         for displaced in grant.displaced:
             self.refuse_waiting(displaced)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define, field
+from attrs import define, evolve, field
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
 from basilhill.commands.balancing import (
@@ -20,7 +20,7 @@
 from basilhill.configuration import Route
 from basilhill.queries.balancing import choose_backend, least_failure_rate
 from basilhill.queries.configuration import find_route, split_service
-from basilhill.queries.levels import admits, route_level, tree_level
+from basilhill.queries.levels import admitted_share, route_level, tree_level
 from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
     Answer,
@@ -47,7 +47,7 @@
 # Servers that may refuse a call for want of a slot before the client is told so.
 GATES_TRIED = 3
 # A public request waits at most this share of its target latency for a slot.
-PATIENCE_SHARE = 1 / 8
+PATIENCE_SHARE = 1 / 4
 # Latest time of a deadline or timeout, in ms, where neither is given.
 LONGEST_MS = 60_000
 SERVER_ERROR = 500
@@ -60,8 +60,8 @@
 REFUSAL_MS = 50
 # The entry of a server that is gone changes within three heartbeats of 1.5 s.
 STALE_ENTRY_MS = 2_000
-# Clients that are refused for load come back within this time, spread evenly.
-RETRY_AFTER_MS = (200, 600)
+# Clients that are refused for load come back after these shares of their time, spread evenly.
+RETRY_AFTER_SHARE = (0.04, 0.12)
 # Part of the fleet's retry budget that nodes spend, since they start with an empty history.
 QUOTA_SHARE = 0.6
 # Above this share of failures at the best server of a service, its failures are not retried.
@@ -83,6 +83,7 @@
     depth: int
     repeated: bool
     patience_ms: int
+    share: float
     tried: set[str] = field(factory=set)
     reached: int = 0
     refused: int = 0
@@ -166,12 +167,14 @@
         parent = self.gate.gate.running.get(terms.parent_id) if terms.parent_id else None
         if parent is None:
             rank, depth, repeated = request_rank(route.priority, returned), 0, False
+            level = route_level(self.origin.levels, route.name, arrived_ms)
+            share = admitted_share(level, rank)
             patience_ms = int(route.target_ms * PATIENCE_SHARE)
         else:
             # The call of an admitted request waits as long as it may: failing it fails all.
             record_called(self.origin.levels, parent.route, route.name)
             rank, depth, patience_ms = parent.rank, parent.depth + 1, LONGEST_MS
-            repeated = parent.repeated
+            repeated, share = parent.repeated, parent.share
         count_request(self.quota(service), arrived_ms, repeated)
         return OpenRequest(
             request,
@@ -185,17 +188,22 @@
             depth,
             repeated,
             patience_ms,
+            share,
         )
 
     def level_refusal(self, opened: OpenRequest) -> Refusal | None:
         """Return the refusal of a customer's request for which its servers have no room."""
         if opened.depth:
             return None
-        level = route_level(self.origin.levels, opened.route.name, opened.arrived_ms)
-        if admits(level, opened.rank, self.origin.random.random()):
+        if self.origin.random.random() < opened.share:
             return None
-        text = f"level {level:.2f} is below rank {opened.rank}"
-        return not_run(Reason.OVERLOADED, text, self.origin.random.randint(*RETRY_AFTER_MS))
+        text = f"servers have room for {opened.share:.2f} of the requests of rank {opened.rank}"
+        return not_run(Reason.OVERLOADED, text, self.retry_after_ms(opened))
+
+    def retry_after_ms(self, opened: OpenRequest) -> int:
+        """Return when a refused client should come back: soon enough to be served in time."""
+        given_ms = opened.deadline_ms - opened.arrived_ms
+        return int(given_ms * self.origin.random.uniform(*RETRY_AFTER_SHARE)) + 1
 
     def quota(self, service: str) -> RetryQuota:
         """Return the retries that this node may send to a service."""
@@ -275,7 +283,9 @@
         """Return the final outcome of a request that no further server gets."""
         if opened.failed is not None:
             return Ok(opened.failed)
-        return Error(opened.uncertain or last)
+        if opened.uncertain is not None or last.verdict is Verdict.MAY_HAVE_RUN:
+            return Error(opened.uncertain or last)
+        return Error(evolve(last, retry_after_ms=self.retry_after_ms(opened)))
 
     def failure_is_common(self, opened: OpenRequest) -> bool:
         """Tell whether all servers of a service fail often, so that another would fail too."""
@@ -304,6 +314,7 @@
             min(opened.patience_ms, opened.ends_ms - now_ms),
             call_rank(opened.rank, opened.depth),
             opened.repeated or opened.reached > 0,
+            opened.share,
             opened.request.method,
             opened.request.target,
             self.dialect.client_headers(opened.request),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -20,6 +20,7 @@
 VERDICTS = (Verdict.ANSWERED, Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN)
 # Levels travel as whole numbers, which take fewer bytes.
 LEVEL_STEPS = 256
+SHARE_STEPS = 100
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(list[Any])
 
@@ -67,6 +68,7 @@
     patience_ms: int
     rank: int
     repeated: bool
+    share: float
     method: str
     target: str
     headers: list[Header]
@@ -104,6 +106,7 @@
         execute.patience_ms,
         execute.rank,
         execute.repeated,
+        round(execute.share * SHARE_STEPS),
         execute.method,
         execute.target,
         flatten(execute.headers),
@@ -115,6 +118,7 @@
     """Return an Execute record."""
     execute = Execute(*fields)
     execute.headers = unflatten(execute.headers)
+    execute.share /= SHARE_STEPS
     return execute
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -43,7 +43,7 @@
 # The platform takes a node out after two misses of a question a second.
 LEAVE_MS = 3_000
 # Time before the kill that is left for closing.
-GRACE_MARGIN_MS = 500
+GRACE_MARGIN_MS = 1_000
 QUIET_POLL_S = 0.05
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -115,6 +115,8 @@
     rank: int
     depth: int
     repeated: bool
+    # The share of the requests like the customer's one that were admitted with it.
+    share: float
 
 
 @define(eq=False)
--- a/packages/basilhill_node/tests/test_frames.py
+++ b/packages/basilhill_node/tests/test_frames.py
@@ -27,7 +27,22 @@
 
 def test_execute_survives_the_way():
     sent = Execute(
-        7, "i-1", "id", "shop", "r-1", True, 900, 950, 40, 31, False, "POST", "/a?b", HEADERS, b"\0"
+        7,
+        "i-1",
+        "id",
+        "shop",
+        "r-1",
+        True,
+        900,
+        950,
+        40,
+        31,
+        False,
+        0.25,
+        "POST",
+        "/a?b",
+        HEADERS,
+        b"\0",
     )
     ((kind, fields),) = read(encode_execute(sent))
     received = decode_execute(fields)
