Stop a node without cutting off calls of its peers or of new connections

Change: the gate of a leaving node refuses peers as not run; a new connection is answered once. Tests: a leaving node among others, a connection that opens while the server leaves.

--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -14,6 +14,7 @@
     path_rule,
 )
 from basilhill_node.sidecar.commands.screen_request import CrashScreen
+from basilhill_node.sidecar.node import leave
 
 READS = path_rule("r-read", "/read/", "calendar")
 WRITES = path_rule("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
@@ -180,6 +181,24 @@
     assert (await fleet.ask(restarted, "/read/x")).status == 200
 
 
+async def test_leaving_node_finishes_its_calls_and_takes_none_of_its_peers(fleet):
+    """Guards against calls cut off when a node stops while its server goes on."""
+    second = await fleet.add("deposits", "b")
+    await fleet.settled(3)
+    leaving = fleet.machines[2]
+    leaving.server.run_ms = 400
+    running = asyncio.create_task(fleet.ask(fleet.machines[0], "/write/x", "POST", b"1"))
+    await fleet.until(lambda: leaving.server.running == 1)
+    stopped = asyncio.create_task(leave(leaving.node))
+    await asyncio.sleep(0.05)
+    other = await fleet.ask(fleet.machines[0], "/write/y", "POST", b"2")
+    assert other.status == 200 and second.server.runs == {other.attempt: 1}
+    own = await fleet.ask(leaving, "/write/z", "POST", b"3")
+    assert own.status == 200 and own.headers["connection"] == "close"
+    assert (await running).status == 200
+    await stopped
+
+
 async def test_client_that_leaves_stops_the_run_on_another_vm(fleet):
     server = fleet.machines[2].server
     server.run_ms = 1_500
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -23,7 +23,7 @@
 )
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
 from basilhill_node.sidecar.ranks import split_rank
-from basilhill_node.sidecar.state import GateState, RunningCall
+from basilhill_node.sidecar.state import GateState, NodeLife, RunningCall
 
 ADJUST_S = 0.1
 # A call that waits in vain is refused this long before its end, so that the origin still learns
@@ -41,16 +41,21 @@
 
     gate: GateState
     directory: BackendDirectory
+    life: NodeLife
     screen: CrashScreen
     dialect: Dialect
     clock: Clock
     log: EventLog
 
-    async def execute(self, call: Execute) -> Outcome:
-        """Wait for a slot and run a call; return its answer or whether it may have run."""
+    async def execute(self, call: Execute, own: bool = False) -> Outcome:
+        """Wait for a slot and run a call; return its answer or whether it may have run.
+
+        A node that is leaving takes calls of its own clients only, so that those of its peers
+        have ended before it stops.
+        """
         arrived_ms = self.clock.now_ms()
         refusal = (
-            self.leaving_refusal(call)
+            self.leaving_refusal(call, own)
             or self.screen.refusal(call)
             or await self.enter(call, arrived_ms)
         )
@@ -71,8 +76,10 @@
         await self.screen.judge(call, outcome)
         return outcome
 
-    def leaving_refusal(self, call: Execute) -> Refusal | None:
-        """Return the refusal of a call to a server that is leaving or has left."""
+    def leaving_refusal(self, call: Execute, own: bool) -> Refusal | None:
+        """Return the refusal of a call to a server or by a node that is leaving."""
+        if self.life.leaving and not own:
+            return not_run(Reason.LEAVING, "the node beside the server is leaving")
         entry = self.directory.entries.get(call.server_id)
         if call.server_id in self.directory.departed or (entry is not None and entry.draining):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -333,7 +333,7 @@
         """Run a call on the own server or on that of a peer."""
         levels, route = self.origin.levels, execute.route
         if entry.address == self.settings.backend_address:
-            outcome = await self.gate.execute(execute)
+            outcome = await self.gate.execute(execute, own=True)
             now_ms = self.clock.now_ms()
             level = tree_level(levels, route, self.gate.gate.level.level, now_ms)
             record_level(levels, route, entry.server_id, level, now_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -90,6 +90,8 @@
         self.writable.set()
         self.last = False
         self.reading = False
+        # A connection that opens while the node leaves still gets its first request answered.
+        self.answered = False
         self.changed_ms = server.clock.now_ms()
         self.begin_message()
 
@@ -222,7 +224,7 @@
         """Write the answers of all requests in order, then close."""
         while True:
             while not self.exchanges:
-                if self.last or (self.server.leaving and not self.reading):
+                if self.last or (self.server.leaving and self.answered and not self.reading):
                     self.transport.close()
                     return
                 self.arrived.clear()
@@ -232,6 +234,7 @@
             self.exchanges.popleft()
             close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
             self.transport.write(encode_response(response, exchange.bodiless, close))
+            self.answered = True
             self.changed_ms = self.server.clock.now_ms()
             if close:
                 self.last = True
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -41,7 +41,7 @@
 
 POOL_SWEEP_S = 1.0
 # The platform takes a node out after two misses of a question a second.
-LEAVE_MS = 3_000
+LEAVE_MS = 2_500
 # Time before the kill that is left for closing.
 GRACE_MARGIN_MS = 1_000
 QUIET_POLL_S = 0.05
@@ -116,7 +116,7 @@
     updater.version_changed = news.version_changed
     state.store.changed = news.broadcast_standing
     screen = CrashScreen(state.gate.suspects, state.gate.pool, clock, log, news.publish_suspect)
-    gate = ServerGate(state.gate, state.directory, screen, dialect, clock, log)
+    gate = ServerGate(state.gate, state.directory, state.life, screen, dialect, clock, log)
     follower = StoreFollower(store, decoder, updater, state.store, clock, log)
     peers = PeerStreams(news, clock, log)
     origin = Origin(
--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -147,6 +147,14 @@
         assert not server.connections
 
 
+async def test_connection_that_opens_while_the_server_leaves_is_answered():
+    """Guards against a request that is read and ends with a closed connection."""
+    async with served() as (_, server, port):
+        server.leave()
+        received = await talk(port, get("/1"))
+        assert received.startswith(b"HTTP/1.1 200") and b"connection: close" in received
+
+
 async def test_keep_alive_of_an_old_client_is_declined():
     async with served() as (_, _, port):
         received = await talk(port, b"GET /0 HTTP/1.0\r\nHost: a\r\n\r\n")
