--- a/packages/basilhill/src/basilhill/queries/levels.py
+++ b/packages/basilhill/src/basilhill/queries/levels.py
@@ -2,24 +2,25 @@
 
 from basilhill.levels import RouteLevels
 
-# Reports count as they are for this long; then the level rises, so that a route whose requests
-# are all refused is tried again.
-FRESH_MS = 300
+# A server that gets calls reports several times in this period.
+FRESH_MS = 500
+# Without a fresh report the newest one rises, so that a route whose requests are all refused is
+# tried again.
 RISE_PER_MS = 0.001
 FORGOTTEN_MS = 10_000
 
 
 def route_level(levels: RouteLevels, route: str, now_ms: int) -> float:
-    """Return the mean level of a route at its servers, the highest when none is known."""
+    """Return the mean level of a route at the servers that reported lately, else the newest one."""
     reports = levels.reports.get(route)
     if not reports:
         return levels.highest
-    total = 0.0
-    for report in reports.values():
-        age_ms = now_ms - report.reported_ms
-        risen = report.level + max(0, age_ms - FRESH_MS) * RISE_PER_MS
-        total += min(levels.highest, risen)
-    return total / len(reports)
+    fresh = [r.level for r in reports.values() if now_ms - r.reported_ms <= FRESH_MS]
+    if fresh:
+        return sum(fresh) / len(fresh)
+    newest = max(reports.values(), key=lambda report: report.reported_ms)
+    stale_ms = now_ms - newest.reported_ms - FRESH_MS
+    return min(levels.highest, newest.level + stale_ms * RISE_PER_MS)
 
 
 def tree_level(levels: RouteLevels, route: str, own_level: float, now_ms: int) -> float:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -41,7 +41,7 @@
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_streams import PeerStreams
-from basilhill_node.sidecar.ranks import call_rank, request_rank
+from basilhill_node.sidecar.ranks import call_rank
 from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
 
 # Servers that may refuse a call for want of a slot before the client is told so.
@@ -52,8 +52,8 @@
 LONGEST_MS = 60_000
 SERVER_ERROR = 500
 GATEWAY_TIMEOUT = 504
-# Deadlines below this share of the longest one seen on a route mark a client that came back.
-RETURNED_SHARE = 0.97
+# A client that reaches a node about to stop finds another one by then.
+CLOSING_RETRY_MS = 50
 # Refusals of a backend server itself, which count as arrivals there.
 SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
 # A server that had no room for a call is left out for this time while others have some.
@@ -108,6 +108,10 @@
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Serve one request to its end."""
         arrived_ms = self.clock.now_ms()
+        if self.gate.life.closing:
+            # What starts now may still run when the node is killed.
+            refusal = not_run(Reason.LEAVING, "the node is stopping", CLOSING_RETRY_MS)
+            return self.dialect.encode_refusal(refusal, "")
         terms = self.dialect.decode_terms(request)
         if terms.is_error():
             self.gate.log.record("serve", "rejected", problem=terms.error)
@@ -159,14 +163,11 @@
         self.origin.splits[route.name] = number + 1
         service = split_service(route, number, self.origin.split_offset)
         given_ms = terms.deadline_ms if terms.deadline_ms is not None else LONGEST_MS
-        longest_ms = max(given_ms, self.origin.longest_ms.get(route.name, 0))
-        self.origin.longest_ms[route.name] = longest_ms
-        returned = given_ms < RETURNED_SHARE * longest_ms
         deadline_ms = arrived_ms + given_ms
         ends_ms = min(deadline_ms, arrived_ms + route.timeout_ms)
         parent = self.gate.gate.running.get(terms.parent_id) if terms.parent_id else None
         if parent is None:
-            rank, depth, repeated = request_rank(route.priority, returned), 0, False
+            rank, depth, repeated = route.priority, 0, False
             level = route_level(self.origin.levels, route.name, arrived_ms)
             share = admitted_share(level, rank)
             patience_ms = int(route.target_ms * PATIENCE_SHARE)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -210,7 +210,8 @@
         waited_ms = state.clock.now_ms() - started_ms
         if waited_ms >= state.settings.grace_ms - GRACE_MARGIN_MS:
             break
-        if waited_ms >= LEAVE_MS and not (
+        state.life.closing = waited_ms >= LEAVE_MS
+        if state.life.closing and not (
             state.origin.open_requests or state.gate.slots.in_flight or node.front.connections
         ):
             break
--- a/packages/basilhill_node/src/basilhill_node/sidecar/ranks.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/ranks.py
@@ -1,13 +1,6 @@
 """Ranks of calls: the urgency of the customer's request, then the depth already reached."""
 
 DEPTHS = 16
-# A client that came back after a refusal goes before new ones of its priority.
-RETURNED_STEP = 2
-
-
-def request_rank(priority: int, returned: bool) -> int:
-    """Return the rank of a customer's request; lower ranks are more urgent."""
-    return RETURNED_STEP * priority + (0 if returned else 1)
 
 
 def call_rank(rank: int, depth: int) -> int:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -102,7 +102,6 @@
     splits: dict[str, int] = field(factory=dict)
     split_offset: float = 0.0
     quotas: dict[str, RetryQuota] = field(factory=dict)
-    longest_ms: dict[str, int] = field(factory=dict)
     open_requests: int = 0
     random: Random = field(factory=Random)
 
@@ -139,6 +138,8 @@
     """Hold the tasks of the node and whether it is leaving; written by `node`."""
 
     leaving: bool = False
+    # Set when clients have had time to turn away from a node that is leaving.
+    closing: bool = False
     started_ms: int = 0
     tasks: set[asyncio.Task] = field(factory=set)
 
