--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -2,14 +2,15 @@
 
 from basilhill.levels import AdmissionLevel, LevelReport, RouteLevels
 from basilhill.queries.levels import FORGOTTEN_MS
+from basilhill.queries.ranks import split_rank
 from basilhill.slots import SlotGate
 
 # Share of the slots that admitted requests should fill; fuller servers queue and slow down.
 TARGET_SHARE = 0.9
 # Work that waits is to be done within this time beside the work that arrives.
-BACKLOG_MS = 500
-# Weight of the newest window of about 100 ms in the demand by rank: a memory of half a second.
-WINDOW_WEIGHT = 0.18
+BACKLOG_MS = 250
+# Weight of the newest window of about 100 ms in the demand by rank: a memory of a third of a second.
+WINDOW_WEIGHT = 0.3
 # One call in a shorter window would look like a flood.
 SHORTEST_WINDOW_MS = 50
 # The least share of admitted requests that is taken for exact; smaller ones rest on few calls.
@@ -39,16 +40,28 @@
         before = level.demand.get(rank, 0.0)
         level.demand[rank] = before + WINDOW_WEIGHT * (newest - before)
     level.work_ms.clear()
-    backlog = len(gate.waiting) * gate.service_ms / BACKLOG_MS
-    fitting = fitting_level(level, TARGET_SHARE * max(1, gate.slots) - backlog)
+    fitting = fitting_level(level, TARGET_SHARE * max(1, gate.slots), backlog_by_rank(gate))
     if fitting > level.level:
         fitting = min(fitting, level.level + RISE_PART * max(1.0, fitting - level.level))
     level.level = fitting
 
 
-def fitting_level(level: AdmissionLevel, room: float) -> float:
-    """Return the level whose admitted ranks fill free slots, the most urgent first."""
+def backlog_by_rank(gate: SlotGate) -> dict[int, float]:
+    """Return the slots that the calls which wait now fill for a while."""
+    backlog: dict[int, float] = {}
+    for request in gate.waiting:
+        rank, _ = split_rank(request.rank)
+        backlog[rank] = backlog.get(rank, 0.0) + gate.service_ms / BACKLOG_MS
+    return backlog
+
+
+def fitting_level(level: AdmissionLevel, room: float, backlog: dict[int, float]) -> float:
+    """Return the level whose admitted ranks fill free slots, the most urgent first.
+
+    Waiting calls take room from their own rank and less urgent ones, which they delay.
+    """
     for rank, demand in sorted(level.demand.items()):
+        room -= backlog.get(rank, 0.0)
         if demand > room:
             return rank + max(0.0, room) / demand
         room -= demand
--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -13,6 +13,7 @@
 from basilhill.commands.slots import release_slot, request_slot, start_next
 from basilhill.levels import AdmissionLevel, RouteLevels
 from basilhill.queries.levels import admits, admitted_share, route_level, tree_level
+from basilhill.queries.ranks import call_rank
 from basilhill.slots import SlotDecision, SlotGate
 
 HIGHEST = 40.0
@@ -56,7 +57,10 @@
             return
         self.served[rank] += 1
         count_work(self.level, rank, SERVICE_MS, admitted_share(self.level.level, rank))
-        if request_slot(self.gate, rank, 60_000, now_ms).decision is SlotDecision.STARTED:
+        if (
+            request_slot(self.gate, call_rank(rank, 0), 60_000, now_ms).decision
+            is SlotDecision.STARTED
+        ):
             self.begin(now_ms)
 
     def run_delayed(self, start_ms: int, end_ms: int, rate: float, delay_ms: int) -> list[float]:
@@ -132,6 +136,18 @@
     assert simulation.share(BROWSING) == 1.0
 
 
+def test_waiting_browsing_takes_no_room_from_bookings():
+    """Guards against refusing urgent requests for a queue that they overtake."""
+    simulation = Simulation()
+    simulation.run(0, 2_000, rates(0.4, 0.4))
+    for _ in range(200):
+        request_slot(simulation.gate, call_rank(BROWSING, 0), 60_000, 2_000)
+    simulation.forget()
+    simulation.run(2_000, 2_400, rates(0.4, 0.4))
+    assert simulation.share(BOOKING) == 1.0
+    assert simulation.share(BROWSING) < 0.3
+
+
 def test_flood_of_bookings_refuses_all_browsing_first():
     simulation = Simulation()
     simulation.run(0, 2_000, rates(1.4, 0.5))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -7,6 +7,7 @@
 from basilhill.clocks import Clock
 from basilhill.commands.levels import adjust_level, count_work
 from basilhill.commands.slots import release_slot, request_slot, start_next, withdraw_request
+from basilhill.queries.ranks import split_rank
 from basilhill.queries.slots import drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
 from basilhill.verdicts import Outcome, Reason, Refusal, may_have_run, not_run, verdict_of
@@ -22,7 +23,6 @@
     ConnectionFailedError,
 )
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
-from basilhill_node.sidecar.ranks import split_rank
 from basilhill_node.sidecar.state import GateState, NodeLife, RunningCall
 
 ADJUST_S = 0.1
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -21,6 +21,7 @@
 from basilhill.queries.balancing import choose_backend, least_failure_rate
 from basilhill.queries.configuration import find_route, split_service
 from basilhill.queries.levels import admitted_share, route_level, tree_level
+from basilhill.queries.ranks import call_rank
 from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
     Answer,
@@ -41,7 +42,6 @@
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_streams import PeerStreams
-from basilhill_node.sidecar.ranks import call_rank
 from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
 
 # Servers that may refuse a call for want of a slot before the client is told so.
