--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -9,7 +9,7 @@
 TARGET_SHARE = 0.9
 # Work that waits is to be done within this time beside the work that arrives.
 BACKLOG_MS = 250
-# Weight of the newest window of about 100 ms in the demand by rank: a memory of a third of a second.
+# Weight of the newest window of about 100 ms in the demand, a memory of a third of a second.
 WINDOW_WEIGHT = 0.3
 # One call in a shorter window would look like a flood.
 SHORTEST_WINDOW_MS = 50
