Explain requests from logs, and bound log lines by event and reason

Cause: under load refusals took all 200 lines a second, so the line of a lost answer was left out, and a gate wrote nothing about calls that their origin cancelled.

--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -19,6 +19,7 @@
 from basilhill_cli import tables
 from basilhill_cli.commands.plot_run import plot_run
 from basilhill_cli.nodes import NodeReport, ask_nodes, node_list
+from basilhill_cli.queries import logs as logs_queries
 from basilhill_cli.queries import summaries
 from basilhill_cli.queries.differences import differences
 from basilhill_cli.queries.runs import read_run
@@ -41,6 +42,10 @@
     Path | None,
     Parameter(name="--nodes", help="TOML file: nodes = [URLs], token = TEXT."),
 ]
+LogFiles = Annotated[
+    list[Path] | None,
+    Parameter(name="--log", negative="", help="Log of nodes, - for standard input; repeatable."),
+]
 Json = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON for programs.")]
 
 
@@ -194,15 +199,22 @@
 
 @app.command
 def explain(
-    action_id: str, *, node: Nodes = None, nodes: NodesFile = None, as_json: Json = False
+    action_id: str,
+    *,
+    node: Nodes = None,
+    nodes: NodesFile = None,
+    log: LogFiles = None,
+    as_json: Json = False,
 ) -> int:
-    """Show the decisions for one action; exit with 1 if no node asked kept any.
+    """Show the decisions for one action; exit with 1 if no node or log asked kept any.
 
     Parameters
     ----------
     action_id
-        Value of the Basilhill-Action header of the answer.
+        Value of the Basilhill-Action header of the answer; with logs, the id of the attempt.
     """
+    if log:
+        return explain_from_logs(action_id, log, as_json)
     asked = ask(node, nodes, f"/decisions/{quote(action_id, safe='')}")
     if asked.is_error():
         return fail(asked.error)
@@ -213,6 +225,40 @@
     return finish(asked.ok) or (SUCCESS if found else FINDING)
 
 
+def explain_from_logs(request_id: str, files: list[Path], as_json: bool) -> int:
+    """Show the lines about a request and its calls in order of time; return the exit status."""
+    read = logs_queries.read_logs(files)
+    if read.is_error():
+        return fail(read.error)
+    found = logs_queries.story_of(read.ok, request_id)
+    shown = tables.story_table(found) if found else f"no line about {request_id}"
+    show([line.fields | {"source": line.source} for line in found], as_json, shown)
+    omitted = logs_queries.omitted_lines(read.ok)
+    if omitted and not as_json:
+        print(f"{omitted} lines of these logs were left out under load")
+    return SUCCESS if found else FINDING
+
+
+@app.command
+def logs(files: list[Path], *, as_json: Json = False) -> int:
+    """Count the requests in logs by route, outcome, reason and configuration version.
+
+    Parameters
+    ----------
+    files
+        Logs of nodes; - for standard input.
+    """
+    read = logs_queries.read_logs(files)
+    if read.is_error():
+        return fail(read.error)
+    found = logs_queries.summary_of(read.ok)
+    omitted = logs_queries.omitted_lines(read.ok)
+    shown = tables.summary_table(found) if found else "no requests in these logs"
+    value = {"requests": found, "omitted_lines": omitted}
+    show(value, as_json, shown, f"{omitted} lines were left out under load")
+    return SUCCESS if found else FINDING
+
+
 @app.command
 def plot(run: Path, *, output: Annotated[Path, Parameter(name=["--output", "-o"])]) -> int:
     """Draw goodput and recovery over time of a measurement run (needs matplotlib)."""
--- a/packages/basilhill_cli/src/basilhill_cli/tables.py
+++ b/packages/basilhill_cli/src/basilhill_cli/tables.py
@@ -8,6 +8,7 @@
 from rich.text import Text
 
 from basilhill_cli.queries.differences import Difference
+from basilhill_cli.queries.logs import LogLine, inputs_of
 
 NO_TEAM = "(none)"
 
@@ -55,6 +56,29 @@
     return table_of("nodes", (*columns, "sections in force"), rows)
 
 
+def story_table(lines: list[LogLine]) -> Table:
+    """Return the lines about one request, with the time since the first one."""
+    first = lines[0].fields["timestamp"]
+    rows = [
+        (
+            f"{(line.fields['timestamp'] - first) * 1000:.0f}",
+            line.source or "-",
+            line.fields["message_type"],
+            line.request,
+            line.fields["event"],
+            inputs_of(line),
+        )
+        for line in lines
+    ]
+    return table_of("decisions", ("ms", "source", "part", "request", "event", "inputs"), rows)
+
+
+def summary_table(found: list[dict[str, Any]]) -> Table:
+    """Return the counts of requests in logs."""
+    columns = ("route", "outcome", "reason", "version", "count")
+    return table_of("requests", columns, [tuple(row[name] for name in columns) for row in found])
+
+
 def refused_table(refused: list[dict[str, Any]]) -> Table:
     """Return the refused sections with their problems."""
     rows = [
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -68,6 +68,10 @@
         )
         try:
             outcome = await self.run(call, arrived_ms)
+        except asyncio.CancelledError:
+            ran_ms = self.clock.now_ms() - started_ms
+            self.log.record("execute", "cancelled by its origin", call.request_id, ran_ms=ran_ms)
+            raise
         finally:
             self.gate.running.pop(call.request_id, None)
             release_slot(self.gate.slots, self.clock.now_ms() - started_ms)
@@ -224,7 +228,7 @@
             inputs["reason"] = outcome.error.reason.value
             inputs["problem"] = outcome.error.text
         event = verdict_of(outcome).value
-        self.log.record("execute", event, call.request_id, outcome.is_ok(), **inputs)
+        self.log.record("execute", event, call.request_id, **inputs)
 
 
 def granted(waiter: asyncio.Future[Refusal | None]) -> bool:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -145,7 +145,7 @@
             "route": route.name,
             "service": opened.service,
             "version": self.in_force.version,
-            "version_age_ms": arrived_ms - self.in_force.applied_ms,
+            "version_age_ms": max(0, arrived_ms - self.in_force.applied_ms),
             "rank": opened.rank,
             "depth": opened.depth,
             "servers": sorted(opened.tried),
@@ -231,9 +231,10 @@
         else:
             inputs["reason"] = outcome.error.reason.value
             inputs["problem"] = outcome.error.text
-        routine = outcome.is_ok() and outcome.ok.status < SERVER_ERROR
         event = verdict_of(outcome).value
-        self.gate.log.record("serve", event, terms.request_id, routine, **inputs)
+        if outcome.is_ok() and outcome.ok.status >= SERVER_ERROR:
+            event = "server failed"
+        self.gate.log.record("serve", event, terms.request_id, **inputs)
         if outcome.is_ok():
             return self.dialect.encode_answer(outcome.ok)
         return self.dialect.encode_refusal(outcome.error, terms.request_id)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
@@ -9,10 +9,10 @@
 from attrs import define, field
 from basilhill.clocks import Clock
 
-# Lines a second about requests that went as usual, and about everything else. At 200 lines the
-# writer takes under 1 % of a core.
-ROUTINE_LINES_PER_S = 40
-NOTABLE_LINES_PER_S = 160
+# At 200 lines a second the writer takes under 1 % of a core.
+LINES_PER_S = 200
+# Lines a second with one event and reason, so that a flood of refusals hides no rare failure.
+LINES_PER_KIND_S = 30
 ENCODER = msgspec.json.Encoder()
 
 
@@ -22,28 +22,30 @@
 
     clock: Clock
     window_ms: int = 0
-    lines: Counter[bool] = field(factory=Counter)
+    lines: int = 0
+    kinds: Counter[tuple[str, str, str]] = field(factory=Counter)
     omitted: int = 0
     # eliot.log_message draws a UUID for each message, 31 us; the logger below it takes 5 us.
     logger: eliot.Logger = field(factory=eliot.Logger)
     task: str = field(factory=lambda: str(uuid4()))
     sequence: int = 0
 
-    def record(
-        self, part: str, event: str, request_id: str = "", routine: bool = False, **inputs: Any
-    ) -> None:
+    def record(self, part: str, event: str, request_id: str = "", **inputs: Any) -> None:
         """Write what was decided with the inputs that decided it."""
         now_ms = self.clock.now_ms()
         if now_ms - self.window_ms >= 1000:
             omitted, self.omitted = self.omitted, 0
             self.window_ms = now_ms
-            self.lines.clear()
+            self.lines = 0
+            self.kinds.clear()
             if omitted:
                 self.write("log", "lines omitted", "", {"count": omitted})
-        if self.lines[routine] >= (ROUTINE_LINES_PER_S if routine else NOTABLE_LINES_PER_S):
+        kind = part, event, inputs.get("reason", "")
+        if self.lines >= LINES_PER_S or self.kinds[kind] >= LINES_PER_KIND_S:
             self.omitted += 1
             return
-        self.lines[routine] += 1
+        self.lines += 1
+        self.kinds[kind] += 1
         self.write(part, event, request_id, inputs)
 
     def write(self, part: str, event: str, request_id: str, inputs: dict[str, Any]) -> None:
