Send returning headers as numbers and keep calls in their data centre while it makes no difference

Change: a table of headers on each direction of a stream; the echoed id stays at the gate; a far server needs 0.3 less load; watches pause 250 ms after a change, so that one call brings a group.

--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -5,8 +5,9 @@
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.balancing import LoadTable, TargetLoad
 
-# Up to this load calls stay in the own data centre; bytes between data centres cost.
-NEAR_LOAD = 0.7
+# A server of another data centre must be emptier by this share of its slots to get a call, since
+# bytes between data centres cost and the way takes longer.
+FAR_LOAD = 0.3
 # Servers compared for one call. Two are enough to spread load and keep nodes from acting alike;
 # three find one of the faster servers more often.
 SERVERS_COMPARED = 3
@@ -75,24 +76,21 @@
     random: Random,
     excluded: frozenset[str] = frozenset(),
 ) -> BackendEntry | None:
-    """Return a near server with room, else the less loaded of two random ones."""
+    """Return the server with the least load among a few random ones, near ones first."""
     usable = usable_entries(directory, loads, service, now_ms, excluded)
     least_rate = least_failure_rate(directory, loads, service)
     near = [entry for entry in usable if entry.data_centre == loads.data_centre]
-    best = least_loaded(near, loads, now_ms, least_rate, random)
-    if best is not None and load_of(loads, best, now_ms, least_rate) <= NEAR_LOAD:
-        return best
-    return least_loaded(usable, loads, now_ms, least_rate, random)
+    far = [entry for entry in usable if entry.data_centre != loads.data_centre]
 
+    def cost(entry: BackendEntry) -> float:
+        load = load_of(loads, entry, now_ms, least_rate)
+        return load if entry.data_centre == loads.data_centre else load + FAR_LOAD
 
-def least_loaded(
-    entries: list[BackendEntry],
-    loads: LoadTable,
-    now_ms: int,
-    least_rate: float,
-    random: Random,
-) -> BackendEntry | None:
-    """Return the least loaded of a few random servers."""
-    if len(entries) > SERVERS_COMPARED:
-        entries = random.sample(entries, SERVERS_COMPARED)
-    return min(entries, key=lambda entry: load_of(loads, entry, now_ms, least_rate), default=None)
+    return min((*few(near, random), *few(far, random)), key=cost, default=None)
+
+
+def few(entries: list[BackendEntry], random: Random) -> list[BackendEntry]:
+    """Return a few random servers."""
+    if len(entries) <= SERVERS_COMPARED:
+        return entries
+    return random.sample(entries, SERVERS_COMPARED)
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -26,6 +26,7 @@
 MISDIRECTED = 421
 # Headers that the node sets itself on the way to a server.
 SET_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE))
+ECHOED = frozenset((REQUEST_ID,))
 LONGEST_DEADLINE_MS = 3_600_000
 # Refusals that promise nothing about the request.
 UNCERTAIN_STATUS = {Reason.DEADLINE: 504}
@@ -79,12 +80,14 @@
         if header_value(response.headers, NOT_EXECUTED) is not None:
             text = f"the server refused with {response.status}"
             return Error(not_run(Reason.SERVER_REFUSED, text))
-        headers = tuple(forwarded_headers(response.headers, frozenset()))
+        # The echoed id is the one that the origin knows, so it does not travel between nodes.
+        headers = tuple(forwarded_headers(response.headers, ECHOED))
         return Ok(Answer(response.status, headers, response.body))
 
-    def encode_answer(self, answer: Answer) -> HttpResponse:
+    def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         """Return the response for a client that got an answer."""
-        return HttpResponse(answer.status, list(answer.headers), answer.body)
+        headers = [Header(REQUEST_ID, request_id), *answer.headers]
+        return HttpResponse(answer.status, headers, answer.body)
 
     def encode_refusal(self, refusal: Refusal, request_id: str) -> HttpResponse:
         """Return the response for a client whose request got no answer."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -20,6 +20,9 @@
 
 # The longest wait that the store allows is 30 s; each call is priced.
 WATCH_MS = 25_000
+# Changes often come in groups; the next watch begins this long after a change, so that one call
+# brings the rest of the group. The tightest bound for a change is 2 s.
+COALESCE_MS = 250
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1_000
 # Servers register again within about 2 s of the store's return.
@@ -84,6 +87,8 @@
             for item in seen.events:
                 self.apply_event(item)
             self.updater.expire(now_ms)
+            if seen.events:
+                await asyncio.sleep(COALESCE_MS / 1000)
 
     def apply_event(self, item: StoredItem) -> None:
         """Take one change."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -236,7 +236,7 @@
             event = "server failed"
         self.gate.log.record("serve", event, terms.request_id, **inputs)
         if outcome.is_ok():
-            return self.dialect.encode_answer(outcome.ok)
+            return self.dialect.encode_answer(outcome.ok, terms.request_id)
         return self.dialect.encode_refusal(outcome.error, terms.request_id)
 
     async def dispatch(self, opened: OpenRequest) -> Outcome:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -53,7 +53,7 @@
         """Return the answer of a backend server, or its statement that it did not run."""
         ...
 
-    def encode_answer(self, answer: Answer) -> HttpResponse:
+    def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         """Return the response for a client that got an answer."""
         ...
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -21,6 +21,10 @@
 # Levels travel as whole numbers, which take fewer bytes.
 LEVEL_STEPS = 256
 SHARE_STEPS = 100
+# Numbers below 128 take one byte.
+TABLE_HEADERS = 128
+# Headers remembered to notice that one returns; ids and signatures never do.
+TABLE_SEEN = 256
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(list[Any])
 
@@ -91,7 +95,7 @@
     return LENGTH.pack(len(data)) + data
 
 
-def encode_execute(execute: Execute) -> bytes:
+def encode_execute(execute: Execute, table: "HeaderTable") -> bytes:
     """Return the bytes of an Execute frame."""
     return encode_frame(
         FrameKind.EXECUTE,
@@ -109,56 +113,95 @@
         round(execute.share * SHARE_STEPS),
         execute.method,
         execute.target,
-        flatten(execute.headers),
+        table.encode(execute.headers),
         execute.body,
     )
 
 
-def decode_execute(fields: list[Any]) -> Execute:
+def decode_execute(fields: list[Any], table: "HeaderTable") -> Execute:
     """Return an Execute record."""
     execute = Execute(*fields)
-    execute.headers = unflatten(execute.headers)
+    execute.headers = table.decode(execute.headers)
     execute.share /= SHARE_STEPS
     return execute
 
 
-def encode_reply(reply: Reply) -> bytes:
+def encode_reply(reply: Reply, table: "HeaderTable") -> bytes:
     """Return the bytes of a Reply frame."""
     kind, call_id, running = FrameKind.REPLY, reply.call_id, reply.running
     level = round(reply.level * LEVEL_STEPS)
     if reply.outcome.is_ok():
         answer = reply.outcome.ok
-        content = (answer.status, flatten(answer.headers), answer.body)
+        content = (answer.status, table.encode(answer.headers), answer.body)
         return encode_frame(kind, call_id, running, level, 0, content)
     refusal = reply.outcome.error
     content = (refusal.reason.value, refusal.text, refusal.retry_after_ms)
     return encode_frame(kind, call_id, running, level, VERDICTS.index(refusal.verdict), content)
 
 
-def decode_reply(fields: list[Any]) -> Reply:
+def decode_reply(fields: list[Any], table: "HeaderTable") -> Reply:
     """Return a Reply record."""
     call_id, running, level, verdict, content = fields
     if verdict == 0:
         status, headers, body = content
-        outcome = Ok(Answer(status, tuple(unflatten(headers)), body))
+        outcome = Ok(Answer(status, tuple(table.decode(headers)), body))
     else:
         reason, text, retry_after_ms = content
         outcome = Error(Refusal(VERDICTS[verdict], Reason(reason), text, retry_after_ms))
     return Reply(call_id, outcome, running, level / LEVEL_STEPS)
 
 
-def flatten(headers: list[Header] | tuple[Header, ...]) -> list[str]:
-    """Return names and values in turn."""
-    flat: list[str] = []
-    for header in headers:
-        flat.append(header.name)
-        flat.append(header.value)
-    return flat
-
-
-def unflatten(flat: list[str]) -> list[Header]:
-    """Return headers from names and values in turn."""
-    return [Header(flat[i], flat[i + 1]) for i in range(0, len(flat), 2)]
+@define(eq=False)
+class HeaderTable:
+    """Number the headers that return on one direction of a stream, so that they cost a byte.
+
+    A header travels as its number, as name and value, or as None, name and value, which gives it
+    the next number on both sides. It gets one when it is seen for the second time.
+    """
+
+    numbers: dict[Header, int] = field(factory=dict)
+    headers: list[Header] = field(factory=list)
+    seen: set[Header] = field(factory=set)
+
+    def encode(self, headers: list[Header] | tuple[Header, ...]) -> list[Any]:
+        """Return headers as they travel."""
+        encoded: list[Any] = []
+        for header in headers:
+            number = self.numbers.get(header)
+            if number is not None:
+                encoded.append(number)
+                continue
+            if header in self.seen and len(self.headers) < TABLE_HEADERS:
+                self.number(header)
+                encoded.append(None)
+            elif len(self.seen) < TABLE_SEEN:
+                self.seen.add(header)
+            else:
+                self.seen = {header}
+            encoded += (header.name, header.value)
+        return encoded
+
+    def decode(self, encoded: list[Any]) -> list[Header]:
+        """Return headers from how they travelled; ValueError for what no node sends."""
+        headers: list[Header] = []
+        parts = iter(encoded)
+        for part in parts:
+            if type(part) is int:
+                headers.append(self.headers[part])
+                continue
+            numbered = part is None
+            header = Header(next(parts, "") if numbered else part, next(parts, ""))
+            if numbered:
+                if len(self.headers) >= TABLE_HEADERS:
+                    raise ValueError("too many numbered headers")
+                self.number(header)
+            headers.append(header)
+        return headers
+
+    def number(self, header: Header) -> None:
+        """Give a header the next number."""
+        self.numbers[header] = len(self.headers)
+        self.headers.append(header)
 
 
 @define(eq=False)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -70,7 +70,9 @@
     def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
         """Handle one frame of a peer."""
         if kind is FrameKind.EXECUTE:
-            self.start_call(self.streams[connection], decode_execute(fields))
+            self.start_call(
+                self.streams[connection], decode_execute(fields, connection.received_headers)
+            )
         elif kind is FrameKind.CANCEL:
             task = self.streams[connection].calls.get(fields[0])
             if task is not None:
@@ -98,7 +100,8 @@
         running = slots.in_flight + len(slots.waiting)
         level = tree_level(self.levels, call.route, self.gate.gate.level.level, self.clock.now_ms())
         reply = Reply(call.call_id, outcome, running, level)
-        incoming.connection.send(encode_reply(reply))
+        connection = incoming.connection
+        connection.send(encode_reply(reply, connection.sent_headers))
 
     def record(self, event: str) -> None:
         """Log a fault of a stream."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -85,7 +85,7 @@
             # Nothing was asked of the peer before, so its silence until now means nothing.
             connection.heard_ms = self.clock.now_ms()
         self.waiters[execute.call_id] = waiter
-        connection.send(encode_execute(execute))
+        connection.send(encode_execute(execute, connection.sent_headers))
         try:
             return await waiter
         except asyncio.CancelledError:
@@ -150,7 +150,7 @@
     def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
         """Handle one frame of the peer."""
         if kind is FrameKind.REPLY:
-            reply = decode_reply(fields)
+            reply = decode_reply(fields, connection.received_headers)
             waiter = self.waiters.get(reply.call_id)
             if waiter is not None and not waiter.done():
                 waiter.set_result(Ok(reply))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -6,7 +6,12 @@
 
 from basilhill.clocks import Clock
 
-from basilhill_node.sidecar.frames import FrameKind, FrameReader, MalformedFrameError
+from basilhill_node.sidecar.frames import (
+    FrameKind,
+    FrameReader,
+    HeaderTable,
+    MalformedFrameError,
+)
 from basilhill_node.sidecar.http_client import set_socket_options
 
 FrameHandler = Callable[["StreamConnection", FrameKind, list[Any]], None]
@@ -34,6 +39,8 @@
         self.closed = asyncio.Event()
         self.peer = ""
         self.heard_ms = clock.now_ms()
+        self.sent_headers = HeaderTable()
+        self.received_headers = HeaderTable()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Keep the transport."""
