--- /dev/null
+++ b/packages/basilhill_node/tests/test_library_limits.py
@@ -0,0 +1,58 @@
+"""Tests that show why the platform's HTTP rests on httptools: what aiohttp and sanic do instead.
+
+A test that fails here means that the library has learnt it, and that docs/DECISIONS.md is stale.
+"""
+
+import asyncio
+
+import aiohttp
+from basilhill_node.node import serve_http
+from sanic import Sanic
+from sanic.response import text
+from sanic.server.protocols.http_protocol import HttpProtocol
+
+ADDRESS = "127.0.0.1"
+
+
+def answer(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+async def test_aiohttp_hands_a_late_extra_answer_to_the_next_request():
+    answers = [answer(b"first"), answer(b"extra of first") + answer(b"second")]
+
+    async def handle(reader, writer):
+        while answers and await reader.readuntil(b"\r\n\r\n"):
+            writer.write(answers.pop(0))
+
+    server = await asyncio.start_server(handle, ADDRESS, 0)
+    url = f"http://{ADDRESS}:{server.sockets[0].getsockname()[1]}/"
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as response:
+            assert await response.read() == b"first"
+        async with session.get(url) as response:
+            assert await response.read() == b"extra of first"
+    server.close()
+
+
+async def test_sanic_serves_pipelined_requests_one_after_the_other():
+    app = Sanic("pipelining")
+
+    @app.get("/")
+    async def slow(_request):
+        await asyncio.sleep(0.2)
+        return text("done")
+
+    server = await serve_http(app, ADDRESS, 0, HttpProtocol)
+    port = server.server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(ADDRESS, port)
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+    received = b""
+    async with asyncio.timeout(5):
+        while received.count(b"done") < 3:
+            received += await reader.read(4_096)
+    assert loop.time() - started > 0.55
+    writer.close()
+    server.close()
