Leave servers that turned slow to those that are not

Change: the time of answers against the usual time of their route counts as load and fades. Servers are told the route's timeout when it ends before the client's deadline. Test: a near server ten times as slow; servers of different speed still share.

--- a/packages/basilhill/src/basilhill/balancing.py
+++ b/packages/basilhill/src/basilhill/balancing.py
@@ -17,6 +17,9 @@
     refused_until_ms: int = 0
     failure_rate: float = 0.0
     failures: int = 0
+    # Time of its answers over the usual time of their routes, and when it was measured last.
+    slowness: float = 1.0
+    slowness_ms: int = 0
     ejected_until_ms: int = 0
 
 
@@ -26,3 +29,5 @@
 
     data_centre: str
     targets: dict[str, TargetLoad] = field(factory=dict)
+    # Usual time to an answer by route, in ms.
+    usual_ms: dict[str, float] = field(factory=dict)
--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -1,9 +1,15 @@
 """Record calls to backend servers and what came of them."""
 
 from basilhill.balancing import LoadTable, TargetLoad
+from basilhill.queries.balancing import slowness_of
 
 EJECT_AFTER_FAILURES = 4
 EJECTION_MS = 2_000
+# Weight of the newest answer in the usual time of a route, and in the slowness of a server.
+USUAL_WEIGHT = 0.02
+SLOWNESS_WEIGHT = 0.15
+# One stuck call tells no more than this of a server.
+SLOWNESS_MAX = 10.0
 # Weight of the newest outcome in a server's share of failures: about the last 20 calls count.
 FAILURE_WEIGHT = 0.05
 
@@ -43,6 +49,20 @@
     count_failure(target, failed)
 
 
+def record_time(
+    loads: LoadTable, target: TargetLoad, route: str, took_ms: int, now_ms: int
+) -> None:
+    """Compare the time of an answer with the usual one of its route."""
+    usual_ms = loads.usual_ms.get(route, float(took_ms))
+    # Bounded, so that the answers of one slow server do not become the usual ones.
+    typical_ms = min(float(took_ms), 2 * usual_ms)
+    loads.usual_ms[route] = usual_ms + USUAL_WEIGHT * (typical_ms - usual_ms)
+    ratio = min(SLOWNESS_MAX, (took_ms + 1) / (usual_ms + 1))
+    before = slowness_of(target, now_ms)
+    target.slowness = before + SLOWNESS_WEIGHT * (ratio - before)
+    target.slowness_ms = now_ms
+
+
 def count_failure(target: TargetLoad, failed: bool) -> None:
     """Move the share of failures of a server towards its newest outcome."""
     target.failure_rate += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - target.failure_rate)
--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -11,6 +11,10 @@
 # Servers compared for one call. Two are enough to spread load and keep nodes from acting alike;
 # three find one of the faster servers more often.
 SERVERS_COMPARED = 3
+# A server that takes twice the usual time looks fuller by this share of its slots.
+SLOW_LOAD = 0.15
+# A server that gets no calls any more is tried again: its slowness halves in this time.
+SLOWNESS_HALF_MS = 2_000
 # A cold server serves about half of what its slots promise.
 COLD_FACTOR = 2.0
 # A server that fails all requests, while another one fails none, looks this much fuller.
@@ -60,7 +64,16 @@
     if target is None:
         return factor / max(1, entry.slots)
     factor *= 1 + FAILURE_FACTOR * max(0.0, target.failure_rate - least_rate)
-    return (calls_of(target) + 1) * factor / max(1, entry.slots)
+    load = (calls_of(target) + 1) * factor / max(1, entry.slots)
+    return load + SLOW_LOAD * max(0.0, slowness_of(target, now_ms) - 1)
+
+
+def slowness_of(target: TargetLoad, now_ms: int) -> float:
+    """Return the time of a server's answers over the usual one; it fades without new answers."""
+    if target.slowness == 1.0:
+        return 1.0
+    age_ms = now_ms - target.slowness_ms
+    return 1.0 + (target.slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_MS)
 
 
 def calls_of(target: TargetLoad) -> int:
--- a/packages/basilhill/tests/test_balancing.py
+++ b/packages/basilhill/tests/test_balancing.py
@@ -12,6 +12,7 @@
     record_loss,
     record_refusal,
     record_report,
+    record_time,
     target_of,
 )
 from basilhill.queries.balancing import choose_backend, load_of
@@ -95,6 +96,29 @@
     assert chosen([NEAR, FAR], loads).keys() == {"i-near"}
 
 
+def test_server_that_turned_slow_is_left_to_far_ones_and_tried_again_later():
+    """Guards against a near server that takes ten times as long and still gets its share."""
+    loads = LoadTable("buc-a")
+    for entry in (NEAR, FAR):
+        for _ in range(30):
+            record_time(loads, target_of(loads, entry.server_id), "r-1", 20, 0)
+    for _ in range(20):
+        record_time(loads, target_of(loads, "i-near"), "r-1", 200, 1_000)
+    assert chosen([NEAR, FAR], loads, now_ms=1_000).keys() == {"i-far"}
+    assert chosen([NEAR, FAR], loads, now_ms=9_000).keys() == {"i-near"}
+
+
+def test_servers_of_different_speed_share_the_load():
+    """Guards against sending everything to the fastest server."""
+    loads = LoadTable("buc-a")
+    near, twin = NEAR, evolve(NEAR, server_id="i-twin")
+    for _ in range(50):
+        record_time(loads, target_of(loads, "i-near"), "r-1", 14, 0)
+        record_time(loads, target_of(loads, "i-twin"), "r-1", 30, 0)
+    record_report(target_of(loads, "i-near"), running=4)
+    assert "i-twin" in chosen([near, twin], loads)
+
+
 def test_lost_calls_in_a_row_eject_a_server_for_a_while():
     loads = LoadTable("buc-a")
     target = target_of(loads, "i-near")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -148,9 +148,9 @@
         remaining_ms = call.remaining_ms - waited_ms
         if remaining_ms <= 0:
             return Error(not_run(Reason.DEADLINE, "the deadline passed before the start"))
-        terms = ServerTerms(
-            call.request_id, call.deadline_ms - waited_ms, call.server_id, call.caller_service
-        )
+        # The server stops at the client's deadline or the route's timeout, whichever is sooner.
+        work_ms = min(remaining_ms, call.deadline_ms - waited_ms)
+        terms = ServerTerms(call.request_id, work_ms, call.server_id, call.caller_service)
         headers = self.dialect.server_headers(call.headers, terms)
         data = encode_request(HttpRequest(call.method, call.target, headers, call.body))
         try:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -13,6 +13,7 @@
     record_loss,
     record_refusal,
     record_report,
+    record_time,
     target_of,
 )
 from basilhill.commands.levels import record_called, record_level
@@ -328,7 +329,7 @@
             outcome = await self.transmit(entry, execute)
         finally:
             end_send(target)
-        self.judge(opened, entry, outcome)
+        self.judge(opened, entry, outcome, self.clock.now_ms() - now_ms)
         return outcome
 
     async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
@@ -352,7 +353,9 @@
         record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
         return reply.outcome
 
-    def judge(self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome) -> None:
+    def judge(
+        self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome, took_ms: int
+    ) -> None:
         """Record what an outcome says of a server and of the request."""
         target = target_of(self.origin.loads, entry.server_id)
         now_ms = self.clock.now_ms()
@@ -360,6 +363,8 @@
             opened.reached += 1
             status = outcome.ok.status
             record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
+            if status < SERVER_ERROR:
+                record_time(self.origin.loads, target, opened.route.name, took_ms, now_ms)
             return
         reason = outcome.error.reason
         if outcome.error.verdict is Verdict.MAY_HAVE_RUN or reason in SERVER_REFUSALS:
