--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -95,11 +95,15 @@
     near = [entry for entry in usable if entry.data_centre == loads.data_centre]
     far = [entry for entry in usable if entry.data_centre != loads.data_centre]
 
-    def cost(entry: BackendEntry) -> float:
-        load = load_of(loads, entry, now_ms, least_rate)
-        return load if entry.data_centre == loads.data_centre else load + FAR_LOAD
-
-    return min((*few(near, random), *few(far, random)), key=cost, default=None)
+    best, least = None, 0.0
+    for distance, entries in ((0.0, near), (FAR_LOAD, far)):
+        if best is not None and least <= distance:
+            break
+        for entry in few(entries, random):
+            cost = load_of(loads, entry, now_ms, least_rate) + distance
+            if best is None or cost < least:
+                best, least = entry, cost
+    return best
 
 
 def few(entries: list[BackendEntry], random: Random) -> list[BackendEntry]:
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -6,7 +6,7 @@
 from basilhill.verdicts import Answer, Header, Reason, Refusal, Verdict, not_run
 from expression import Error, Ok, Result
 
-from basilhill_node.sidecar.dialect import RequestTerms, ServerTerms
+from basilhill_node.sidecar.dialect import MalformedTerms, RequestTerms, ServerTerms
 from basilhill_node.sidecar.messages import (
     HttpRequest,
     HttpResponse,
@@ -39,7 +39,7 @@
 
     random: Random = field(factory=Random)
 
-    def decode_terms(self, request: HttpRequest) -> Result[RequestTerms, str]:
+    def decode_terms(self, request: HttpRequest) -> RequestTerms | MalformedTerms:
         """Return the terms of a client's request, or what is wrong with it."""
         host = (header_value(request.headers, "host") or "").lower()
         host = host.rpartition(":")[0] if host.rpartition(":")[2].isdigit() else host
@@ -47,12 +47,12 @@
         try:
             deadline_ms = None if text is None else min(int(float(text)), LONGEST_DEADLINE_MS)
         except (ValueError, OverflowError):
-            return Error(f"the deadline {text!r} is no number of milliseconds")
+            return MalformedTerms(f"the deadline {text!r} is no number of milliseconds")
         request_id = header_value(request.headers, REQUEST_ID) or ""
         # Seen on the wire, not in the pages: the id of a call that a server makes begins with the
         # id of the request that it runs. An id of another form only loses the parent's rank.
         parent_id = request_id.rpartition(ID_SEPARATOR)[0] or None
-        return Ok(RequestTerms(request_id, deadline_ms, host, parent_id))
+        return RequestTerms(request_id, deadline_ms, host, parent_id)
 
     def client_headers(self, request: HttpRequest) -> list[Header]:
         """Return the headers of a client that a server gets."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -39,14 +39,14 @@
 
 from basilhill_node.metrics import Metrics
 from basilhill_node.sidecar.commands.execute_call import ServerGate
-from basilhill_node.sidecar.dialect import Dialect, RequestTerms
+from basilhill_node.sidecar.dialect import Dialect, MalformedTerms, RequestTerms
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
-from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.peer_streams import LostCall, PeerStreams
 from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
 
 # Servers that may refuse a call for want of a slot before the client is told so.
-GATES_TRIED = 3
+GATES_TRIED = 2
 # A public request waits at most this share of its target latency for a slot.
 PATIENCE_SHARE = 1 / 4
 # Latest time of a deadline or timeout, in ms, where neither is given.
@@ -114,12 +114,12 @@
             refusal = not_run(Reason.LEAVING, "the node is stopping", CLOSING_RETRY_MS)
             return self.dialect.encode_refusal(refusal, "")
         terms = self.dialect.decode_terms(request)
-        if terms.is_error():
-            self.gate.log.record("serve", "rejected", problem=terms.error)
-            return HttpResponse(400, body=terms.error.encode())
+        if isinstance(terms, MalformedTerms):
+            self.gate.log.record("serve", "rejected", problem=terms.problem)
+            return HttpResponse(400, body=terms.problem.encode())
         self.origin.open_requests += 1
         try:
-            return await self.serve_terms(request, terms.ok, arrived_ms)
+            return await self.serve_terms(request, terms, arrived_ms)
         finally:
             self.origin.open_requests -= 1
 
@@ -216,8 +216,8 @@
                 self.settings.retry_window_ms,
                 0.0,
             )
-        nodes = len({entry.host for entry in self.directory.entries.values()})
-        quota.minimum = self.settings.retry_minimum * QUOTA_SHARE / max(1, nodes)
+        nodes = max(1, len(self.directory.entries))
+        quota.minimum = self.settings.retry_minimum * QUOTA_SHARE / nodes
         return quota
 
     def finish(
@@ -342,13 +342,11 @@
             record_level(levels, route, entry.server_id, level, now_ms)
             return outcome
         stream = self.peers.stream(f"{entry.host}:{self.settings.peer_port}")
-        result = await stream.call(execute)
-        if result.is_error():
-            lost = result.error
-            if lost.sent:
-                return Error(may_have_run(Reason.CONNECTION_LOST, lost.text))
-            return Error(not_run(Reason.UNREACHABLE, lost.text))
-        reply = result.ok
+        reply = await stream.call(execute)
+        if isinstance(reply, LostCall):
+            if reply.sent:
+                return Error(may_have_run(Reason.CONNECTION_LOST, reply.text))
+            return Error(not_run(Reason.UNREACHABLE, reply.text))
         record_report(target_of(self.origin.loads, entry.server_id), reply.running)
         record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
         return reply.outcome
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -30,10 +30,17 @@
     caller_service: str
 
 
+@frozen
+class MalformedTerms:
+    """Tell what is wrong with the terms of a request."""
+
+    problem: str
+
+
 class Dialect(Protocol):
     """Translate between messages and records; decide nothing."""
 
-    def decode_terms(self, request: HttpRequest) -> Result[RequestTerms, str]:
+    def decode_terms(self, request: HttpRequest) -> RequestTerms | MalformedTerms:
         """Return the terms of a client's request, or what is wrong with it."""
         ...
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -9,7 +9,7 @@
 from basilhill.clocks import Clock
 from basilhill.verdicts import Header
 
-from basilhill_node.sidecar.messages import HttpResponse, header_value
+from basilhill_node.sidecar.messages import HttpResponse, header_value, parsed_header
 
 CONNECT_TIMEOUT_S = 1.0
 # A peer that answers no probe for this long is taken as gone: idle time plus two probes.
@@ -109,7 +109,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
-        self.headers.append(Header(name.decode("latin-1").lower(), value.decode("latin-1")))
+        self.headers.append(parsed_header(name, value))
 
     def on_headers_complete(self) -> None:
         """End a response that has no body by definition."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -11,7 +11,12 @@
 from basilhill.verdicts import Header
 
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, encode_response
+from basilhill_node.sidecar.messages import (
+    HttpRequest,
+    HttpResponse,
+    encode_response,
+    parsed_header,
+)
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -21,14 +26,20 @@
 # Above this many unsent bytes a connection stops sending until its client reads.
 WRITE_HIGH_BYTES = 256 << 10
 BACKLOG = 4096
+# Colon, space and line end of a header.
+HEADER_LINE_BYTES = 4
 
 
 @define(eq=False)
 class Exchange:
-    """Hold one request of a connection and the task that serves it."""
+    """Hold one request of a connection and what serves it.
+
+    A request behind others gets a task of its own; one alone is served by its connection's task.
+    """
 
     bodiless: bool
     keep_alive: bool
+    request: HttpRequest | None = None
     task: asyncio.Task | None = None
     response: HttpResponse | None = None
 
@@ -102,6 +113,7 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.header_bytes = 0
+        self.header_limit = self.server.limits().header_bytes
 
     # Callbacks of the event loop.
 
@@ -158,17 +170,15 @@
     def on_url(self, url: bytes) -> None:
         """Take a part of the target."""
         self.target += url
-        self.count_header(len(url))
+        self.header_bytes += len(url)
+        if self.header_bytes > self.header_limit:
+            self.reject(431, "the target is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
-        self.headers.append(Header(name.decode("latin-1").lower(), value.decode("latin-1")))
-        self.count_header(len(name) + len(value) + 4)
-
-    def count_header(self, size: int) -> None:
-        """Refuse a header above the limit."""
-        self.header_bytes += size
-        if self.header_bytes > self.server.limits().header_bytes:
+        self.headers.append(parsed_header(name, value))
+        self.header_bytes += len(name) + len(value) + HEADER_LINE_BYTES
+        if self.header_bytes > self.header_limit:
             self.reject(431, "the header is too large")
 
     def on_headers_complete(self) -> None:
@@ -199,9 +209,10 @@
         if hosts != 1 or not request.target.startswith("/"):
             self.reject(400, "a request needs one host and a path")
             return
-        exchange = Exchange(method == "HEAD", self.parser.should_keep_alive())
+        exchange = Exchange(method == "HEAD", self.parser.should_keep_alive(), request)
         self.last = not exchange.keep_alive
-        exchange.task = asyncio.get_running_loop().create_task(self.server.handler(request))
+        if self.exchanges:
+            exchange.task = asyncio.get_running_loop().create_task(self.server.handler(request))
         self.enqueue(exchange)
 
     # The task of the connection.
@@ -246,6 +257,8 @@
     async def finish(self, exchange: Exchange) -> HttpResponse:
         """Return the answer of a request; a fault of the handler becomes a 500."""
         try:
+            if exchange.task is None:
+                return await self.server.handler(exchange.request)
             return await exchange.task
         except Exception as error:
             self.server.log.record("front", "handler failed", problem=repr(error))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -1,5 +1,7 @@
 """HTTP messages of clients, backend servers and the store."""
 
+from functools import lru_cache
+
 from attrs import define, field
 from basilhill.verdicts import Header
 
@@ -37,6 +39,17 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+@lru_cache(maxsize=1024)
+def lower_name(name: bytes) -> str:
+    """Return a header name in lower case."""
+    return name.decode("latin-1").lower()
+
+
+def parsed_header(name: bytes, value: bytes) -> Header:
+    """Return a header as a parser found it."""
+    return Header(lower_name(name), value.decode("latin-1"))
+
+
 @define(eq=False)
 class HttpRequest:
     """Hold a whole request; header names are in lower case."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -6,7 +6,6 @@
 
 from attrs import define, field, frozen
 from basilhill.clocks import Clock
-from expression import Error, Ok, Result
 
 from basilhill_node.sidecar.commands.exchange_news import NewsExchange
 from basilhill_node.sidecar.event_log import EventLog
@@ -50,12 +49,12 @@
     ids: count = field(factory=lambda: count(1))
     connection: StreamConnection | None = None
     ready: asyncio.Event = field(factory=asyncio.Event)
-    waiters: dict[int, asyncio.Future[Result[Reply, LostCall]]] = field(factory=dict)
+    waiters: dict[int, asyncio.Future[Reply | LostCall]] = field(factory=dict)
     task: asyncio.Task | None = None
     used_ms: int = 0
     silent: bool = False
 
-    async def call(self, execute: Execute) -> Result[Reply, LostCall]:
+    async def call(self, execute: Execute) -> Reply | LostCall:
         """Send a call and wait for its reply; cancelling it cancels the run."""
         self.used_ms = self.clock.now_ms()
         if self.task is None or self.task.done():
@@ -64,7 +63,7 @@
         opened_by = self.task
         while not self.ready.is_set():
             if opened_by.done():
-                return Error(LostCall(False, f"no connection to {self.address}"))
+                return LostCall(False, f"no connection to {self.address}")
             waiting = asyncio.get_running_loop().create_task(self.ready.wait())
             try:
                 await asyncio.wait({waiting, opened_by}, return_when=asyncio.FIRST_COMPLETED)
@@ -72,12 +71,10 @@
                 waiting.cancel()
         connection = self.connection
         if connection is None or self.silent or not connection.has_room():
-            return Error(LostCall(False, f"{self.address} is silent or does not read"))
+            return LostCall(False, f"{self.address} is silent or does not read")
         return await self.exchange(connection, execute)
 
-    async def exchange(
-        self, connection: StreamConnection, execute: Execute
-    ) -> Result[Reply, LostCall]:
+    async def exchange(self, connection: StreamConnection, execute: Execute) -> Reply | LostCall:
         """Send a call on an open stream and wait for its reply."""
         execute.call_id = next(self.ids)
         waiter = asyncio.get_running_loop().create_future()
@@ -120,7 +117,7 @@
             self.news.close(connection)
             for waiter in self.waiters.values():
                 if not waiter.done():
-                    waiter.set_result(Error(LostCall(True, f"lost {self.address}")))
+                    waiter.set_result(LostCall(True, f"lost {self.address}"))
 
     async def watch(self, connection: StreamConnection) -> None:
         """Ask a silent peer for a sign of life; return when there is none or no use."""
@@ -153,7 +150,7 @@
             reply = decode_reply(fields, connection.received_headers)
             waiter = self.waiters.get(reply.call_id)
             if waiter is not None and not waiter.done():
-                waiter.set_result(Ok(reply))
+                waiter.set_result(reply)
         elif kind is not FrameKind.PONG:
             self.news.receive(connection, kind, fields)
 
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -176,10 +176,10 @@
         Header("basilhill-attempt-id", "ab.cd"),
         Header("basilhill-deadline-ms", "250"),
     ]
-    terms = dialect.decode_terms(HttpRequest("GET", "/a/", headers)).ok
+    terms = dialect.decode_terms(HttpRequest("GET", "/a/", headers))
     assert (terms.host, terms.deadline_ms, terms.parent_id) == ("shop.example", 250, "ab")
     bad = [Header("basilhill-deadline-ms", "soon")]
-    assert dialect.decode_terms(HttpRequest("GET", "/a/", bad)).is_error()
+    assert "soon" in dialect.decode_terms(HttpRequest("GET", "/a/", bad)).problem
 
 
 def test_server_gets_the_callers_service_whatever_the_client_sent():
