--- a/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
@@ -94,6 +94,8 @@
     ids: count = field(factory=lambda: count(1))
     opened: AsyncExitStack = field(factory=AsyncExitStack)
     session: aiohttp.ClientSession | None = None
+    # Requests that a test leaves in flight.
+    tasks: list[asyncio.Task] = field(factory=list)
 
     async def __aenter__(self) -> "SidecarFleet":
         """Start the store."""
@@ -104,6 +106,8 @@
 
     async def __aexit__(self, *_error) -> None:
         """Stop everything."""
+        for task in self.tasks:
+            task.cancel()
         for machine in self.machines:
             self.stop_node(machine)
         await self.opened.aclose()
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -98,6 +98,20 @@
     assert not any(server.runs[answer.attempt] for answer in refused)
 
 
+async def test_request_is_held_for_its_patience_once_and_not_at_each_gate(fleet):
+    """Guards against a refusal that comes after waiting for a slot at one server after another."""
+    for machine in fleet.machines[:2]:
+        machine.server.run_ms = 1_000
+        for _ in range(4):
+            fleet.tasks.append(asyncio.create_task(fleet.ask(machine, "/read/long")))
+    await fleet.until(lambda: all(m.server.running == 4 for m in fleet.machines[:2]))
+    started = asyncio.get_running_loop().time()
+    answer = await fleet.ask(fleet.machines[2], "/read/x")
+    assert answer.status == 503
+    # A quarter of the target latency of 500 ms.
+    assert asyncio.get_running_loop().time() - started < 0.2
+
+
 async def test_server_that_took_over_an_address_runs_nothing(fleet):
     """Guards against a request that runs at another server, or reaches it again and again."""
     machine = fleet.machines[2]
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -60,7 +60,7 @@
             or await self.enter(call, arrived_ms)
         )
         if refusal is not None:
-            self.record(call, Error(refusal), arrived_ms, arrived_ms)
+            self.record(call, Error(refusal), arrived_ms, self.clock.now_ms())
             return Error(refusal)
         started_ms = self.clock.now_ms()
         self.gate.running[call.request_id] = RunningCall(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -324,7 +324,8 @@
             opened.route.idempotent,
             opened.ends_ms - now_ms,
             opened.deadline_ms - now_ms,
-            min(opened.patience_ms, opened.ends_ms - now_ms),
+            # All gates together may hold a request for its patience.
+            max(0, min(opened.patience_ms - (now_ms - opened.arrived_ms), opened.ends_ms - now_ms)),
             call_rank(opened.rank, opened.depth),
             opened.repeated or opened.reached > 0,
             opened.share,
