Let a leaving node serve its peers until it is about to stop

Idle connections that clients opened late kept it alive as well. Change: calls of peers are refused from the moment at which clients are, 2.2 s after the signal; calls within a running request are served to its end; only requests in flight keep the node.

--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -200,17 +200,22 @@
     second = await fleet.add("deposits", "b")
     await fleet.settled(3)
     leaving = fleet.machines[2]
-    leaving.server.run_ms = 400
-    running = asyncio.create_task(fleet.ask(fleet.machines[0], "/write/x", "POST", b"1"))
-    await fleet.until(lambda: leaving.server.running == 1)
     stopped = asyncio.create_task(leave(leaving.node))
     await asyncio.sleep(0.05)
-    other = await fleet.ask(fleet.machines[0], "/write/y", "POST", b"2")
-    assert other.status == 200 and second.server.runs == {other.attempt: 1}
+    early = await fleet.ask(fleet.machines[0], "/write/x", "POST", b"1")
+    assert early.status == 200 and leaving.server.runs == {early.attempt: 1}
     own = await fleet.ask(leaving, "/write/z", "POST", b"3")
     assert own.status == 200 and own.headers["connection"] == "close"
+    leaving.server.run_ms = 600
+    running = asyncio.create_task(fleet.ask(fleet.machines[0], "/write/x", "POST", b"1"))
+    await fleet.until(lambda: leaving.server.running == 1)
+    leaving.node.state.life.closing = True
+    other = await fleet.ask(fleet.machines[0], "/write/y", "POST", b"2")
+    assert other.status == 200 and second.server.runs == {other.attempt: 1}
+    assert (await fleet.ask(leaving, "/write/z", "POST", b"3")).status == 503
     assert (await running).status == 200
     await stopped
+    assert leaving.node.state.clock.now_ms() - leaving.node.state.life.started_ms < 5_000
 
 
 async def test_client_that_leaves_stops_the_run_on_another_vm(fleet):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -50,8 +50,8 @@
     async def execute(self, call: Execute, own: bool = False) -> Outcome:
         """Wait for a slot and run a call; return its answer or whether it may have run.
 
-        A node that is leaving takes calls of its own clients only, so that those of its peers
-        have ended before it stops.
+        A node about to stop takes calls of its own clients only, so that those of its peers have
+        ended by then; until that moment its server's slots are not missed.
         """
         arrived_ms = self.clock.now_ms()
         refusal = (
@@ -82,8 +82,8 @@
 
     def leaving_refusal(self, call: Execute, own: bool) -> Refusal | None:
         """Return the refusal of a call to a server or by a node that is leaving."""
-        if self.life.leaving and not own:
-            return not_run(Reason.LEAVING, "the node beside the server is leaving")
+        if self.life.closing and not own:
+            return not_run(Reason.LEAVING, "the node beside the server is stopping")
         entry = self.directory.entries.get(call.server_id)
         if call.server_id in self.directory.departed or (entry is not None and entry.draining):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -109,14 +109,14 @@
     async def serve(self, request: HttpRequest) -> HttpResponse:
         """Serve one request to its end."""
         arrived_ms = self.clock.now_ms()
-        if self.gate.life.closing:
-            # What starts now may still run when the node is killed.
-            refusal = not_run(Reason.LEAVING, "the node is stopping", CLOSING_RETRY_MS)
-            return self.dialect.encode_refusal(refusal, "")
         terms = self.dialect.decode_terms(request)
         if isinstance(terms, MalformedTerms):
             self.gate.log.record("serve", "rejected", problem=terms.problem)
             return HttpResponse(400, body=terms.problem.encode())
+        if self.gate.life.closing and terms.parent_id not in self.gate.gate.running:
+            # What starts now may still run when the node is killed.
+            refusal = not_run(Reason.LEAVING, "the node is stopping", CLOSING_RETRY_MS)
+            return self.finish(terms, Error(refusal), arrived_ms)
         self.origin.open_requests += 1
         try:
             return await self.serve_terms(request, terms, arrived_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -41,7 +41,7 @@
 
 POOL_SWEEP_S = 1.0
 # The platform takes a node out after two misses of a question a second.
-LEAVE_MS = 2_500
+LEAVE_MS = 2_200
 # Time before the kill that is left for closing.
 GRACE_MARGIN_MS = 1_000
 QUIET_POLL_S = 0.05
@@ -204,26 +204,27 @@
 
 
 async def leave(node: Sidecar) -> None:
-    """Finish what was read, then close everything."""
+    """Serve on until clients have turned away, finish what was read, then close everything."""
     state = node.state
     state.life.leaving = True
     state.log.record("node", "leaving", requests=state.origin.open_requests)
     started_ms = state.clock.now_ms()
+    longest_ms = state.settings.grace_ms - GRACE_MARGIN_MS
     node.front.leave()
-    while True:
-        waited_ms = state.clock.now_ms() - started_ms
-        if waited_ms >= state.settings.grace_ms - GRACE_MARGIN_MS:
-            break
-        state.life.closing = waited_ms >= LEAVE_MS
-        if state.life.closing and not (
-            state.origin.open_requests or state.gate.slots.in_flight or node.front.connections
-        ):
-            break
+    await asyncio.sleep(LEAVE_MS / 1000)
+    state.life.closing = True
+    while waits_for_calls(node) and state.clock.now_ms() - started_ms < longest_ms:
+        node.front.leave()
         await asyncio.sleep(QUIET_POLL_S)
     state.log.record("node", "stopped", cut_off=state.origin.open_requests)
     close_sidecar(node)
 
 
+def waits_for_calls(node: Sidecar) -> bool:
+    """Tell whether requests or calls are in flight."""
+    return bool(node.state.origin.open_requests or node.state.gate.slots.in_flight)
+
+
 def close_sidecar(node: Sidecar) -> None:
     """Close everything at once."""
     for server in (node.front, node.ready, node.metrics):
