Send calls in a module of its own, and drop what nothing uses and what is old

Cause: serve_request held routing, retries, sending and judging in 397 lines; settings, service limits and two queries were decoded and never read; levels, suspects and loads of servers that are gone were never dropped, so a node's tables grew with the restarts of the fleet. Test: loads of 49 servers that are gone.

--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -1,5 +1,7 @@
 """Record calls to backend servers and what came of them."""
 
+from collections.abc import Collection
+
 from basilhill.balancing import LoadTable, TargetLoad
 from basilhill.queries.balancing import slowness_of
 
@@ -82,3 +84,9 @@
 def forget_target(loads: LoadTable, server_id: str) -> None:
     """Forget a server that is gone or was born anew."""
     loads.targets.pop(server_id, None)
+
+
+def keep_targets(loads: LoadTable, server_ids: Collection[str]) -> None:
+    """Forget the servers that are not listed any more."""
+    for server_id in loads.targets.keys() - set(server_ids):
+        del loads.targets[server_id]
--- a/packages/basilhill/src/basilhill/configuration.py
+++ b/packages/basilhill/src/basilhill/configuration.py
@@ -29,15 +29,6 @@
     services: tuple[WeightedService, ...]
 
 
-@frozen
-class ServiceLimits:
-    """Hold what the configuration says of the servers of one service."""
-
-    name: str
-    health_path: str
-    max_connections: int
-
-
 @frozen
 class RequestLimits:
     """Bound what a client may send and how long it may take or stay idle."""
@@ -54,5 +45,4 @@
 
     version: int
     routes: dict[str, tuple[Route, ...]]
-    services: dict[str, ServiceLimits] = field(factory=dict)
     limits: RequestLimits = field(factory=RequestLimits)
--- a/packages/basilhill/src/basilhill/queries/levels.py
+++ b/packages/basilhill/src/basilhill/queries/levels.py
@@ -32,8 +32,3 @@
 def admitted_share(level: float, rank: int) -> float:
     """Return the share of the requests of a rank that a level admits."""
     return min(1.0, max(0.0, level - rank))
-
-
-def admits(level: float, rank: int, chance: float) -> bool:
-    """Tell whether a level admits a request of a rank that drew a number from 0 to 1."""
-    return rank + chance < level
--- a/packages/basilhill/src/basilhill/queries/slots.py
+++ b/packages/basilhill/src/basilhill/queries/slots.py
@@ -11,8 +11,3 @@
 def drain_ms(gate: SlotGate) -> float:
     """Return how long the calls that wait now take to get their slots."""
     return expected_wait_ms(gate, len(gate.waiting))
-
-
-def used_share(gate: SlotGate) -> float:
-    """Return the calls that run or wait per slot."""
-    return (gate.in_flight + len(gate.waiting)) / max(1, gate.slots)
--- a/packages/basilhill/tests/test_balancing.py
+++ b/packages/basilhill/tests/test_balancing.py
@@ -8,6 +8,7 @@
 from basilhill.commands.backends import replace_entries
 from basilhill.commands.balancing import (
     begin_send,
+    keep_targets,
     record_answer,
     record_loss,
     record_refusal,
@@ -126,6 +127,15 @@
     assert "i-near" not in chosen([NEAR, FAR], loads, now_ms=1_000)
 
 
+def test_servers_that_are_gone_are_forgotten():
+    """Guards against a table that grows with each restart in the fleet."""
+    loads = LoadTable("buc-a")
+    for number in range(50):
+        target_of(loads, f"i-{number}")
+    keep_targets(loads, {"i-7"})
+    assert loads.targets.keys() == {"i-7"}
+
+
 def test_cold_server_gets_half_of_its_share():
     cold = evolve(NEAR, warm_ms=3_000)
     loads = LoadTable("buc-a")
--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -12,7 +12,7 @@
 )
 from basilhill.commands.slots import release_slot, request_slot, start_next
 from basilhill.levels import AdmissionLevel, RouteLevels
-from basilhill.queries.levels import admits, admitted_share, route_level, tree_level
+from basilhill.queries.levels import admitted_share, route_level, tree_level
 from basilhill.queries.ranks import call_rank
 from basilhill.slots import SlotDecision, SlotGate
 
@@ -53,7 +53,7 @@
     def arrive(self, rank: int, now_ms: int) -> None:
         """Admit a request by the level and give it a slot or a place in the queue."""
         self.offered[rank] += 1
-        if not admits(self.level.level, rank, self.random.random()):
+        if self.random.random() >= admitted_share(self.level.level, rank):
             return
         self.served[rank] += 1
         count_work(self.level, rank, SERVICE_MS, admitted_share(self.level.level, rank))
--- a/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
@@ -13,7 +13,7 @@
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.store import PlatformStore
 from basilhill_node.sidecar.node import Sidecar, build_sidecar, close_sidecar, start_sidecar
-from basilhill_node.sidecar.state import SidecarSettings, StoreAddress
+from basilhill_node.sidecar.state import SidecarSettings
 
 from basilhill_fakes.plain_server import ATTEMPT_ID, PlainServer, build_server
 from basilhill_fakes.platform_store import PlatformStoreState, build_store
@@ -141,7 +141,7 @@
         """Start the node of a VM."""
         settings = self.settings(machine)
         clock = SystemClock()
-        store = PlatformStore.at(settings.store.address, clock)
+        store = PlatformStore.at(settings.store_address, clock)
         machine.node = build_sidecar(settings, store, PlatformDecoder(), PlatformDialect(), clock)
         await start_sidecar(machine.node)
 
@@ -163,11 +163,8 @@
             peer_port=PEER_PORT,
             ready_port=READY_PORT,
             metrics_port=METRICS_PORT,
-            store=StoreAddress(f"{self.prefix}.250:{STORE_PORT}", 20_000),
-            configuration_apply_ms=2_000,
-            drain_ms=2_000,
+            store_address=f"{self.prefix}.250:{STORE_PORT}",
             grace_ms=6_000,
-            contact_ms=3_000,
             retry_ratio=0.2,
             retry_window_ms=10_000,
             retry_minimum=48,
--- a/packages/basilhill_node/src/basilhill_node/platform/__main__.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/__main__.py
@@ -28,7 +28,7 @@
         return EXIT_UNUSABLE
     start_logging(encode_json_line)
     clock = SystemClock()
-    store = PlatformStore.at(settings.ok.store.address, clock)
+    store = PlatformStore.at(settings.ok.store_address, clock)
     node = build_sidecar(settings.ok, store, PlatformDecoder(), PlatformDialect(), clock)
     reloader = SettingsReloader(path, decode_settings, settings.ok, node.state.log)
     await run_sidecar(node, reloader)
--- a/packages/basilhill_node/src/basilhill_node/platform/configuration.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -7,7 +7,6 @@
     Configuration,
     RequestLimits,
     Route,
-    ServiceLimits,
     WeightedService,
 )
 from basilhill.queries.configuration import order_routes
@@ -36,12 +35,6 @@
         # Eight hexadecimal digits.
         version=int(table["version"], 16),
         routes=order_routes(routes),
-        services={
-            service["name"]: ServiceLimits(
-                service["name"], service["healthPath"], int(service["maxConnections"])
-            )
-            for service in table["services"]
-        },
         limits=RequestLimits(
             header_bytes=int(limits["maxHeaderBytes"]),
             body_bytes=int(limits["maxBodyBytes"]),
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from basilhill_node.sidecar.state import SidecarSettings, StoreAddress
+from basilhill_node.sidecar.state import SidecarSettings
 
 MS_PER_S = 1000
 # The same on all days, as `deploy/system.toml` names it; the platform's own ports change daily.
@@ -38,11 +38,8 @@
         peer_port=port_of(network["listen"]["inbound"]),
         ready_port=port_of(network["listen"]["ready"]),
         metrics_port=METRICS_PORT,
-        store=StoreAddress(store["address"], int(store["historyS"] * MS_PER_S)),
-        configuration_apply_ms=int(bounds["configApplyS"] * MS_PER_S),
-        drain_ms=int(bounds["drainS"] * MS_PER_S),
+        store_address=store["address"],
         grace_ms=int(bounds["graceS"] * MS_PER_S),
-        contact_ms=int(bounds["contactS"] * MS_PER_S),
         retry_ratio=float(bounds["retryBudgetRatio"]),
         retry_window_ms=int(bounds["budgetWindowS"] * MS_PER_S),
         retry_minimum=int(bounds["budgetMinRetries"]),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
@@ -23,7 +23,7 @@
         "client_port",
         "peer_port",
         "ready_port",
-        "store",
+        "store_address",
     )
 )
 
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -0,0 +1,133 @@
+"""Send calls to backend servers and learn from what becomes of them."""
+
+from attrs import define
+from basilhill.backends import BackendEntry
+from basilhill.clocks import Clock
+from basilhill.commands.balancing import (
+    begin_send,
+    end_send,
+    record_answer,
+    record_loss,
+    record_refusal,
+    record_report,
+    record_time,
+    target_of,
+)
+from basilhill.commands.levels import record_level
+from basilhill.queries.levels import tree_level
+from basilhill.queries.ranks import call_rank
+from basilhill.verdicts import Outcome, Reason, Verdict, may_have_run, not_run
+from expression import Error
+
+from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.dialect import Dialect
+from basilhill_node.sidecar.frames import Execute
+from basilhill_node.sidecar.open_requests import OpenRequest
+from basilhill_node.sidecar.peer_streams import LostCall, PeerStreams
+from basilhill_node.sidecar.state import OriginState, SidecarSettings
+
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+# Refusals of a backend server itself, which count as arrivals there.
+SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
+# A server that had no room for a call is left out for this time while others have some.
+REFUSAL_MS = 50
+# The entry of a server that is gone changes within three heartbeats of 1.5 s.
+STALE_ENTRY_MS = 2_000
+
+
+@define(eq=False)
+class CallSender:
+    """Send calls to the own server or to the nodes beside others."""
+
+    settings: SidecarSettings
+    origin: OriginState
+    gate: ServerGate
+    peers: PeerStreams
+    dialect: Dialect
+    clock: Clock
+
+    async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
+        """Send a request to one server and record what that says of the server."""
+        opened.tried.add(entry.server_id)
+        now_ms = self.clock.now_ms()
+        execute = Execute(
+            0,
+            entry.server_id,
+            opened.terms.request_id,
+            self.settings.service,
+            opened.route.name,
+            opened.route.idempotent,
+            opened.ends_ms - now_ms,
+            opened.deadline_ms - now_ms,
+            # All gates together may hold a request for its patience.
+            max(0, min(opened.patience_ms - (now_ms - opened.arrived_ms), opened.ends_ms - now_ms)),
+            call_rank(opened.rank, opened.depth),
+            opened.repeated or opened.reached > 0,
+            opened.share,
+            opened.request.method,
+            opened.request.target,
+            self.dialect.client_headers(opened.request),
+            opened.request.body,
+        )
+        target = target_of(self.origin.loads, entry.server_id)
+        begin_send(target)
+        try:
+            outcome = await self.transmit(entry, execute)
+        finally:
+            end_send(target)
+        self.judge(opened, entry, outcome, self.clock.now_ms() - now_ms)
+        return outcome
+
+    async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
+        """Run a call on the own server or on that of a peer."""
+        levels, route = self.origin.levels, execute.route
+        if entry.address == self.settings.backend_address:
+            outcome = await self.gate.execute(execute, own=True)
+            now_ms = self.clock.now_ms()
+            level = tree_level(levels, route, self.gate.gate.level.level, now_ms)
+            record_level(levels, route, entry.server_id, level, now_ms)
+            return outcome
+        stream = self.peers.stream(f"{entry.host}:{self.settings.peer_port}")
+        reply = await stream.call(execute)
+        if isinstance(reply, LostCall):
+            if reply.sent:
+                return Error(may_have_run(Reason.CONNECTION_LOST, reply.text))
+            return Error(not_run(Reason.UNREACHABLE, reply.text))
+        record_report(target_of(self.origin.loads, entry.server_id), reply.running)
+        record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
+        return reply.outcome
+
+    def judge(
+        self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome, took_ms: int
+    ) -> None:
+        """Record what an outcome says of a server and of the request."""
+        target = target_of(self.origin.loads, entry.server_id)
+        now_ms = self.clock.now_ms()
+        if outcome.is_ok():
+            opened.reached += 1
+            status = outcome.ok.status
+            record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
+            if status < SERVER_ERROR:
+                record_time(self.origin.loads, target, opened.route.name, took_ms, now_ms)
+            return
+        reason = outcome.error.reason
+        if outcome.error.verdict is Verdict.MAY_HAVE_RUN or reason in SERVER_REFUSALS:
+            opened.reached += 1
+        else:
+            opened.refused += 1
+        if reason in (Reason.LEAVING, Reason.MISDIRECTED):
+            record_refusal(target, now_ms, STALE_ENTRY_MS)
+        elif reason is Reason.SERVER_REFUSED:
+            record_answer(target, failed=True)
+        elif outcome.error.verdict is Verdict.NOT_RUN:
+            record_refusal(target, now_ms, REFUSAL_MS)
+        lost = reason in (Reason.CONNECTION_LOST, Reason.UNREACHABLE)
+        if lost and record_loss(target, now_ms):
+            self.gate.log.record(
+                "route",
+                "ejected",
+                opened.terms.request_id,
+                server=entry.server_id,
+                problem=outcome.error.text,
+            )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -3,29 +3,17 @@
 import asyncio
 from typing import Any
 
-from attrs import define, evolve, field
-from basilhill.backends import BackendDirectory, BackendEntry
+from attrs import define, evolve
+from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
-from basilhill.commands.balancing import (
-    begin_send,
-    end_send,
-    record_answer,
-    record_loss,
-    record_refusal,
-    record_report,
-    record_time,
-    target_of,
-)
-from basilhill.commands.levels import record_called, record_level
+from basilhill.commands.levels import record_called
 from basilhill.commands.retry_quota import count_request, spend_retry_quota
 from basilhill.configuration import Route
 from basilhill.queries.balancing import choose_backend, least_failure_rate
 from basilhill.queries.configuration import find_route, split_service
-from basilhill.queries.levels import admitted_share, route_level, tree_level
-from basilhill.queries.ranks import call_rank
+from basilhill.queries.levels import admitted_share, route_level
 from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
-    Answer,
     CallReply,
     Outcome,
     Reason,
@@ -38,10 +26,15 @@
 
 from basilhill_node.metrics import Metrics
 from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.commands.send_call import (
+    GATEWAY_TIMEOUT,
+    SERVER_ERROR,
+    SERVER_REFUSALS,
+    CallSender,
+)
 from basilhill_node.sidecar.dialect import Dialect, MalformedTerms, RequestTerms
-from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
-from basilhill_node.sidecar.peer_streams import LostCall, PeerStreams
+from basilhill_node.sidecar.open_requests import OpenRequest
 from basilhill_node.sidecar.state import ConfigurationInForce, OriginState, SidecarSettings
 
 # Servers that may refuse a call for want of a slot before the client is told so.
@@ -50,17 +43,9 @@
 PATIENCE_SHARE = 1 / 4
 # Latest time of a deadline or timeout, in ms, where neither is given.
 LONGEST_MS = 60_000
-SERVER_ERROR = 500
 NO_ROUTE = "none"
-GATEWAY_TIMEOUT = 504
 # A client that reaches a node about to stop finds another one by then.
 CLOSING_RETRY_MS = 50
-# Refusals of a backend server itself, which count as arrivals there.
-SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
-# A server that had no room for a call is left out for this time while others have some.
-REFUSAL_MS = 50
-# The entry of a server that is gone changes within three heartbeats of 1.5 s.
-STALE_ENTRY_MS = 2_000
 # Clients that are refused for load come back after these shares of their time, spread evenly.
 RETRY_AFTER_SHARE = (0.04, 0.12)
 # Part of the fleet's retry budget that nodes spend, since they start with an empty history.
@@ -69,29 +54,6 @@
 COMMON_FAILURE_RATE = 0.1
 
 
-@define(eq=False)
-class OpenRequest:
-    """Hold one request from its arrival to its answer."""
-
-    request: HttpRequest
-    terms: RequestTerms
-    route: Route
-    service: str
-    arrived_ms: int
-    deadline_ms: int
-    ends_ms: int
-    rank: int
-    depth: int
-    repeated: bool
-    patience_ms: int
-    share: float
-    tried: set[str] = field(factory=set)
-    reached: int = 0
-    refused: int = 0
-    uncertain: Refusal | None = None
-    failed: Answer | None = None
-
-
 @define(eq=False)
 class Origin:
     """Serve requests: route them, choose servers, retry what may be repeated."""
@@ -101,7 +63,7 @@
     in_force: ConfigurationInForce
     directory: BackendDirectory
     gate: ServerGate
-    peers: PeerStreams
+    sender: CallSender
     dialect: Dialect
     metrics: Metrics
     clock: Clock
@@ -272,7 +234,7 @@
             )
             if entry is None:
                 return self.give_up(opened, last)
-            outcome = await self.send(opened, entry)
+            outcome = await self.sender.send(opened, entry)
             if outcome.is_ok():
                 if outcome.ok.status < SERVER_ERROR or outcome.ok.status == GATEWAY_TIMEOUT:
                     return outcome
@@ -310,88 +272,3 @@
         return opened.reached < opened.route.attempts and spend_retry_quota(
             self.quota(opened.service), self.clock.now_ms()
         )
-
-    async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
-        """Send a request to one server and record what that says of the server."""
-        opened.tried.add(entry.server_id)
-        now_ms = self.clock.now_ms()
-        execute = Execute(
-            0,
-            entry.server_id,
-            opened.terms.request_id,
-            self.settings.service,
-            opened.route.name,
-            opened.route.idempotent,
-            opened.ends_ms - now_ms,
-            opened.deadline_ms - now_ms,
-            # All gates together may hold a request for its patience.
-            max(0, min(opened.patience_ms - (now_ms - opened.arrived_ms), opened.ends_ms - now_ms)),
-            call_rank(opened.rank, opened.depth),
-            opened.repeated or opened.reached > 0,
-            opened.share,
-            opened.request.method,
-            opened.request.target,
-            self.dialect.client_headers(opened.request),
-            opened.request.body,
-        )
-        target = target_of(self.origin.loads, entry.server_id)
-        begin_send(target)
-        try:
-            outcome = await self.transmit(entry, execute)
-        finally:
-            end_send(target)
-        self.judge(opened, entry, outcome, self.clock.now_ms() - now_ms)
-        return outcome
-
-    async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
-        """Run a call on the own server or on that of a peer."""
-        levels, route = self.origin.levels, execute.route
-        if entry.address == self.settings.backend_address:
-            outcome = await self.gate.execute(execute, own=True)
-            now_ms = self.clock.now_ms()
-            level = tree_level(levels, route, self.gate.gate.level.level, now_ms)
-            record_level(levels, route, entry.server_id, level, now_ms)
-            return outcome
-        stream = self.peers.stream(f"{entry.host}:{self.settings.peer_port}")
-        reply = await stream.call(execute)
-        if isinstance(reply, LostCall):
-            if reply.sent:
-                return Error(may_have_run(Reason.CONNECTION_LOST, reply.text))
-            return Error(not_run(Reason.UNREACHABLE, reply.text))
-        record_report(target_of(self.origin.loads, entry.server_id), reply.running)
-        record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
-        return reply.outcome
-
-    def judge(
-        self, opened: OpenRequest, entry: BackendEntry, outcome: Outcome, took_ms: int
-    ) -> None:
-        """Record what an outcome says of a server and of the request."""
-        target = target_of(self.origin.loads, entry.server_id)
-        now_ms = self.clock.now_ms()
-        if outcome.is_ok():
-            opened.reached += 1
-            status = outcome.ok.status
-            record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
-            if status < SERVER_ERROR:
-                record_time(self.origin.loads, target, opened.route.name, took_ms, now_ms)
-            return
-        reason = outcome.error.reason
-        if outcome.error.verdict is Verdict.MAY_HAVE_RUN or reason in SERVER_REFUSALS:
-            opened.reached += 1
-        else:
-            opened.refused += 1
-        if reason in (Reason.LEAVING, Reason.MISDIRECTED):
-            record_refusal(target, now_ms, STALE_ENTRY_MS)
-        elif reason is Reason.SERVER_REFUSED:
-            record_answer(target, failed=True)
-        elif outcome.error.verdict is Verdict.NOT_RUN:
-            record_refusal(target, now_ms, REFUSAL_MS)
-        lost = reason in (Reason.CONNECTION_LOST, Reason.UNREACHABLE)
-        if lost and record_loss(target, now_ms):
-            self.gate.log.record(
-                "route",
-                "ejected",
-                opened.terms.request_id,
-                server=entry.server_id,
-                problem=outcome.error.text,
-            )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -9,6 +9,9 @@
 from basilhill.backends import BackendDirectory
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock, SystemClock
+from basilhill.commands.balancing import keep_targets
+from basilhill.commands.levels import forget_levels
+from basilhill.commands.suspects import expire_suspects
 from basilhill.configuration import RequestLimits
 from basilhill.verdicts import Header
 
@@ -17,6 +20,7 @@
 from basilhill_node.sidecar.commands.follow_store import StoreFollower
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
 from basilhill_node.sidecar.commands.screen_request import CrashScreen
+from basilhill_node.sidecar.commands.send_call import CallSender
 from basilhill_node.sidecar.commands.serve_request import Origin
 from basilhill_node.sidecar.commands.update_view import ViewUpdater
 from basilhill_node.sidecar.dialect import Dialect
@@ -39,7 +43,7 @@
 )
 from basilhill_node.sidecar.store import Store, StoreDecoder
 
-POOL_SWEEP_S = 1.0
+SWEEP_S = 1.0
 # The platform takes a node out after two misses of a question a second.
 LEAVE_MS = 2_200
 # Time before the kill that is left for closing.
@@ -122,13 +126,14 @@
     gate = ServerGate(state.gate, state.directory, state.life, screen, dialect, clock, log)
     follower = StoreFollower(store, decoder, updater, state.store, clock, log)
     peers = PeerStreams(news, clock, log)
+    sender = CallSender(settings, state.origin, gate, peers, dialect, clock)
     origin = Origin(
         settings,
         state.origin,
         state.in_force,
         state.directory,
         gate,
-        peers,
+        sender,
         dialect,
         state.metrics,
         clock,
@@ -184,7 +189,7 @@
     await node.ready.start(settings.address, settings.ready_port)
     await node.metrics.start(settings.address, settings.metrics_port)
     state.life.spawn(node.follower.run())
-    state.life.spawn(close_idle_connections(node))
+    state.life.spawn(sweep(node))
     state.life.spawn(node.gate.adjust())
     state.log.record(
         "node",
@@ -196,11 +201,17 @@
     )
 
 
-async def close_idle_connections(node: Sidecar) -> None:
-    """Close connections to the own server that were idle for long, until cancelled."""
+async def sweep(node: Sidecar) -> None:
+    """Drop what is old, so that no table grows with the time or the fleet, until cancelled."""
+    state = node.state
     while True:
-        await asyncio.sleep(POOL_SWEEP_S)
-        node.state.gate.pool.close_idle()
+        await asyncio.sleep(SWEEP_S)
+        now_ms = state.clock.now_ms()
+        state.gate.pool.close_idle()
+        forget_levels(state.origin.levels, now_ms)
+        expire_suspects(state.gate.suspects, now_ms)
+        keep_targets(state.origin.loads, state.directory.entries.keys())
+        node.peers.drop_closed()
 
 
 async def leave(node: Sidecar) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -176,6 +176,16 @@
             self.streams[address] = found
         return found
 
+    def drop_closed(self) -> None:
+        """Forget the streams that have ended and that nothing waits for."""
+        ended = [
+            address
+            for address, stream in self.streams.items()
+            if stream.task is not None and stream.task.done() and not stream.waiters
+        ]
+        for address in ended:
+            del self.streams[address]
+
     def close(self) -> None:
         """Close all streams."""
         for stream in self.streams.values():
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -27,14 +27,6 @@
 HIGHEST_LEVEL = 40.0
 
 
-@frozen
-class StoreAddress:
-    """Tell where the platform's store is."""
-
-    address: str
-    history_ms: int
-
-
 @define
 class SidecarSettings:
     """Hold the settings of one sidecar node; names ending in _ms are milliseconds.
@@ -51,11 +43,8 @@
     peer_port: int
     ready_port: int
     metrics_port: int
-    store: StoreAddress
-    configuration_apply_ms: int
-    drain_ms: int
+    store_address: str
     grace_ms: int
-    contact_ms: int
     retry_ratio: float
     retry_window_ms: int
     retry_minimum: int
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -31,10 +31,7 @@
     "platform": {"platform": {"address": "10.200.1.7:8309", "historyS": 20}},
     "terms": {
         "bounds": {
-            "configApplyS": 2,
-            "drainS": 2.5,
             "graceS": 6.0,
-            "contactS": 3,
             "retryBudgetRatio": 0.2,
             "budgetWindowS": 10,
             "budgetMinRetries": 48,
@@ -96,8 +93,8 @@
 
 def test_settings_are_decoded_into_milliseconds():
     settings = decode_settings(encoded(SETTINGS)).ok
-    assert (settings.service, settings.drain_ms, settings.client_port) == ("calendar", 2500, 8304)
-    assert settings.store.address == "10.200.1.7:8309"
+    assert (settings.service, settings.grace_ms, settings.client_port) == ("calendar", 6000, 8304)
+    assert settings.store_address == "10.200.1.7:8309"
 
 
 @pytest.mark.parametrize("data", [b"", b"{", b"[]", encoded({**SETTINGS, "terms": {}})])
