--- a/packages/basilhill_node/src/basilhill_node/platform/__main__.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/__main__.py
@@ -41,7 +41,12 @@
     if not path:
         print(f"basilhill: {SETTINGS_VARIABLE} names no settings file", file=sys.stderr)
         return EXIT_UNUSABLE
-    return uvloop.run(run(Path(path), Path(path).read_bytes()))
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        print(f"basilhill: cannot read the settings: {error}", file=sys.stderr)
+        return EXIT_UNUSABLE
+    return uvloop.run(run(Path(path), data))
 
 
 if __name__ == "__main__":
