--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -38,7 +38,7 @@
     retries: int = 0
     # Of answers only: refusals are fast and would hide how long callers wait.
     recorded_us: HdrHistogram = field(factory=new_histogram)
-    # Durations that are not in the histogram yet; recording each one on its own takes 10 us.
+    # Durations that are not in the histogram yet; recording each one on its own is slow.
     unrecorded_us: Counter[int] = field(factory=Counter)
     latency_sum_us: int = 0
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
@@ -9,7 +9,7 @@
 from attrs import define, field
 from basilhill.clocks import Clock
 
-# At 200 lines a second the writer takes under 1 % of a core.
+# The same bound as that of the product's own log.
 LINES_PER_S = 200
 # Lines a second with one event and reason, so that a flood of refusals hides no rare failure.
 LINES_PER_KIND_S = 30
