Give the retries of refused calls to the most urgent actions, whole

Change: a refused call may be sent again to a server that refused it, up to 8 times within the quota. A level over the quota, fitted to the expected retries by rank, gives them to the most urgent actions, all calls of an action or none. Ruled out by simulation: levels that refuse actions at their origin (with a dry quota they also refuse calls that would pass without a retry).

Tests: a simulation of shedding servers, and a server that refuses a request twice.

--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -19,28 +19,33 @@
 RISE_PART = 0.5
 
 
-def count_work(level: AdmissionLevel, rank: int, work_ms: float, share: float = 1.0) -> None:
-    """Add the slot time of a call whose request was admitted with a share of its like.
+def count_work(level: AdmissionLevel, rank: int, work: float, share: float = 1.0) -> None:
+    """Add the work of a call whose request was admitted with a share of its like.
 
     Dividing by the share gives the demand without any refusals. A level that follows admitted
     work instead swings, because calls arrive up to seconds after their request was admitted.
     """
-    whole_ms = work_ms / max(LEAST_SHARE, share)
-    level.work_ms[rank] = level.work_ms.get(rank, 0.0) + whole_ms
+    whole = work / max(LEAST_SHARE, share)
+    level.work[rank] = level.work.get(rank, 0.0) + whole
 
 
 def adjust_level(level: AdmissionLevel, gate: SlotGate, now_ms: int) -> None:
     """Move the level so that the work of the admitted ranks fits the slots."""
+    move_level(level, TARGET_SHARE * max(1, gate.slots), backlog_by_rank(gate), now_ms)
+
+
+def move_level(level: AdmissionLevel, room: float, backlog: dict[int, float], now_ms: int) -> None:
+    """Move the level so that the work of the admitted ranks, per ms, fits a room."""
     elapsed_ms = now_ms - level.adjusted_ms
     if elapsed_ms < SHORTEST_WINDOW_MS:
         return
     level.adjusted_ms = now_ms
-    for rank in level.demand.keys() | level.work_ms.keys():
-        newest = level.work_ms.get(rank, 0.0) / elapsed_ms
+    for rank in level.demand.keys() | level.work.keys():
+        newest = level.work.get(rank, 0.0) / elapsed_ms
         before = level.demand.get(rank, 0.0)
         level.demand[rank] = before + WINDOW_WEIGHT * (newest - before)
-    level.work_ms.clear()
-    fitting = fitting_level(level, TARGET_SHARE * max(1, gate.slots), backlog_by_rank(gate))
+    level.work.clear()
+    fitting = fitting_level(level, room, backlog)
     if fitting > level.level:
         fitting = min(fitting, level.level + RISE_PART * max(1.0, fitting - level.level))
     level.level = fitting
--- a/packages/basilhill/src/basilhill/levels.py
+++ b/packages/basilhill/src/basilhill/levels.py
@@ -2,6 +2,9 @@
 
 from attrs import define, field
 
+# Above the ranks of all requests: priorities of configurations are small numbers.
+HIGHEST_LEVEL = 40.0
+
 
 @define(eq=False)
 class AdmissionLevel:
@@ -15,8 +18,9 @@
     highest: float
     level: float
     adjusted_ms: int = 0
-    work_ms: dict[int, float] = field(factory=dict)
-    # Slots that the requests of each rank would fill.
+    # Slot time in ms, or expected retries, of the calls since then by rank.
+    work: dict[int, float] = field(factory=dict)
+    # Work a millisecond of the requests of each rank.
     demand: dict[int, float] = field(factory=dict)
 
 
--- a/packages/basilhill/src/basilhill/queries/cohorts.py
+++ b/packages/basilhill/src/basilhill/queries/cohorts.py
@@ -4,6 +4,8 @@
 
 from basilhill.calls import COHORTS, Arrival
 
+HASH_BYTES = 4
+HASHES = 256**HASH_BYTES
 # No customer stays in a refused cohort for longer, however long the overload lasts.
 COHORT_PERIOD_MS = 60_000
 
@@ -23,4 +25,14 @@
 
 def cohort_of(name: str) -> int:
     """Return the cohort that a name hashes to."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest()) % COHORTS
+    return hash_of(name) % COHORTS
+
+
+def place_of(name: str) -> float:
+    """Return the place from 0 to 1 that a name hashes to, the same on all nodes."""
+    return hash_of(name) / HASHES
+
+
+def hash_of(name: str) -> int:
+    """Return a number below HASHES that does not change between processes."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=HASH_BYTES).digest())
--- a/packages/basilhill/tests/test_retry_quota.py
+++ b/packages/basilhill/tests/test_retry_quota.py
@@ -1,8 +1,20 @@
 """Tests of the retries that a node may send to a service."""
 
-from basilhill.commands.retry_quota import count_request, spend_retry_quota
+from random import Random
+
+from basilhill.commands.retry_quota import (
+    count_expected_retries,
+    count_request,
+    record_arrival,
+    spend_retry_quota,
+)
+from basilhill.queries.cohorts import place_of
+from basilhill.queries.levels import admitted_share
 from basilhill.retry_quota import RetryQuota
 
+# Calls of an action, one after the other.
+CALLS = 5
+
 
 def test_retries_are_a_share_of_the_requests_of_the_window():
     quota = RetryQuota(0.2, 10_000, 0.0)
@@ -24,3 +36,65 @@
     for _ in range(4):
         count_request(quota, 0, repeated=True)
     assert not spend_retry_quota(quota, 0)
+
+
+class SheddingService:
+    """Send actions of several calls in turn to servers that refuse a share of the calls."""
+
+    def __init__(self, refused: float, rates: dict[int, int]) -> None:
+        self.random = Random(5)
+        self.refused = refused
+        self.rates = rates
+        self.quota = RetryQuota(0.2, 10_000, 0.0)
+        self.actions = dict.fromkeys(rates, 0)
+        self.completed = dict.fromkeys(rates, 0)
+
+    def run(self, start_ms: int, end_ms: int) -> None:
+        """Begin actions of each rank at a rate per second."""
+        for now_ms in range(start_ms, end_ms):
+            for rank, rate in self.rates.items():
+                if self.random.random() < rate / 1000:
+                    self.act(rank, now_ms)
+
+    def act(self, rank: int, now_ms: int) -> None:
+        """Make the calls of an action until one of them is lost."""
+        self.actions[rank] += 1
+        place = place_of(f"{now_ms}/{rank}")
+        if all(self.call(rank, place, now_ms) for _ in range(CALLS)):
+            self.completed[rank] += 1
+
+    def call(self, rank: int, place: float, now_ms: int) -> bool:
+        """Send a call, and again as long as it is refused and its action gets retries."""
+        count_request(self.quota, now_ms)
+        count_expected_retries(self.quota, rank, now_ms)
+        while True:
+            refused = self.random.random() < self.refused
+            record_arrival(self.quota, refused)
+            if not refused:
+                return True
+            admitted = place < admitted_share(self.quota.level.level, rank)
+            if not (admitted and spend_retry_quota(self.quota, now_ms)):
+                return False
+
+
+def test_shedding_servers_leave_the_retries_to_the_most_urgent_actions():
+    """Guards against retries spread over actions of which each then loses one of its calls.
+
+    Without retries 1 in 32 actions completes. The quota holds about 1,000 retries a second for
+    the first seconds, and an action needs 5: there are enough for the urgent ones only.
+    """
+    service = SheddingService(0.0, {0: 100, 2: 900})
+    service.run(0, 10_000)
+    service.refused = 0.5
+    service.run(10_000, 10_500)
+    service.actions, service.completed = {0: 0, 2: 0}, {0: 0, 2: 0}
+    service.run(10_500, 13_500)
+    assert service.completed[0] > 0.9 * service.actions[0]
+    assert service.completed[0] / service.actions[0] > 2 * service.completed[2] / service.actions[2]
+
+
+def test_few_refusals_leave_retries_to_everybody():
+    service = SheddingService(0.08, {0: 100, 2: 200})
+    service.run(0, 10_000)
+    for rank, actions in service.actions.items():
+        assert service.completed[rank] > 0.97 * actions
--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -20,6 +20,8 @@
     # Status of the answers, 200 for a success.
     status: int = 200
     rejects: bool = False
+    # Sends of each request that are refused before one is run.
+    rejects_first: int = 0
     resets: bool = False
     draining: bool = False
     # Path of a call that each run makes through the node at this address.
@@ -40,7 +42,7 @@
         self.headers.append(dict(request.headers))
         if request.headers.get("Basilhill-Target-Instance") != self.server_id:
             return web.Response(status=421, headers=echo | {"Basilhill-Instance-Id": "i-other"})
-        if self.rejects:
+        if self.rejects or self.arrivals[attempt] <= self.rejects_first:
             return web.Response(status=503, headers=echo | {"Basilhill-Not-Executed": "1"})
         self.runs[attempt] += 1
         self.running += 1
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -72,6 +72,23 @@
     assert sorted(runs) == [0, 1]
 
 
+async def test_request_that_the_only_server_refused_is_sent_to_it_again(fleet):
+    """Guards against calls lost to a server that sheds a share of them while it has slots."""
+    server = fleet.machines[2].server
+    server.rejects_first = 2
+    answer = await fleet.ask(fleet.machines[0], "/write/x", "POST", b"1")
+    assert answer.status == 200
+    assert (server.arrivals[answer.attempt], server.runs[answer.attempt]) == (3, 1)
+
+
+async def test_request_that_is_always_refused_ends_with_a_refusal_soon(fleet):
+    server = fleet.machines[2].server
+    server.rejects = True
+    answer = await fleet.ask(fleet.machines[0], "/write/x", "POST", b"1")
+    assert answer.status == 503 and "retry-after" in answer.headers
+    assert server.arrivals[answer.attempt] <= 8
+
+
 async def test_request_that_a_server_did_not_run_goes_to_another_one(fleet):
     second = await fleet.add("deposits", "b")
     await fleet.settled(3)
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -52,7 +52,8 @@
         # Seen on the wire, not in the pages: the id of a call that a server makes begins with the
         # id of the request that it runs. An id of another form only loses the parent's rank.
         parent_id = request_id.rpartition(ID_SEPARATOR)[0] or None
-        return RequestTerms(request_id, deadline_ms, host, parent_id)
+        action_id = request_id.partition(ID_SEPARATOR)[0]
+        return RequestTerms(request_id, deadline_ms, host, parent_id, action_id)
 
     def client_headers(self, request: HttpRequest) -> list[Header]:
         """Return the headers of a client that a server gets."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -20,6 +20,7 @@
 from expression import Error
 
 from basilhill_node.sidecar.commands.execute_call import ServerGate
+from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.dialect import Dialect
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.open_requests import OpenRequest
@@ -44,6 +45,7 @@
     origin: OriginState
     gate: ServerGate
     peers: PeerStreams
+    retries: RetryBudget
     dialect: Dialect
     clock: Clock
 
@@ -63,7 +65,7 @@
             # All gates together may hold a request for its patience.
             max(0, min(opened.patience_ms - (now_ms - opened.arrived_ms), opened.ends_ms - now_ms)),
             call_rank(opened.rank, opened.depth),
-            opened.repeated or opened.reached > 0,
+            opened.repeated or opened.sends > 0,
             opened.share,
             opened.request.method,
             opened.request.target,
@@ -105,7 +107,7 @@
         target = target_of(self.origin.loads, entry.server_id)
         now_ms = self.clock.now_ms()
         if outcome.is_ok():
-            opened.reached += 1
+            self.record_reached(opened, entry, refused=False)
             status = outcome.ok.status
             record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
             if status < SERVER_ERROR:
@@ -113,7 +115,7 @@
             return
         reason = outcome.error.reason
         if outcome.error.verdict is Verdict.MAY_HAVE_RUN or reason in SERVER_REFUSALS:
-            opened.reached += 1
+            self.record_reached(opened, entry, reason is Reason.SERVER_REFUSED)
         else:
             opened.refused += 1
         if reason in (Reason.LEAVING, Reason.MISDIRECTED):
@@ -131,3 +133,13 @@
                 server=entry.server_id,
                 problem=outcome.error.text,
             )
+
+    def record_reached(self, opened: OpenRequest, entry: BackendEntry, refused: bool) -> None:
+        """Record that a request reached a server, which may have refused it."""
+        opened.sends += 1
+        opened.reached.add(entry.server_id)
+        if refused:
+            opened.refused_by.add(entry.server_id)
+        else:
+            opened.refused_by.discard(entry.server_id)
+        self.retries.record(opened, refused)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -4,15 +4,13 @@
 from typing import Any
 
 from attrs import define, evolve
-from basilhill.backends import BackendDirectory
+from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
 from basilhill.commands.levels import record_called
-from basilhill.commands.retry_quota import count_request, spend_retry_quota
 from basilhill.configuration import Route
-from basilhill.queries.balancing import choose_backend, least_failure_rate
+from basilhill.queries.balancing import choose_backend
 from basilhill.queries.configuration import find_route, split_service
 from basilhill.queries.levels import admitted_share, route_level
-from basilhill.retry_quota import RetryQuota
 from basilhill.verdicts import (
     CallReply,
     Outcome,
@@ -32,6 +30,7 @@
     SERVER_REFUSALS,
     CallSender,
 )
+from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.dialect import Dialect, MalformedTerms, RequestTerms
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.open_requests import OpenRequest
@@ -48,10 +47,6 @@
 CLOSING_RETRY_MS = 50
 # Clients that are refused for load come back after these shares of their time, spread evenly.
 RETRY_AFTER_SHARE = (0.04, 0.12)
-# Part of the fleet's retry budget that nodes spend, since they start with an empty history.
-QUOTA_SHARE = 0.6
-# Above this share of failures at the best server of a service, its failures are not retried.
-COMMON_FAILURE_RATE = 0.1
 
 
 @define(eq=False)
@@ -64,6 +59,7 @@
     directory: BackendDirectory
     gate: ServerGate
     sender: CallSender
+    retries: RetryBudget
     dialect: Dialect
     metrics: Metrics
     clock: Clock
@@ -123,8 +119,7 @@
             record_called(self.origin.levels, parent.route, route.name)
             rank, depth, patience_ms = parent.rank, parent.depth + 1, LONGEST_MS
             repeated, share = parent.repeated, parent.share
-        count_request(self.quota(service), arrived_ms, repeated)
-        return OpenRequest(
+        opened = OpenRequest(
             request,
             terms,
             route,
@@ -138,6 +133,8 @@
             patience_ms,
             share,
         )
+        self.retries.count(opened)
+        return opened
 
     def level_refusal(self, opened: OpenRequest) -> Refusal | None:
         """Return the refusal of a customer's request for which its servers have no room."""
@@ -153,19 +150,6 @@
         given_ms = opened.deadline_ms - opened.arrived_ms
         return int(given_ms * self.origin.random.uniform(*RETRY_AFTER_SHARE)) + 1
 
-    def quota(self, service: str) -> RetryQuota:
-        """Return the retries that this node may send to a service."""
-        quota = self.origin.quotas.get(service)
-        if quota is None:
-            quota = self.origin.quotas[service] = RetryQuota(
-                self.settings.retry_ratio * QUOTA_SHARE,
-                self.settings.retry_window_ms,
-                0.0,
-            )
-        nodes = max(1, len(self.directory.entries))
-        quota.minimum = self.settings.retry_minimum * QUOTA_SHARE / nodes
-        return quota
-
     def finish(
         self,
         terms: RequestTerms,
@@ -175,7 +159,7 @@
     ) -> HttpResponse:
         """Count and log the outcome of a request and return its response."""
         took_ms = self.clock.now_ms() - arrived_ms
-        retries = max(0, opened.reached - 1) if opened else 0
+        retries = max(0, opened.sends - 1) if opened else 0
         route = opened.route.name if opened else NO_ROUTE
         self.metrics.record_action(route, CallReply(outcome, retries), took_ms * 1000)
         if outcome.is_ok():
@@ -206,7 +190,8 @@
                 "depth": opened.depth,
                 "admitted_share": round(opened.share, 2),
                 "servers": sorted(opened.tried),
-                "reached": opened.reached,
+                "reached": len(opened.reached),
+                "sends": opened.sends,
                 "refusals": opened.refused,
                 "left_ms": opened.ends_ms - self.clock.now_ms(),
             }
@@ -224,14 +209,7 @@
         """Try servers in turn."""
         last = not_run(Reason.NO_SERVER, f"no server of {opened.service} is known", 500)
         while True:
-            entry = choose_backend(
-                self.directory,
-                self.origin.loads,
-                opened.service,
-                self.clock.now_ms(),
-                self.origin.random,
-                frozenset(opened.tried),
-            )
+            entry = self.next_server(opened)
             if entry is None:
                 return self.give_up(opened, last)
             outcome = await self.sender.send(opened, entry)
@@ -239,21 +217,42 @@
                 if outcome.ok.status < SERVER_ERROR or outcome.ok.status == GATEWAY_TIMEOUT:
                     return outcome
                 opened.failed = outcome.ok
-                repeatable = opened.route.idempotent and not self.failure_is_common(opened)
-                if not (repeatable and self.may_repeat(opened)):
+                if not self.retries.may_repeat_failed(opened):
                     return outcome
                 continue
             last = outcome.error
             if last.verdict is Verdict.MAY_HAVE_RUN:
                 opened.uncertain = last
-                if not (opened.route.idempotent and self.may_repeat(opened)):
+                if not self.retries.may_repeat(opened):
                     return self.give_up(opened, last)
             elif last.reason in SERVER_REFUSALS:
-                if not self.may_repeat(opened):
+                if not self.retries.may_resend(opened):
                     return self.give_up(opened, last)
             elif last.reason is Reason.SUSPECT or opened.refused >= GATES_TRIED:
                 return self.give_up(opened, last)
 
+    def next_server(self, opened: OpenRequest) -> BackendEntry | None:
+        """Return a new server if the route allows one more, else one that refused the request."""
+        entry = None
+        if opened.may_reach_another():
+            entry = self.choose(opened, frozenset(opened.tried))
+        if entry is None and opened.refused_by:
+            listed = self.directory.services.get(opened.service, ())
+            others = frozenset(e.server_id for e in listed) - opened.refused_by
+            entry = self.choose(opened, others)
+        return entry
+
+    def choose(self, opened: OpenRequest, excluded: frozenset[str]) -> BackendEntry | None:
+        """Return the best server of a request's service that is not excluded."""
+        return choose_backend(
+            self.directory,
+            self.origin.loads,
+            opened.service,
+            self.clock.now_ms(),
+            self.origin.random,
+            excluded,
+        )
+
     def give_up(self, opened: OpenRequest, last: Refusal) -> Outcome:
         """Return the final outcome of a request that no further server gets."""
         if opened.failed is not None:
@@ -261,14 +260,3 @@
         if opened.uncertain is not None or last.verdict is Verdict.MAY_HAVE_RUN:
             return Error(opened.uncertain or last)
         return Error(evolve(last, retry_after_ms=self.retry_after_ms(opened)))
-
-    def failure_is_common(self, opened: OpenRequest) -> bool:
-        """Tell whether all servers of a service fail often, so that another would fail too."""
-        rate = least_failure_rate(self.directory, self.origin.loads, opened.service)
-        return rate > COMMON_FAILURE_RATE
-
-    def may_repeat(self, opened: OpenRequest) -> bool:
-        """Tell whether a request that has reached a server may reach another one."""
-        return opened.reached < opened.route.attempts and spend_retry_quota(
-            self.quota(opened.service), self.clock.now_ms()
-        )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/update_view.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/update_view.py
@@ -106,4 +106,3 @@
         )
         if entry.address == self.settings.backend_address:
             self.gate.slots.slots = entry.slots
-            self.gate.server_id = entry.server_id
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -18,6 +18,8 @@
     host: str
     # The running request within which a backend server makes this one, where its id tells.
     parent_id: str | None = None
+    # The customer's request from which the calls below it come.
+    action_id: str = ""
 
 
 @frozen
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -22,6 +22,7 @@
 from basilhill_node.sidecar.commands.screen_request import CrashScreen
 from basilhill_node.sidecar.commands.send_call import CallSender
 from basilhill_node.sidecar.commands.serve_request import Origin
+from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.commands.update_view import ViewUpdater
 from basilhill_node.sidecar.dialect import Dialect
 from basilhill_node.sidecar.event_log import EventLog
@@ -126,7 +127,8 @@
     gate = ServerGate(state.gate, state.directory, state.life, screen, dialect, clock, log)
     follower = StoreFollower(store, decoder, updater, state.store, clock, log)
     peers = PeerStreams(news, clock, log)
-    sender = CallSender(settings, state.origin, gate, peers, dialect, clock)
+    retries = RetryBudget(settings, state.origin, state.directory, clock)
+    sender = CallSender(settings, state.origin, gate, peers, retries, dialect, clock)
     origin = Origin(
         settings,
         state.origin,
@@ -134,6 +136,7 @@
         state.directory,
         gate,
         sender,
+        retries,
         dialect,
         state.metrics,
         clock,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -10,7 +10,7 @@
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock
 from basilhill.configuration import Configuration, RequestLimits
-from basilhill.levels import AdmissionLevel, RouteLevels
+from basilhill.levels import HIGHEST_LEVEL, AdmissionLevel, RouteLevels
 from basilhill.retry_quota import RetryQuota
 from basilhill.slots import SlotGate
 from basilhill.suspects import SuspectTable
@@ -23,8 +23,6 @@
 # Slots of the own server until its entry is read; servers have 13 and more.
 UNKNOWN_SLOTS = 10
 SUSPECT_TTL_MS = 60_000
-# Above the ranks of all requests: priorities of configurations are small numbers.
-HIGHEST_LEVEL = 40.0
 
 
 @define
@@ -116,7 +114,6 @@
     level: AdmissionLevel = field(factory=lambda: AdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL))
     running: dict[str, RunningCall] = field(factory=dict)
     waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
-    server_id: str = ""
     # Ids that the own server has denied; calls to them would only reach it in vain.
     denied_ids: set[str] = field(factory=set)
     suspects: SuspectTable = field(factory=lambda: SuspectTable(SUSPECT_TTL_MS))
