Pause longer between watches while changes go on, and free closed connections at once

A closed connection and its parser refer to each other, and collections of the oldest generation hardly come.

Change: the pause after a watch doubles from 250 to 750 ms while changes come within it; connections drop their parser.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -21,8 +21,10 @@
 # The longest wait that the store allows is 30 s; each call is priced.
 WATCH_MS = 25_000
 # Changes often come in groups; the next watch begins this long after a change, so that one call
-# brings the rest of the group. The tightest bound for a change is 2 s.
+# brings the rest of the group. The pause doubles while changes go on, as when a fleet restarts
+# and each server reports several times how cold it is. The tightest bound for a change is 2 s.
 COALESCE_MS = 250
+COALESCE_MAX_MS = 750
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1_000
 # Servers register again within about 2 s of the store's return.
@@ -30,6 +32,15 @@
 SOURCE = "store"
 
 
+def next_pause_ms(pause_ms: int, events: int, waited_ms: int) -> int:
+    """Return the pause after a watch: longer ones as long as changes come within them."""
+    if not events:
+        return 0
+    if waited_ms > COALESCE_MS:
+        return COALESCE_MS
+    return min(COALESCE_MAX_MS, max(COALESCE_MS, 2 * pause_ms))
+
+
 @define(eq=False)
 class StoreFollower:
     """Keep the configuration and the directory as the store has them."""
@@ -76,19 +87,21 @@
 
     async def watch(self) -> None:
         """Take changes as they come until the store fails."""
+        pause_ms = 0
         while True:
             held_ms = min(self.updater.directory.held_until_ms.values(), default=None)
             wait_ms = WATCH_MS
             if held_ms is not None:
                 wait_ms = max(1, min(WATCH_MS, held_ms - self.clock.now_ms()))
+            begun_ms = self.clock.now_ms()
             seen = await self.store.watch(self.view.revision, wait_ms)
             now_ms = self.clock.now_ms()
             self.note_contact(now_ms, max(self.view.revision, seen.revision))
             for item in seen.events:
                 self.apply_event(item)
             self.updater.expire(now_ms)
-            if seen.events:
-                await asyncio.sleep(COALESCE_MS / 1000)
+            pause_ms = next_pause_ms(pause_ms, len(seen.events), now_ms - begun_ms)
+            await asyncio.sleep(pause_ms / 1000)
 
     def apply_event(self, item: StoredItem) -> None:
         """Take one change."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -98,6 +98,8 @@
         """Fail the request in flight."""
         self.usable = False
         self.fail(f"the connection was lost: {error!r}" if error else "the connection was closed")
+        # The parser refers back to the connection; collections come too rarely to free the pair.
+        self.parser = None
 
     def on_message_begin(self) -> None:
         """Start a response."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -150,6 +150,8 @@
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
+        # The parser refers back to the connection; collections come too rarely to free the pair.
+        self.parser = None
 
     def pause_writing(self) -> None:
         """Hold answers back while the client does not read."""
