--- a/packages/basilhill/src/basilhill/commands/slots.py
+++ b/packages/basilhill/src/basilhill/commands/slots.py
@@ -59,6 +59,11 @@
     gate.service_ms += SERVICE_WEIGHT * (held_ms - gate.service_ms)
 
 
+def return_slot(gate: SlotGate) -> None:
+    """Free a slot that its call never used."""
+    gate.in_flight -= 1
+
+
 def start_next(gate: SlotGate) -> SlotRequest | None:
     """Give a free slot to the first waiting call and return it."""
     if not gate.waiting or gate.in_flight >= gate.slots:
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -13,6 +13,7 @@
     configuration,
     path_rule,
 )
+from basilhill_node.sidecar import node as node_module
 from basilhill_node.sidecar.commands.screen_request import CrashScreen
 from basilhill_node.sidecar.node import leave
 
@@ -235,6 +236,37 @@
     assert leaving.node.state.clock.now_ms() - leaving.node.state.life.started_ms < 5_000
 
 
+async def test_node_that_must_stop_answers_what_waits_behind_a_slow_request(fleet, monkeypatch):
+    """Guards against a ready answer that is lost behind an earlier request of its connection."""
+    monkeypatch.setattr(node_module, "LEAVE_MS", 300)
+    node = fleet.machines[0].node
+    node.state.settings.grace_ms = 600 + node_module.GRACE_MARGIN_MS
+    fleet.machines[2].server.run_ms = 1_800
+    reader, writer = await asyncio.open_connection(fleet.machines[0].address, CLIENT_PORT)
+    for path, attempt in (("/write/x", "slow"), ("/read/x", "quick")):
+        writer.write(
+            f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nBasilhill-Attempt-Id: {attempt}\r\n"
+            "Basilhill-Deadline-Ms: 2000\r\n\r\n".encode()
+        )
+    await fleet.until(lambda: fleet.machines[2].server.running == 1)
+    await leave(node)
+    received = await reader.read()
+    assert received.index(b"HTTP/1.1 504") < received.index(b"HTTP/1.1 200")
+    assert received.endswith(b"GET /read/x ")
+
+
+async def test_request_lost_on_a_kept_connection_counts_as_a_retry(fleet):
+    """Guards against arrivals beyond the budget while a server resets the answers of its runs."""
+    for _ in range(3):
+        await fleet.ask(fleet.machines[0], "/read/x")
+    servers = [machine.server for machine in fleet.machines[:2]]
+    for server in servers:
+        server.resets = True
+    answer = await fleet.ask(fleet.machines[0], "/read/x")
+    assert answer.status == 502
+    assert [server.arrivals[answer.attempt] for server in servers] == [1, 1]
+
+
 async def test_client_that_leaves_stops_the_run_on_another_vm(fleet):
     server = fleet.machines[2].server
     server.run_ms = 1_500
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -6,7 +6,13 @@
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
 from basilhill.commands.levels import adjust_level, count_work
-from basilhill.commands.slots import release_slot, request_slot, start_next, withdraw_request
+from basilhill.commands.slots import (
+    release_slot,
+    request_slot,
+    return_slot,
+    start_next,
+    withdraw_request,
+)
 from basilhill.queries.ranks import split_rank
 from basilhill.queries.slots import drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
@@ -33,6 +39,9 @@
 # A call that cannot be repeated uses a connection only if the server used it this lately, because
 # a server may close an idle connection while the request is on its way.
 UNREPEATABLE_IDLE_MS = 1_000
+# A connection lost after a shorter idle time tells nothing of the others: the server was resetting
+# the answers of requests that it ran.
+FORGOTTEN_IDLE_MS = 500
 
 
 @define(eq=False)
@@ -115,7 +124,7 @@
             return self.overload_refusal()
         except asyncio.CancelledError:
             if granted(waiter):
-                release_slot(slots, slots.service_ms)
+                return_slot(slots)
                 self.start_waiting()
             raise
         finally:
@@ -125,17 +134,21 @@
     def start_waiting(self) -> None:
         """Give free slots to waiting calls."""
         while (request := start_next(self.gate.slots)) is not None:
-            self.settle(request, None)
+            if not self.settle(request, None):
+                # The call was cancelled in this turn of the loop and has not withdrawn yet.
+                return_slot(self.gate.slots)
 
     def refuse_waiting(self, request: SlotRequest) -> None:
         """Refuse a waiting call that more urgent ones displaced."""
         self.settle(request, self.overload_refusal())
 
-    def settle(self, request: SlotRequest, refusal: Refusal | None) -> None:
-        """Wake the task of a waiting call."""
+    def settle(self, request: SlotRequest, refusal: Refusal | None) -> bool:
+        """Wake the task of a waiting call; return whether it still waited."""
         waiter = self.gate.waiters.get(request.sequence)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(refusal)
+        if waiter is None or waiter.done():
+            return False
+        waiter.set_result(refusal)
+        return True
 
     def overload_refusal(self) -> Refusal:
         """Return the refusal of a call for which there is no slot in time."""
@@ -157,19 +170,23 @@
         return await self.exchange(call, data)
 
     async def exchange(self, call: Execute, data: bytes) -> Outcome:
-        """Send the bytes of a call on a connection of its own."""
+        """Send the bytes of a call on a connection of its own.
+
+        A request that is lost on a kept connection is not sent again here: the server may have
+        run it, and whether the budget allows another arrival is known to its origin only.
+        """
         pool = self.gate.pool
         longest_idle_ms = IDLE_MS if call.idempotent else UNREPEATABLE_IDLE_MS
         try:
             connection = await pool.take(longest_idle_ms)
-            reused = connection.used
+            idle_ms = connection.idle_for_ms()
             try:
                 return await self.send(connection, call, data)
             except ConnectionFailedError:
-                if not (reused and call.idempotent):
-                    raise
-            # The server had closed the idle connection before it read the request.
-            return await self.send(await pool.connect(), call, data)
+                if connection.reused and idle_ms >= FORGOTTEN_IDLE_MS:
+                    # The server has probably dropped those that were idle for as long, too.
+                    pool.drop_idle(idle_ms)
+                raise
         except ConnectionFailedError as error:
             if error.sent:
                 return Error(may_have_run(Reason.CONNECTION_LOST, str(error)))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -200,11 +200,21 @@
     async def dispatch(self, opened: OpenRequest) -> Outcome:
         """Send a request to servers until one answers or no further one may try."""
         try:
-            async with asyncio.timeout((opened.ends_ms - self.clock.now_ms()) / 1000):
-                return await self.try_servers(opened)
+            async with asyncio.timeout((opened.ends_ms - self.clock.now_ms()) / 1000) as timeout:
+                self.origin.timeouts.add(timeout)
+                try:
+                    return await self.try_servers(opened)
+                finally:
+                    self.origin.timeouts.discard(timeout)
         except TimeoutError:
             return Error(may_have_run(Reason.DEADLINE, "no answer in time"))
 
+    def end_all(self) -> None:
+        """Let the time of all requests end now, so that each one still gets an answer."""
+        now_s = asyncio.get_running_loop().time()
+        for timeout in tuple(self.origin.timeouts):
+            timeout.reschedule(now_s)
+
     async def try_servers(self, opened: OpenRequest) -> Outcome:
         """Try servers in turn."""
         last = not_run(Reason.NO_SERVER, f"no server of {opened.service} is known", 500)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -56,7 +56,7 @@
         self.accepts: Callable[[list[Header]], bool] | None = None
         self.bodiless = False
         self.usable = True
-        self.used = False
+        self.requests = 0
         self.ended = False
         self.idle_since_ms = clock.now_ms()
         self.idle_ms = IDLE_MS
@@ -157,7 +157,7 @@
             raise ConnectionFailedError("the connection is closed", sent=False)
         self.accepts = accepts
         self.bodiless = bodiless
-        self.used = True
+        self.requests += 1
         self.waiter = waiter = asyncio.get_running_loop().create_future()
         self.transport.write(data)
         try:
@@ -168,10 +168,19 @@
                 self.close()
             self.idle_since_ms = self.clock.now_ms()
 
+    @property
+    def reused(self) -> bool:
+        """Tell whether the connection has carried more than one request."""
+        return self.requests > 1
+
+    def idle_for_ms(self) -> int:
+        """Return how long the connection has been idle."""
+        return self.clock.now_ms() - self.idle_since_ms
+
     def is_fresh(self, longest_idle_ms: int) -> bool:
         """Tell whether the connection may carry another request."""
-        idle_ms = self.clock.now_ms() - self.idle_since_ms
-        return self.usable and not self.in_message and idle_ms < min(self.idle_ms, longest_idle_ms)
+        longest_ms = min(self.idle_ms, longest_idle_ms)
+        return self.usable and not self.in_message and self.idle_for_ms() < longest_ms
 
     def close(self) -> None:
         """Close at once; nothing that is left to send matters."""
@@ -240,9 +249,15 @@
 
     def close_idle(self) -> None:
         """Close the connections that were idle for long."""
-        kept = [connection for connection in self.idle if connection.is_fresh(IDLE_MS)]
+        self.drop_idle(IDLE_MS)
+
+    def drop_idle(self, idle_ms: int) -> None:
+        """Close the connections that were idle for some time, and those that may not be used."""
+        kept = []
         for connection in self.idle:
-            if connection not in kept:
+            if connection.is_fresh(idle_ms):
+                kept.append(connection)
+            else:
                 connection.close()
         self.idle = kept
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -47,8 +47,11 @@
 SWEEP_S = 1.0
 # The platform takes a node out after two misses of a question a second.
 LEAVE_MS = 2_200
-# Time before the kill that is left for closing.
-GRACE_MARGIN_MS = 1_000
+# Time before the kill that is left for the last answers and for closing: the platform excuses
+# requests that servers are still at work on in the last sixth of the grace time, 1 s.
+GRACE_MARGIN_MS = 900
+# The last answers leave within this time after their requests have ended.
+LAST_ANSWERS_MS = 150
 QUIET_POLL_S = 0.05
 # Reference counts free nearly all objects; the usual threshold of 700 new objects collects several
 # times a second for nothing.
@@ -230,7 +233,10 @@
     while waits_for_calls(node) and state.clock.now_ms() - started_ms < longest_ms:
         node.front.leave()
         await asyncio.sleep(QUIET_POLL_S)
-    state.log.record("node", "stopped", cut_off=state.origin.open_requests)
+    cut_off = state.origin.open_requests
+    node.origin.end_all()
+    await asyncio.sleep(LAST_ANSWERS_MS / 1000)
+    state.log.record("node", "stopped", cut_off=cut_off)
     close_sidecar(node)
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -108,8 +108,8 @@
         self.log.record("peer", event)
 
     def close(self) -> None:
-        """Stop listening and close all streams."""
+        """Stop listening and close all streams, the last replies sent."""
         if self.server is not None:
             self.server.close()
         for connection in tuple(self.streams):
-            connection.close()
+            connection.finish()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -90,6 +90,8 @@
     split_offset: float = 0.0
     quotas: dict[str, RetryQuota] = field(factory=dict)
     open_requests: int = 0
+    # Ends of the requests that wait for servers, so that a node which must stop can answer them.
+    timeouts: set[asyncio.Timeout] = field(factory=set)
     random: Random = field(factory=Random)
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -75,3 +75,8 @@
         """Close at once."""
         if self.transport is not None:
             self.transport.abort()
+
+    def finish(self) -> None:
+        """Close after what was sent has left."""
+        if self.transport is not None:
+            self.transport.close()
