Add a randomized fault soak of the node programs

It runs six node programs behind proxies that delay, reset, silence or cut one way the streams between nodes and the ways to servers; it stops, pauses, kills and restarts nodes, lets the store be down, silent, slow or forgetful, moves a route, replaces servers and changes settings, in four series that overlap. Clocks are not stepped: nodes decide by the steady clock only.

--- a/Makefile
+++ b/Makefile
@@ -7,13 +7,15 @@
 MODE ?= basilhill
 SEED ?= 1
 DISABLE ?=
+COUNT ?= 1
+SECONDS ?= 12
 
 # The sources of this checkout go before installed packages, also in processes that tests start.
 empty :=
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(PACKAGES:%=$(CURDIR)/%/src))
 
-.PHONY: setup demo test measure lint format generate
+.PHONY: setup demo test measure soak lint format generate
 
 setup: $(VENV)/.ready
 
@@ -33,6 +35,9 @@
 	$(BIN)/python tools/measure.py --scenario $(SCENARIO) --workload $(WORKLOAD) --mode $(MODE) --seed $(SEED) \
 		--disable $(DISABLE)
 
+soak: setup
+	$(BIN)/python tools/soak.py $(if $(SEED),--seed $(SEED)) --count $(COUNT) --seconds $(SECONDS)
+
 lint: setup
 	$(BIN)/black --check -q packages tools
 	$(BIN)/ruff check -q packages tools
--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 from aiohttp import web
 from attrs import define, field
@@ -33,6 +34,8 @@
     runs: Counter[str] = field(factory=Counter)
     headers: list[dict[str, str]] = field(factory=list)
     cancelled: int = 0
+    # Called with id, path and body of each request when its run starts.
+    started: Callable[[str, str, bytes], None] = field(default=lambda *_request: None)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Run one request."""
@@ -49,6 +52,7 @@
         self.most_running = max(self.most_running, self.running)
         try:
             body = await request.read()
+            self.started(attempt, request.path_qs, body)
             await asyncio.sleep(self.run_ms / 1000)
             if not await self.make_call(attempt):
                 return web.Response(status=500, headers=echo | {SIGNATURE: self.server_id})
--- a/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
@@ -19,9 +19,16 @@
     revision: int = 1
     oldest: int = 0
     down: bool = False
+    # Calls hang without an answer while this is not set.
+    answering: asyncio.Event = field(factory=asyncio.Event)
+    delay_s: float = 0.0
     reads: int = 0
     changed: asyncio.Event = field(factory=asyncio.Event)
 
+    def __attrs_post_init__(self) -> None:
+        """Answer from the start."""
+        self.answering.set()
+
     def put(self, key: str, value: dict | bytes) -> None:
         """Write an item."""
         data = value if isinstance(value, bytes) else orjson.dumps(value)
@@ -85,7 +92,13 @@
             except TimeoutError:
                 continue
 
-    app = web.Application()
+    @web.middleware
+    async def misbehave(request: web.Request, handler) -> web.StreamResponse:
+        await state.answering.wait()
+        await asyncio.sleep(state.delay_s)
+        return await handler(request)
+
+    app = web.Application(middlewares=[misbehave])
     app.router.add_get("/basilhill/kv-range", kv_range)
     app.router.add_get("/basilhill/kv-watch", kv_watch)
     return app
--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -0,0 +1,233 @@
+"""A fleet of node programs as processes, each behind proxies, with servers and a store."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from itertools import count
+from pathlib import Path
+from random import Random
+
+import aiohttp
+from aiohttp import web
+from attrs import define, field
+from basilhill.clocks import SystemClock
+
+from basilhill_fakes.fault_proxy import FaultProxy
+from basilhill_fakes.plain_server import ATTEMPT_ID, SIGNATURE, PlainServer, build_server
+from basilhill_fakes.platform_store import PlatformStoreState, build_store
+from basilhill_fakes.sidecar_fleet import HOST, configuration, path_rule
+from basilhill_fakes.soak_records import Attempt, Run, SoakHistory
+
+PEER_PORT, SERVER_PORT, READY_PORT, CLIENT_PORT, STORE_PORT = 8300, 8301, 8302, 8304, 8309
+# The real server listens beside its proxy.
+HIDDEN_SERVER_PORT = 8311
+GRACE_S = 4
+READS = path_rule("r-read", "/read/", "calendar", attempts=3)
+WRITES = path_rule("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
+DEADLINE_MS = 2_000
+READY_S = 15.0
+POLL_S = 0.05
+
+
+@define(eq=False)
+class SoakMachine:
+    """Hold one VM: the node's own address, the proxies that others reach, server and process."""
+
+    number: int
+    address: str
+    outer_address: str
+    server: PlainServer
+    settings_file: Path
+    peer_link: FaultProxy
+    server_link: FaultProxy
+    process: asyncio.subprocess.Process | None = None
+    # Faults that stop or restart the process come one after the other.
+    turn: asyncio.Lock = field(factory=asyncio.Lock)
+
+
+@define(eq=False)
+class SoakFleet:
+    """Run the programs; only processes that it started are ever signalled."""
+
+    directory: Path
+    random: Random
+    history: SoakHistory = field(factory=SoakHistory)
+    clock: SystemClock = field(factory=SystemClock)
+    prefix: str = field(factory=lambda: "127.{}.{}".format(*Random().choices(range(70, 250), k=2)))
+    store: PlatformStoreState = field(factory=PlatformStoreState)
+    machines: list[SoakMachine] = field(factory=list)
+    runners: list[web.AppRunner] = field(factory=list)
+    ids: count = field(factory=lambda: count(1))
+    version: int = 0
+    moved_to: str = "calendar"
+
+    async def start(self, services: tuple[str, ...]) -> None:
+        """Start the store, and a machine for each of the services."""
+        await self.serve(build_store(self.store), f"{self.prefix}.250", STORE_PORT)
+        self.move_route("calendar")
+        for service in services:
+            await self.add_machine(service)
+        await asyncio.gather(*(self.start_node(machine) for machine in self.machines))
+        await asyncio.gather(*(self.wait_ready(machine) for machine in self.machines))
+
+    async def serve(self, app: web.Application, address: str, port: int) -> None:
+        """Serve an application until the fleet stops."""
+        runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=0.1, handler_cancellation=True
+        )
+        await runner.setup()
+        await web.TCPSite(runner, address, port).start()
+        self.runners.append(runner)
+
+    def move_route(self, service: str) -> None:
+        """Put a configuration into the store that sends a route to a service."""
+        self.version += 1
+        self.moved_to = service
+        moved = path_rule("r-move", "/move/", service, attempts=3)
+        self.store.put("op/config", configuration(self.version, READS, WRITES, moved))
+
+    async def add_machine(self, service: str) -> None:
+        """Start the server and the proxies of a new machine and register the server."""
+        number = len(self.machines) + 1
+        address, outer = f"{self.prefix}.{number}", f"{self.prefix}.{number + 100}"
+        server = PlainServer(f"i-{number}", service)
+        server.started = self.run_recorder(server)
+        machine = SoakMachine(
+            number,
+            address,
+            outer,
+            server,
+            self.directory / f"node-{number}.json",
+            FaultProxy(address, PEER_PORT),
+            FaultProxy(address, HIDDEN_SERVER_PORT),
+        )
+        self.machines.append(machine)
+        await self.serve(build_server(server), address, HIDDEN_SERVER_PORT)
+        await machine.peer_link.start(outer, PEER_PORT)
+        await machine.server_link.start(outer, SERVER_PORT)
+        self.register(machine, "ready")
+        self.write_settings(machine, retry_ratio=0.2)
+
+    def run_recorder(self, server: PlainServer):
+        """Return what records the runs of a server."""
+
+        def record(attempt_id: str, path: str, body: bytes) -> None:
+            now_ms = self.clock.now_ms()
+            run = Run(attempt_id, server.server_id, server.service, path, body, now_ms)
+            self.history.runs.append(run)
+
+        return record
+
+    def register(self, machine: SoakMachine, state: str) -> None:
+        """Write the entry of a server."""
+        entry = {
+            "service": machine.server.service,
+            "address": f"{machine.outer_address}:{SERVER_PORT}",
+            "zone": "abc"[machine.number % 3],
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "coldRemainingS": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.put(f"servers/{machine.server.server_id}", entry)
+
+    def write_settings(self, machine: SoakMachine, retry_ratio: float) -> None:
+        """Write the settings file of a node."""
+        ports = {"inbound": PEER_PORT, "outbound": CLIENT_PORT, "ready": READY_PORT}
+        bounds = {
+            "graceS": GRACE_S,
+            "retryBudgetRatio": retry_ratio,
+            "budgetWindowS": 10,
+            "budgetMinRetries": 48,
+        }
+        settings = {
+            "self": {
+                "nodeName": f"node-{machine.number}",
+                "ip": machine.address,
+                "zone": "abc"[machine.number % 3],
+                "service": machine.server.service,
+                "appAddr": f"{machine.outer_address}:{SERVER_PORT}",
+            },
+            "network": {
+                "listen": {name: f"{machine.address}:{port}" for name, port in ports.items()}
+            },
+            "platform": {"platform": {"address": f"{self.prefix}.250:{STORE_PORT}"}},
+            "terms": {"bounds": bounds},
+        }
+        machine.settings_file.write_text(json.dumps(settings))
+
+    async def start_node(self, machine: SoakMachine) -> None:
+        """Start the node of a machine with its log lines in a file."""
+        with (self.directory / f"node-{machine.number}.log").open("ab") as log:
+            machine.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "basilhill_node.platform",
+                env=os.environ | {"BASILHILL_CONFIG": str(machine.settings_file)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, machine: SoakMachine, number: signal.Signals) -> None:
+        """Send a signal to the node of a machine if it still runs."""
+        if machine.process.returncode is None:
+            machine.process.send_signal(number)
+
+    async def wait_ready(self, machine: SoakMachine) -> None:
+        """Wait until a node is ready; TimeoutError when it is not."""
+        url = f"http://{machine.address}:{READY_PORT}/basilhill/ready"
+        async with asyncio.timeout(READY_S), aiohttp.ClientSession() as session:
+            while True:
+                try:
+                    async with session.get(url) as response:
+                        if response.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    # The process has not opened its port yet.
+                    pass
+                await asyncio.sleep(POLL_S)
+
+    async def ask(
+        self, session: aiohttp.ClientSession, machine: SoakMachine, method: str, path: str
+    ) -> Attempt:
+        """Send one client attempt and record its end."""
+        attempt_id = f"a{next(self.ids)}"
+        body = attempt_id.encode() * self.random.randint(1, 200) if method == "POST" else b""
+        path = f"{path}{attempt_id}"
+        sent_ms = self.clock.now_ms()
+        idempotent = method == "GET"
+        attempt = Attempt(attempt_id, machine.number, method, path, body, idempotent, sent_ms)
+        self.history.attempts.append(attempt)
+        headers = {"Host": HOST, ATTEMPT_ID: attempt_id, "Basilhill-Deadline-Ms": str(DEADLINE_MS)}
+        url = f"http://{machine.address}:{CLIENT_PORT}{path}"
+        try:
+            async with (
+                asyncio.timeout(DEADLINE_MS / 1000),
+                session.request(method, url, headers=headers, data=body or None) as response,
+            ):
+                attempt.answer = await response.read()
+                attempt.signature = response.headers.get(SIGNATURE, "")
+                attempt.status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # The connection ended, or the deadline passed: nothing was promised.
+            pass
+        attempt.ended_ms = self.clock.now_ms()
+        if not attempt.status and attempt.ended_ms - attempt.sent_ms >= DEADLINE_MS:
+            # The client gave up; what became of the request is told by the runs alone.
+            attempt.status = 499
+        return attempt
+
+    async def stop(self) -> None:
+        """Stop everything that was started."""
+        for machine in self.machines:
+            if machine.process is not None and machine.process.returncode is None:
+                machine.process.kill()
+                await machine.process.wait()
+            machine.peer_link.close()
+            machine.server_link.close()
+        for runner in self.runners:
+            await runner.cleanup()
