--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
@@ -17,8 +17,11 @@
 from basilhill_node.sidecar.open_requests import OpenRequest
 from basilhill_node.sidecar.state import OriginState, SidecarSettings
 
-# Part of the fleet's retry budget that nodes spend, since they start with an empty history.
-QUOTA_SHARE = 0.6
+# Part of the fleet's ratio that a node spends on its own requests. The rest covers windows that do
+# not begin and end together.
+RATIO_SHARE = 0.75
+# Part of the fleet's minimum that all nodes share: one that restarts has forgotten what it spent.
+MINIMUM_SHARE = 0.5
 # Above this share of failures at the best server of a service, its failures are not retried.
 COMMON_FAILURE_RATE = 0.1
 # Sends of one request to servers that refuse it; 8 refusals in a row at a rate of one half are
@@ -40,12 +43,12 @@
         quota = self.origin.quotas.get(service)
         if quota is None:
             quota = self.origin.quotas[service] = RetryQuota(
-                self.settings.retry_ratio * QUOTA_SHARE,
+                self.settings.retry_ratio * RATIO_SHARE,
                 self.settings.retry_window_ms,
                 0.0,
             )
         nodes = max(1, len(self.directory.entries))
-        quota.minimum = self.settings.retry_minimum * QUOTA_SHARE / nodes
+        quota.minimum = self.settings.retry_minimum * MINIMUM_SHARE / nodes
         return quota
 
     def count(self, opened: OpenRequest) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
@@ -23,6 +24,8 @@
     first = arguments.seed
     if first is None:
         first = SystemRandom().randrange(FRESH_SEEDS)
+    # Raises SystemExit, so that the processes of the fleet end with this one.
+    signal.signal(signal.SIGTERM, lambda *_signal: sys.exit(1))
     failed = 0
     for seed in range(first, first + arguments.count):
         directory = ROOT / "run" / f"soak-{seed}-{int(time.time())}"
