Bound the calls of repeated runs, and see failures that a large service shares

Browsing was run again because some of 30 servers, each seldom asked by one node, always had a clean record, so its failures below did not look common.

Change: a call of a repeated run takes a retry or is refused; failures are common also when the mean of the route is above 0.3. The test of count_request with repeated runs gives way to one over the whole path that also sees the refusal.

--- a/packages/basilhill/src/basilhill/balancing.py
+++ b/packages/basilhill/src/basilhill/balancing.py
@@ -31,3 +31,5 @@
     targets: dict[str, TargetLoad] = field(factory=dict)
     # Usual time to an answer by route, in ms.
     usual_ms: dict[str, float] = field(factory=dict)
+    # Share of the answers of all servers that report a failure, by route.
+    failure_rates: dict[str, float] = field(factory=dict)
--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -14,6 +14,8 @@
 SLOWNESS_MAX = 10.0
 # Weight of the newest outcome in a server's share of failures: about the last 20 calls count.
 FAILURE_WEIGHT = 0.05
+# The same in the share of failures of a route at all servers.
+ROUTE_FAILURE_WEIGHT = 0.05
 
 
 def target_of(loads: LoadTable, server_id: str) -> TargetLoad:
@@ -51,6 +53,12 @@
     count_failure(target, failed)
 
 
+def record_route_outcome(loads: LoadTable, route: str, failed: bool) -> None:
+    """Move the share of failures of a route towards its newest outcome."""
+    before = loads.failure_rates.get(route, 0.0)
+    loads.failure_rates[route] = before + ROUTE_FAILURE_WEIGHT * (float(failed) - before)
+
+
 def record_time(
     loads: LoadTable, target: TargetLoad, route: str, took_ms: int, now_ms: int
 ) -> None:
--- a/packages/basilhill/src/basilhill/commands/retry_quota.py
+++ b/packages/basilhill/src/basilhill/commands/retry_quota.py
@@ -16,12 +16,10 @@
 SPEND_PART = 0.5
 
 
-def count_request(quota: RetryQuota, now_ms: int, repeated: bool = False) -> None:
-    """Count a request; a call made by a repeated run spends a retry, whatever is left."""
+def count_request(quota: RetryQuota, now_ms: int) -> None:
+    """Count a request."""
     quota.requests.append(now_ms)
     drop_old(quota.requests, now_ms - quota.window_ms)
-    if repeated:
-        quota.retries.append(now_ms)
 
 
 def spend_retry_quota(quota: RetryQuota, now_ms: int) -> bool:
--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -17,6 +17,11 @@
 SLOWNESS_HALF_MS = 2_000
 # A cold server serves about half of what its slots promise.
 COLD_FACTOR = 2.0
+# Above this share of failures at the best server of a service, its failures are not retried.
+COMMON_FAILURE_RATE = 0.1
+# Above this share of failures at all servers neither; one bad server of three stays below it,
+# because it gets few calls.
+COMMON_ROUTE_FAILURE_RATE = 0.3
 # A server that fails all requests, while another one fails none, looks this much fuller.
 FAILURE_FACTOR = 8.0
 
@@ -48,6 +53,19 @@
     return min(rates, default=0.0)
 
 
+def failure_is_common(
+    directory: BackendDirectory, loads: LoadTable, service: str, route: str
+) -> bool:
+    """Tell whether the servers of a route fail alike, so that another one would fail too.
+
+    Their best one tells it where a node knows each server well. In a service of many servers some
+    always have a clean record because they were seldom asked, and the mean of the route tells it.
+    """
+    if least_failure_rate(directory, loads, service) > COMMON_FAILURE_RATE:
+        return True
+    return loads.failure_rates.get(route, 0.0) > COMMON_ROUTE_FAILURE_RATE
+
+
 def is_doubtful(loads: LoadTable, entry: BackendEntry, now_ms: int) -> bool:
     """Tell whether a server was ejected or refused a call a moment ago."""
     target = loads.targets.get(entry.server_id)
--- a/packages/basilhill/tests/test_balancing.py
+++ b/packages/basilhill/tests/test_balancing.py
@@ -13,10 +13,11 @@
     record_loss,
     record_refusal,
     record_report,
+    record_route_outcome,
     record_time,
     target_of,
 )
-from basilhill.queries.balancing import choose_backend, load_of
+from basilhill.queries.balancing import choose_backend, failure_is_common, load_of
 
 NEAR = BackendEntry("i-near", "calendar", "10.0.0.1:80", "buc-a", 10)
 FAR = BackendEntry("i-far", "calendar", "10.0.0.2:80", "clj-a", 10)
@@ -140,3 +141,30 @@
     cold = evolve(NEAR, warm_ms=3_000)
     loads = LoadTable("buc-a")
     assert load_of(loads, cold, 0) == 2 * load_of(loads, cold, 3_000)
+
+
+def fail_all(servers: int, calls: int, failing: float) -> tuple[BackendDirectory, LoadTable]:
+    """Return what a node knows after calls to random servers of which a share fails."""
+    directory, loads, random = BackendDirectory(), LoadTable("buc-a"), Random(4)
+    entries = [evolve(NEAR, server_id=f"i-{number}") for number in range(servers)]
+    replace_entries(directory, entries)
+    for _ in range(calls):
+        failed = random.random() < failing
+        record_answer(target_of(loads, random.choice(entries).server_id), failed)
+        record_route_outcome(loads, "browse", failed)
+    return directory, loads
+
+
+def test_failures_that_all_of_many_servers_share_are_not_retried():
+    """Guards against repeats of requests that fail in a service below, each with all its calls.
+
+    A node of a large fleet asks each of 30 servers so seldom that some have never failed.
+    """
+    directory, loads = fail_all(servers=30, calls=80, failing=0.6)
+    assert failure_is_common(directory, loads, "calendar", "browse")
+    assert not failure_is_common(directory, loads, "calendar", "another route")
+
+
+def test_failures_of_a_few_of_many_servers_are_retried():
+    directory, loads = fail_all(servers=30, calls=80, failing=0.1)
+    assert not failure_is_common(directory, loads, "calendar", "browse")
--- a/packages/basilhill/tests/test_retry_quota.py
+++ b/packages/basilhill/tests/test_retry_quota.py
@@ -30,14 +30,6 @@
     assert not spend_retry_quota(quota, 1)
 
 
-def test_calls_of_a_repeated_run_spend_retries():
-    """Guards against one repeat that multiplies into a repeat of each call below it."""
-    quota = RetryQuota(0.2, 10_000, 3.0)
-    for _ in range(4):
-        count_request(quota, 0, repeated=True)
-    assert not spend_retry_quota(quota, 0)
-
-
 class SheddingService:
     """Send actions of several calls in turn to servers that refuse a share of the calls."""
 
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -16,6 +16,7 @@
 from basilhill_node.sidecar import node as node_module
 from basilhill_node.sidecar.commands.screen_request import CrashScreen
 from basilhill_node.sidecar.node import leave
+from basilhill_node.sidecar.state import RunningCall
 
 READS = path_rule("r-read", "/read/", "calendar")
 WRITES = path_rule("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
@@ -255,6 +256,21 @@
     assert received.endswith(b"GET /read/x ")
 
 
+async def test_calls_of_a_repeated_run_take_retries_and_are_refused_without(fleet):
+    """Guards against one repeat that multiplies into a repeat of each call below it."""
+    state = fleet.machines[0].node.state
+    state.gate.running["parent"] = RunningCall("r-up", 0, 0, repeated=True, share=1.0)
+    state.settings.retry_minimum = 4 * len(state.directory.entries)
+    first = await fleet.ask(fleet.machines[0], "/read/x", attempt="parent.1")
+    second = await fleet.ask(fleet.machines[0], "/read/x", attempt="parent.2")
+    assert (first.status, second.status) == (200, 200)
+    assert len(state.origin.quotas["calendar"].retries) == 2
+    refused = await fleet.ask(fleet.machines[0], "/read/x", attempt="parent.3")
+    assert refused.status == 503
+    assert not any(machine.server.arrivals["parent.3"] for machine in fleet.machines)
+    assert (await fleet.ask(fleet.machines[0], "/read/x")).status == 200
+
+
 async def test_request_lost_on_a_kept_connection_counts_as_a_retry(fleet):
     """Guards against arrivals beyond the budget while a server resets the answers of its runs."""
     for _ in range(3):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -10,6 +10,7 @@
     record_loss,
     record_refusal,
     record_report,
+    record_route_outcome,
     record_time,
     target_of,
 )
@@ -109,7 +110,9 @@
         if outcome.is_ok():
             self.record_reached(opened, entry, refused=False)
             status = outcome.ok.status
-            record_answer(target, SERVER_ERROR <= status != GATEWAY_TIMEOUT)
+            failed = SERVER_ERROR <= status != GATEWAY_TIMEOUT
+            record_answer(target, failed)
+            record_route_outcome(self.origin.loads, opened.route.name, failed)
             if status < SERVER_ERROR:
                 record_time(self.origin.loads, target, opened.route.name, took_ms, now_ms)
             return
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -94,7 +94,7 @@
             refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {terms.host}{request.path}")
             return self.finish(terms, Error(refusal), arrived_ms)
         opened = self.open_request(request, terms, route, arrived_ms)
-        refusal = self.level_refusal(opened)
+        refusal = self.retry_refusal(opened) or self.level_refusal(opened)
         outcome = Error(refusal) if refusal else await self.dispatch(opened)
         return self.finish(terms, outcome, arrived_ms, opened)
 
@@ -119,7 +119,7 @@
             record_called(self.origin.levels, parent.route, route.name)
             rank, depth, patience_ms = parent.rank, parent.depth + 1, LONGEST_MS
             repeated, share = parent.repeated, parent.share
-        opened = OpenRequest(
+        return OpenRequest(
             request,
             terms,
             route,
@@ -133,8 +133,13 @@
             patience_ms,
             share,
         )
-        self.retries.count(opened)
-        return opened
+
+    def retry_refusal(self, opened: OpenRequest) -> Refusal | None:
+        """Count a request; return the refusal of a repeated run's call beyond the retry budget."""
+        if self.retries.count(opened):
+            return None
+        text = f"no retries are left for {opened.service} and the calling run is a repeat"
+        return not_run(Reason.OVERLOADED, text, self.retry_after_ms(opened))
 
     def level_refusal(self, opened: OpenRequest) -> Refusal | None:
         """Return the refusal of a customer's request for which its servers have no room."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
@@ -9,7 +9,7 @@
     record_arrival,
     spend_retry_quota,
 )
-from basilhill.queries.balancing import least_failure_rate
+from basilhill.queries.balancing import failure_is_common
 from basilhill.queries.cohorts import place_of
 from basilhill.queries.levels import admitted_share
 from basilhill.retry_quota import RetryQuota
@@ -22,8 +22,6 @@
 RATIO_SHARE = 0.75
 # Part of the fleet's minimum that all nodes share: one that restarts has forgotten what it spent.
 MINIMUM_SHARE = 0.5
-# Above this share of failures at the best server of a service, its failures are not retried.
-COMMON_FAILURE_RATE = 0.1
 # Sends of one request to servers that refuse it; 8 refusals in a row at a rate of one half are
 # 1 in 256.
 MOST_SENDS = 8
@@ -51,11 +49,16 @@
         quota.minimum = self.settings.retry_minimum * MINIMUM_SHARE / nodes
         return quota
 
-    def count(self, opened: OpenRequest) -> None:
-        """Count a new request and the retries that it is expected to need."""
+    def count(self, opened: OpenRequest) -> bool:
+        """Count a new request and the retries that it will need; return whether it may go.
+
+        A call made by a repeated run is an arrival beyond the first for its service. One run again
+        far up multiplies into several such calls, which only the nodes that make them can bound.
+        """
         quota = self.quota(opened.service)
-        count_request(quota, opened.arrived_ms, opened.repeated)
+        count_request(quota, opened.arrived_ms)
         count_expected_retries(quota, opened.rank, opened.arrived_ms)
+        return not opened.repeated or spend_retry_quota(quota, opened.arrived_ms)
 
     def record(self, opened: OpenRequest, refused: bool) -> None:
         """Record that a server took or refused a call."""
@@ -72,8 +75,10 @@
 
         Failures that all servers share have their cause elsewhere.
         """
-        rate = least_failure_rate(self.directory, self.origin.loads, opened.service)
-        return rate <= COMMON_FAILURE_RATE and self.may_repeat(opened)
+        loads, route = self.origin.loads, opened.route.name
+        if failure_is_common(self.directory, loads, opened.service, route):
+            return False
+        return self.may_repeat(opened)
 
     def may_resend(self, opened: OpenRequest) -> bool:
         """Tell whether a request that a server refused may be sent again.
