Keep using the servers of a service whose entries have all lapsed

Ruled out by the log: admission (no level fell), the retry budget.

Change: a service without any listed ready server uses those whose entries vanished without notice; the gate beside them agrees. While another server is listed, nothing changes.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -29,5 +29,5 @@
     entries: dict[str, BackendEntry] = field(factory=dict)
     services: dict[str, list[BackendEntry]] = field(factory=dict)
     held_until_ms: dict[str, int] = field(factory=dict)
-    # Ids of servers that have left, oldest first; they get no new calls from anybody.
-    departed: dict[str, None] = field(factory=dict)
+    # Last entries of servers that are gone by id, oldest first.
+    departed: dict[str, BackendEntry] = field(factory=dict)
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -31,7 +31,7 @@
     if entry is None:
         return False
     directory.services[entry.service].remove(entry)
-    directory.departed[server_id] = None
+    directory.departed[server_id] = entry
     if len(directory.departed) > DEPARTED_KEPT:
         del directory.departed[next(iter(directory.departed))]
     return True
--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -4,6 +4,7 @@
 
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.balancing import LoadTable, TargetLoad
+from basilhill.queries.backends import ready_entries
 
 # A server of another data centre must be emptier by this share of its slots to get a call, since
 # bytes between data centres cost and the way takes longer.
@@ -35,9 +36,7 @@
 ) -> list[BackendEntry]:
     """Return the servers that may get new calls, the doubtful ones only if there is no other."""
     present = [
-        entry
-        for entry in directory.services.get(service, ())
-        if not entry.draining and entry.server_id not in excluded
+        entry for entry in ready_entries(directory, service) if entry.server_id not in excluded
     ]
     sound = [entry for entry in present if not is_doubtful(loads, entry, now_ms)]
     return sound or present
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -3,6 +3,7 @@
 from attrs import evolve
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.commands.backends import expire_held, put_entry, remove_entry, replace_entries
+from basilhill.queries.backends import is_leaving, ready_entries
 
 FIRST = BackendEntry("i-1", "calendar", "10.0.0.1:80", "buc-a", 10)
 SECOND = BackendEntry("i-2", "calendar", "10.0.0.2:80", "buc-a", 10)
@@ -56,3 +57,33 @@
     filled = directory(FIRST, SECOND)
     replace_entries(filled, [FIRST])
     assert filled.entries.keys() == {"i-1"}
+
+
+def test_service_whose_entries_have_all_lapsed_keeps_its_servers():
+    """Guards against a service that is refused whole while its VMs are cut off from the store.
+
+    One of two servers drained before the entry of the other one lapsed.
+    """
+    filled = directory(FIRST, SECOND)
+    put_entry(filled, evolve(FIRST, draining=True))
+    remove_entry(filled, "i-2")
+    assert ready_entries(filled, "calendar") == [SECOND]
+    assert not is_leaving(filled, "i-2")
+    remove_entry(filled, "i-1")
+    assert ready_entries(filled, "calendar") == [SECOND]
+    assert is_leaving(filled, "i-1")
+
+
+def test_vanished_server_gets_nothing_while_another_one_is_listed():
+    filled = directory(FIRST, SECOND)
+    remove_entry(filled, "i-2")
+    assert ready_entries(filled, "calendar") == [FIRST]
+    assert is_leaving(filled, "i-2")
+
+
+def test_vanished_server_whose_address_was_taken_over_gets_nothing():
+    filled = directory(FIRST)
+    remove_entry(filled, "i-1")
+    put_entry(filled, evolve(FIRST, server_id="i-9", service="deposits"))
+    assert ready_entries(filled, "calendar") == []
+    assert is_leaving(filled, "i-1")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -13,6 +13,7 @@
     start_next,
     withdraw_request,
 )
+from basilhill.queries.backends import is_leaving
 from basilhill.queries.ranks import split_rank
 from basilhill.queries.slots import drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
@@ -93,8 +94,7 @@
         """Return the refusal of a call to a server or by a node that is leaving."""
         if self.life.closing and not own:
             return not_run(Reason.LEAVING, "the node beside the server is stopping")
-        entry = self.directory.entries.get(call.server_id)
-        if call.server_id in self.directory.departed or (entry is not None and entry.draining):
+        if is_leaving(self.directory, call.server_id):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
         if call.server_id in self.gate.denied_ids:
             return not_run(Reason.LEAVING, f"the server is no longer {call.server_id}")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -8,6 +8,7 @@
 from basilhill.clocks import Clock
 from basilhill.commands.levels import record_called
 from basilhill.configuration import Route
+from basilhill.queries.backends import ready_entries
 from basilhill.queries.balancing import choose_backend
 from basilhill.queries.configuration import find_route, split_service
 from basilhill.queries.levels import admitted_share, route_level
@@ -252,7 +253,7 @@
         if opened.may_reach_another():
             entry = self.choose(opened, frozenset(opened.tried))
         if entry is None and opened.refused_by:
-            listed = self.directory.services.get(opened.service, ())
+            listed = ready_entries(self.directory, opened.service)
             others = frozenset(e.server_id for e in listed) - opened.refused_by
             entry = self.choose(opened, others)
         return entry
