--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -102,6 +102,25 @@
     assert decode_settings(data).error
 
 
+def test_all_problems_of_settings_are_named_at_once():
+    """Guards against an operator who mends one setting at a time."""
+    table = {
+        **SETTINGS,
+        "self": {**SETTINGS["self"], "ip": 7},
+        "terms": {"bounds": {"graceS": "6", "retryBudgetRatio": -1, "budgetWindowS": 10}},
+        "platform": {"platform": {"address": "10.200.1.7"}},
+    }
+    problems = decode_settings(encoded(table)).error
+    for part in (
+        "self.ip is 7, not a text",
+        "terms.bounds.graceS is '6', not a number",
+        "terms.bounds.retryBudgetRatio is -1",
+        "terms.bounds.budgetMinRetries is missing",
+        "platform.platform.address is '10.200.1.7', not HOST:PORT",
+    ):
+        assert part in problems
+
+
 def test_configuration_is_decoded():
     found = decode_configuration(encoded(CONFIGURATION)).ok
     assert found.version == 31
