Keep servers in use whose VM is cut off from the store when their entries lapse

What told a lapsed entry from a server that left is known: nodes tell their peers when they lose the store.

Change: a greeting names the server beside the node; a server that vanished without notice stays in use while the greeting of its node, on an open stream, says that it is cut off. A server that really left beside such a node refuses the connection.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -31,3 +31,5 @@
     held_until_ms: dict[str, int] = field(factory=dict)
     # Last entries of servers that are gone by id, oldest first.
     departed: dict[str, BackendEntry] = field(factory=dict)
+    # Addresses of servers whose own node does not reach the store now; their entries lapse.
+    detached: set[str] = field(factory=set)
--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -6,12 +6,15 @@
 def ready_entries(directory: BackendDirectory, service: str) -> list[BackendEntry]:
     """Return the servers of a service that may get calls.
 
-    Entries lapse while their VMs are cut off from the store, though nodes still reach the servers.
-    A service without any other server uses those that vanished without notice: one that has
-    really ended refuses the connection, and the calls would be refused anyway.
+    The entry of a server lapses while its VM is cut off from the store, though nodes still reach
+    it: one that vanished without notice stays in use while its own node says that it is cut off.
+    A service without any other server uses all that vanished without notice: one that has really
+    ended refuses the connection, and the calls would be refused anyway.
     """
-    listed = directory.services.get(service, ())
-    ready = [entry for entry in listed if not entry.draining]
+    ready = [entry for entry in directory.services.get(service, ()) if not entry.draining]
+    if directory.detached:
+        vanished = vanished_entries(directory, service)
+        ready += [entry for entry in vanished if entry.address in directory.detached]
     return ready or vanished_entries(directory, service)
 
 
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -87,3 +87,23 @@
     put_entry(filled, evolve(FIRST, server_id="i-9", service="deposits"))
     assert ready_entries(filled, "calendar") == []
     assert is_leaving(filled, "i-1")
+
+
+def test_server_whose_vm_is_cut_off_from_the_store_stays_in_use_when_its_entry_lapses():
+    """Guards against a third of the servers idle while the others refuse for want of slots."""
+    filled = directory(FIRST, SECOND)
+    filled.detached = {SECOND.address}
+    remove_entry(filled, "i-2")
+    assert ready_entries(filled, "calendar") == [FIRST, SECOND]
+    assert not is_leaving(filled, "i-2")
+    filled.detached = set()
+    assert ready_entries(filled, "calendar") == [FIRST]
+    assert is_leaving(filled, "i-2")
+
+
+def test_draining_server_is_not_kept_in_use_by_a_cut():
+    filled = directory(FIRST, SECOND)
+    filled.detached = {SECOND.address}
+    put_entry(filled, evolve(SECOND, draining=True))
+    remove_entry(filled, "i-2")
+    assert ready_entries(filled, "calendar") == [FIRST]
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -271,6 +271,21 @@
     assert (await fleet.ask(fleet.machines[0], "/read/x")).status == 200
 
 
+async def test_nodes_tell_their_peers_that_they_are_cut_off_from_the_store(fleet):
+    """Guards against servers dropped with their entries, which lapse during such a cut."""
+    cut_off = fleet.machines[1].node
+    # Opens a stream between the two nodes.
+    assert (await fleet.ask(fleet.machines[1], "/write/x", "POST", b"1")).status == 200
+    watching = fleet.machines[2].node.state.directory
+    address = cut_off.state.settings.backend_address
+    cut_off.state.store.reachable = False
+    cut_off.state.store.changed()
+    await fleet.until(lambda: watching.detached == {address})
+    cut_off.state.store.reachable = True
+    cut_off.state.store.changed()
+    await fleet.until(lambda: watching.detached == set())
+
+
 async def test_request_lost_on_a_kept_connection_counts_as_a_retry(fleet):
     """Guards against arrivals beyond the budget while a server resets the answers of its runs."""
     for _ in range(3):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_news.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_news.py
@@ -25,6 +25,7 @@
 
     version: int
     store_reachable: bool
+    backend_address: str = ""
 
 
 @define(eq=False)
@@ -49,6 +50,7 @@
             self.settings.service,
             self.in_force.version,
             self.store.reachable,
+            self.settings.backend_address,
         )
 
     def open(self, connection: StreamConnection) -> None:
@@ -58,6 +60,7 @@
     def close(self, connection: StreamConnection) -> None:
         """Forget a stream that has ended."""
         self.peers.pop(connection, None)
+        self.note_detached()
 
     def receive(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
         """Handle one frame of a peer that carries news."""
@@ -78,7 +81,10 @@
         """Send a peer what it lacks."""
         first = connection not in self.peers
         connection.peer = hello.node
-        self.peers[connection] = PeerStanding(hello.version, hello.store_reachable)
+        self.peers[connection] = PeerStanding(
+            hello.version, hello.store_reachable, hello.backend_address
+        )
+        self.note_detached()
         if first:
             self.log.record("peer", "greeted", peer=hello.node, version=hello.version)
         if hello.version < self.in_force.version and not hello.store_reachable:
@@ -125,11 +131,23 @@
         for server_id in departed:
             self.updater.remove(server_id, peer)
 
+    def note_detached(self) -> None:
+        """Note the servers whose own node is connected and does not reach the store."""
+        detached = {
+            standing.backend_address
+            for standing in self.peers.values()
+            if not standing.store_reachable
+        }
+        if not self.store.reachable:
+            detached.add(self.settings.backend_address)
+        self.directory.detached = detached
+
     def broadcast_standing(self) -> None:
         """Tell all peers the version in force and whether the store is reachable.
 
         Peers with a newer version or with the store answer by sending what this node lacks.
         """
+        self.note_detached()
         frame = self.hello()
         for connection in tuple(self.peers):
             connection.send(frame)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -55,6 +55,7 @@
     service: str
     version: int
     store_reachable: bool
+    backend_address: str = ""
 
 
 @define(eq=False)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -216,7 +216,8 @@
         state.gate.pool.close_idle()
         forget_levels(state.origin.levels, now_ms)
         expire_suspects(state.gate.suspects, now_ms)
-        keep_targets(state.origin.loads, state.directory.entries.keys())
+        directory = state.directory
+        keep_targets(state.origin.loads, directory.entries.keys() | directory.departed.keys())
         node.peers.drop_closed()
 
 
