--- a/packages/basilhill/src/basilhill/commands/retry_quota.py
+++ b/packages/basilhill/src/basilhill/commands/retry_quota.py
@@ -11,6 +11,7 @@
 LEAST_REFUSAL_RATE = 0.1
 # A call to servers that refuse nearly everything is not expected to need more than 9 retries.
 MOST_REFUSAL_RATE = 0.9
+# As often as the levels of servers.
 ADJUST_MS = 100
 # What is left of the quota lasts for this part of its window; new requests add to it meanwhile.
 SPEND_PART = 0.5
