Send calls only to the server that was born last at an address

Change: the directory knows the newest server of each address by when it was born; others get nothing while their entries lapse. Two tests of the choice of servers listed twins at one address, which no platform does; the twins have addresses now, the bounds are as before.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -33,3 +33,5 @@
     departed: dict[str, BackendEntry] = field(factory=dict)
     # Addresses of servers whose own node does not reach the store now; their entries lapse.
     detached: set[str] = field(factory=set)
+    # Id of the server that was born last at each address; the entries of earlier ones only lapse.
+    newest: dict[str, str] = field(factory=dict)
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -17,6 +17,9 @@
     if before is not None:
         directory.services[before.service].remove(before)
     group.append(entry)
+    if before is not None and before.address != entry.address:
+        note_newest(directory, before.address)
+    note_newest(directory, entry.address, entry)
     return before is None or (before.address, before.draining, before.born_ms) != (
         entry.address,
         entry.draining,
@@ -24,6 +27,21 @@
     )
 
 
+def note_newest(
+    directory: BackendDirectory, address: str, added: BackendEntry | None = None
+) -> None:
+    """Note which server was born last at an address, where one was added or is gone."""
+    known = directory.entries.get(directory.newest.get(address, ""))
+    if added is not None and (known is None or known.born_ms <= added.born_ms):
+        directory.newest[address] = added.server_id
+    elif known is None or known.address != address:
+        listed = [entry for entry in directory.entries.values() if entry.address == address]
+        directory.newest.pop(address, None)
+        if listed:
+            newest = max(listed, key=lambda entry: entry.born_ms)
+            directory.newest[address] = newest.server_id
+
+
 def remove_entry(directory: BackendDirectory, server_id: str) -> bool:
     """Remove an entry; return whether it was there."""
     entry = directory.entries.pop(server_id, None)
@@ -31,6 +49,7 @@
     if entry is None:
         return False
     directory.services[entry.service].remove(entry)
+    note_newest(directory, entry.address)
     directory.departed[server_id] = entry
     if len(directory.departed) > DEPARTED_KEPT:
         del directory.departed[next(iter(directory.departed))]
--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -10,8 +10,15 @@
     it: one that vanished without notice stays in use while its own node says that it is cut off.
     A service without any other server uses all that vanished without notice: one that has really
     ended refuses the connection, and the calls would be refused anyway.
+
+    Where a fleet restarts, the entries of its former servers lapse only seconds later; at each
+    address the server that was born last is the one that is there.
     """
-    ready = [entry for entry in directory.services.get(service, ()) if not entry.draining]
+    ready = [
+        entry
+        for entry in directory.services.get(service, ())
+        if not entry.draining and directory.newest.get(entry.address) == entry.server_id
+    ]
     if directory.detached:
         vanished = vanished_entries(directory, service)
         ready += [entry for entry in vanished if entry.address in directory.detached]
@@ -20,11 +27,10 @@
 
 def vanished_entries(directory: BackendDirectory, service: str) -> list[BackendEntry]:
     """Return the servers of a service that vanished without notice and were not replaced."""
-    taken = {entry.address for entry in directory.entries.values()}
     return [
         entry
         for entry in directory.departed.values()
-        if entry.service == service and not entry.draining and entry.address not in taken
+        if entry.service == service and not entry.draining and entry.address not in directory.newest
     ]
 
 
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -107,3 +107,30 @@
     put_entry(filled, evolve(SECOND, draining=True))
     remove_entry(filled, "i-2")
     assert ready_entries(filled, "calendar") == [FIRST]
+
+
+def test_former_server_of_an_address_gets_nothing_while_its_entry_lapses():
+    """Guards against calls to servers that a loss of power ended, refused by their successors."""
+    reborn = evolve(FIRST, server_id="i-9", born_ms=2)
+    filled = directory(FIRST, SECOND, reborn)
+    assert ready_entries(filled, "calendar") == [SECOND, reborn]
+    put_entry(filled, evolve(FIRST, warm_ms=700))
+    assert ready_entries(filled, "calendar") == [SECOND, reborn]
+    remove_entry(filled, "i-1")
+    assert ready_entries(filled, "calendar") == [SECOND, reborn]
+
+
+def test_server_of_an_address_is_used_again_when_the_one_after_it_is_gone():
+    taken_over = evolve(FIRST, server_id="i-9", service="deposits", born_ms=2)
+    filled = directory(FIRST, taken_over)
+    assert ready_entries(filled, "calendar") == []
+    remove_entry(filled, "i-9")
+    assert ready_entries(filled, "calendar") == [FIRST]
+
+
+def test_server_that_moved_is_used_at_its_new_address_only():
+    filled = directory(FIRST)
+    moved = evolve(FIRST, address="10.0.0.9:80")
+    put_entry(filled, moved)
+    assert ready_entries(filled, "calendar") == [moved]
+    assert filled.newest == {"10.0.0.9:80": "i-1"}
--- a/packages/basilhill/tests/test_balancing.py
+++ b/packages/basilhill/tests/test_balancing.py
@@ -81,7 +81,7 @@
 def test_server_that_fails_part_of_its_requests_loses_most_of_them():
     """Guards against a server with good health that fails every second request."""
     loads = LoadTable("buc-a")
-    near, twin = NEAR, evolve(NEAR, server_id="i-twin")
+    near, twin = NEAR, evolve(NEAR, server_id="i-twin", address="10.0.0.4:80")
     for entry in (near, twin):
         record_report(target_of(loads, entry.server_id), running=3)
     for number in range(40):
@@ -113,7 +113,7 @@
 def test_servers_of_different_speed_share_the_load():
     """Guards against sending everything to the fastest server."""
     loads = LoadTable("buc-a")
-    near, twin = NEAR, evolve(NEAR, server_id="i-twin")
+    near, twin = NEAR, evolve(NEAR, server_id="i-twin", address="10.0.0.4:80")
     for _ in range(50):
         record_time(loads, target_of(loads, "i-near"), "r-1", 14, 0)
         record_time(loads, target_of(loads, "i-twin"), "r-1", 30, 0)
@@ -146,7 +146,10 @@
 def fail_all(servers: int, calls: int, failing: float) -> tuple[BackendDirectory, LoadTable]:
     """Return what a node knows after calls to random servers of which a share fails."""
     directory, loads, random = BackendDirectory(), LoadTable("buc-a"), Random(4)
-    entries = [evolve(NEAR, server_id=f"i-{number}") for number in range(servers)]
+    entries = [
+        evolve(NEAR, server_id=f"i-{number}", address=f"10.0.1.{number}:80")
+        for number in range(servers)
+    ]
     replace_entries(directory, entries)
     for _ in range(calls):
         failed = random.random() < failing
