Bound endless messages, and keep a refusal's copy from its retry

Cause: the HTTP client kept each part of a response without a limit, and the parser of the HTTP server held a header, a chunk extension or blank lines without a limit. A second copy of a server's refusal that arrives on a connection which carries the retry has the id of the retry, so the client was told "not run" while the request ran.

Change: ResponseLimits bound the head, the number of headers and the body of a response, and the incomplete bodies of all connections of a pool together. The server counts the bytes that its parser holds. Trailers are dropped in both directions. A connection on which a server refused a request does not carry its retry.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -181,7 +181,7 @@
         pool = self.state.pool
         longest_idle_ms = IDLE_MS if call.idempotent else NON_IDEMPOTENT_IDLE_MS
         try:
-            connection = await pool.acquire(longest_idle_ms)
+            connection = await pool.acquire(longest_idle_ms, call.request_id)
             idle_ms = connection.idle_for_ms()
             try:
                 return await self.send(connection, call, data)
@@ -202,10 +202,12 @@
             return self.dialect.matches_request(headers, call.request_id)
 
         response = await connection.exchange(data, accepts, call.method == "HEAD")
-        self.state.pool.release(connection)
         outcome = self.dialect.decode_answer(response)
-        if outcome.is_error() and outcome.error.reason is Reason.MISDIRECTED:
-            self.state.misdirected_ids.add(call.server_id)
+        if outcome.is_error():
+            connection.refused_ids.add(call.request_id)
+            if outcome.error.reason is Reason.MISDIRECTED:
+                self.state.misdirected_ids.add(call.server_id)
+        self.state.pool.release(connection)
         return outcome
 
     async def adjust_admission_level(self) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 import httptools
-from attrs import define, field
+from attrs import define, field, frozen
 from basilhill.clocks import Clock
 from basilhill.outcomes import Header
 
@@ -25,6 +25,30 @@
 IDLE_MARGIN_MS = 500
 
 
+@frozen
+class ResponseLimits:
+    """Bounds of what one exchange may receive, beyond which the connection is closed.
+
+    `head_bytes` bounds the bytes received before the end of a head, which include interim responses
+    and blank lines. `body_bytes` bounds all bytes after the head, with chunk lines and trailers; it
+    also bounds the sum over all connections of a pool, beyond which responses of more than
+    `small_body_bytes` fail.
+    """
+
+    head_bytes: int = 64 << 10
+    header_count: int = 256
+    # The operators' limits allow bodies of up to 64 MB.
+    body_bytes: int = 64 << 20
+    small_body_bytes: int = 1 << 20
+
+
+@define(eq=False)
+class HeldBytes:
+    """Bytes of incomplete responses on all connections of a pool."""
+
+    total: int = 0
+
+
 class ConnectionFailedError(Exception):
     """Request without a complete response; `sent` is whether the server may have received it."""
 
@@ -51,18 +75,27 @@
 class ClientConnection(asyncio.Protocol):
     """Connection for one request at a time, unusable after any unexpected event."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, limits: ResponseLimits, held: HeldBytes) -> None:
         self.clock = clock
+        self.limits = limits
+        self.held = held
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[HttpResponse] | None = None
         self.accepts: Callable[[list[Header]], bool] | None = None
         self.bodiless = False
         self.usable = True
         self.requests = 0
+        # Ids of requests that the server refused on this connection. A late second copy of such a
+        # refusal would look like the response to a retry with the same id.
+        self.refused_ids: set[str] = set()
         self.received_eof = False
         self.idle_since_ms = clock.now_ms()
         self.idle_ms = IDLE_MS
         self.parser = httptools.HttpResponseParser(self)
+        # Bytes of this exchange: those received before the end of the final response's head, which
+        # the parser may hold, and those received after the end of a head.
+        self.unparsed_head_bytes = 0
+        self.received_body_bytes = 0
         self.reset_message()
 
     def reset_message(self) -> None:
@@ -81,12 +114,44 @@
         if self.waiter is None:
             self.close()
             return
+        if self.head_complete:
+            self.received_body_bytes += len(data)
+            self.held.total += len(data)
+        else:
+            self.unparsed_head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.fail("the response switches protocols")
         except httptools.HttpParserError as error:
             self.fail(f"malformed response: {error}")
+        if self.waiter is not None:
+            self.enforce_limits()
+
+    def enforce_limits(self) -> None:
+        """Fail the request in flight if its response exceeds a limit.
+
+        The route's timeout ends a response that stays within the limits and never ends.
+        """
+        limits = self.limits
+        if not self.head_complete and self.unparsed_head_bytes > limits.head_bytes:
+            self.fail(
+                f"{self.unparsed_head_bytes} bytes without a complete head exceed"
+                f" {limits.head_bytes} bytes"
+            )
+        elif len(self.headers) > limits.header_count:
+            self.fail(f"the response has more than {limits.header_count} headers")
+        elif self.received_body_bytes > limits.body_bytes:
+            self.fail(
+                f"{self.received_body_bytes} bytes after the head exceed {limits.body_bytes} bytes"
+            )
+        elif (
+            self.held.total > limits.body_bytes
+            and self.received_body_bytes > limits.small_body_bytes
+        ):
+            self.fail(
+                f"{self.held.total} bytes of incomplete responses exceed {limits.body_bytes} bytes"
+            )
 
     def eof_received(self) -> bool:
         """Complete a response without a length, which ends when the connection is closed."""
@@ -111,7 +176,9 @@
         self.in_message = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append(parsed_header(name, value))
+        """Add a header; drop a trailer, which must not count as part of the head."""
+        if not self.head_complete:
+            self.headers.append(parsed_header(name, value))
 
     def on_headers_complete(self) -> None:
         """Complete a response to a HEAD request, which has no body."""
@@ -127,7 +194,11 @@
         """Deliver a complete response; skip one that belongs to an earlier request."""
         self.in_message = False
         status = self.parser.get_status_code()
-        if self.waiter is None or self.waiter.done() or 100 <= status < 200:
+        if 100 <= status < 200:
+            # The final response follows; until its head ends, further bytes count as head.
+            self.head_complete = False
+            return
+        if self.waiter is None or self.waiter.done():
             return
         if self.accepts is not None and not self.accepts(self.headers):
             self.usable = False
@@ -157,6 +228,8 @@
             raise ConnectionFailedError("the connection is closed", sent=False)
         self.accepts = accepts
         self.bodiless = bodiless
+        self.unparsed_head_bytes = 0
+        self.head_complete = False
         self.requests += 1
         self.waiter = waiter = asyncio.get_running_loop().create_future()
         self.transport.write(data)
@@ -166,6 +239,10 @@
             if not waiter.done() or waiter.cancelled():
                 self.waiter = None
                 self.close()
+            self.held.total -= self.received_body_bytes
+            self.received_body_bytes = 0
+            # The response owns its headers; an idle connection holds no part of it.
+            self.headers, self.body = [], []
             self.idle_since_ms = self.clock.now_ms()
 
     @property
@@ -208,7 +285,8 @@
 
     address: str
     clock: Clock
-    limit: int = 10_000
+    limits: ResponseLimits = field(factory=ResponseLimits)
+    held: HeldBytes = field(factory=HeldBytes)
     idle: list[ClientConnection] = field(factory=list)
     opened: int = 0
 
@@ -219,17 +297,25 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self.clock), host, int(port)
+                    lambda: ClientConnection(self.clock, self.limits, self.held), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectionFailedError(f"no connection: {error!r}", sent=False) from error
         self.opened += 1
         return connection
 
-    async def acquire(self, longest_idle_ms: int = IDLE_MS) -> ClientConnection:
-        """Return the most recently used reusable connection, else a new one."""
+    async def acquire(
+        self, longest_idle_ms: int = IDLE_MS, request_id: str = ""
+    ) -> ClientConnection:
+        """Return the most recently used reusable connection, else a new one.
+
+        A connection on which the server refused the request before is not used again for it.
+        """
         while self.idle:
             connection = self.idle.pop()
+            if request_id in connection.refused_ids:
+                self.idle.append(connection)
+                break
             if connection.is_reusable(longest_idle_ms):
                 return connection
             if not connection.usable or not connection.is_reusable(IDLE_MS):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -105,6 +105,9 @@
         # A connection opened while the node is leaving is closed only after its first response.
         self.has_responded = False
         self.last_activity_ms = server.clock.now_ms()
+        # Bytes received without the end of a line, a chunk or a head. The parser holds them, and
+        # they are counted from the second segment on, because one segment can end several requests.
+        self.pending_bytes = 0
         self.reset_message()
 
     def reset_message(self) -> None:
@@ -114,6 +117,7 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
         self.header_bytes = 0
+        self.head_complete = False
         self.header_limit = self.server.limits().header_bytes
 
     # Callbacks of the event loop.
@@ -128,6 +132,7 @@
         """Parse received bytes; respond to a malformed request with 400 and close."""
         if self.reading_done:
             return
+        self.pending_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -135,6 +140,8 @@
             self.reading_done = True
         except httptools.HttpParserError as error:
             self.reject(400, f"malformed request: {error}")
+        if self.pending_bytes > self.header_limit + len(data):
+            self.reject(431, "a line of the head, a chunk or the trailers is too long")
         if not self.reading_done and len(self.exchanges) >= PIPELINE_LIMIT:
             self.transport.pause_reading()
 
@@ -170,25 +177,34 @@
 
     def on_url(self, url: bytes) -> None:
         """Add a part of the target; reject the request if it is too long."""
+        self.pending_bytes = 0
         self.target += url
         self.header_bytes += len(url)
         if self.header_bytes > self.header_limit:
             self.reject(431, "the target is too long")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add one header; reject the request if the header section is too large."""
-        self.headers.append(parsed_header(name, value))
+        """Add one header; reject the request if the header section is too large.
+
+        Trailers count toward the limit and are dropped, since they must not replace headers.
+        """
+        self.pending_bytes = 0
+        if not self.head_complete:
+            self.headers.append(parsed_header(name, value))
         self.header_bytes += len(name) + len(value) + HEADER_LINE_BYTES
         if self.header_bytes > self.header_limit:
             self.reject(431, "the header is too large")
 
     def on_headers_complete(self) -> None:
         """Send 100 Continue if the client waits for it before it sends the body."""
+        self.pending_bytes = 0
+        self.head_complete = True
         if any(header.name == "expect" for header in self.headers) and not self.reading_done:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, part: bytes) -> None:
         """Add a part of the body; reject the request if the body is too large."""
+        self.pending_bytes = 0
         self.last_activity_ms = self.server.clock.now_ms()
         self.body_bytes += len(part)
         if self.body_bytes > self.server.limits().body_bytes:
@@ -201,6 +217,7 @@
         """Validate and enqueue a complete request."""
         if self.reading_done:
             return
+        self.pending_bytes = 0
         self.reading = False
         method = self.parser.get_method().decode("latin-1")
         request = HttpRequest(
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -4,6 +4,10 @@
 import sys
 from pathlib import Path
 
+# Names as tests start and native tracebacks. Python 3.11 can fail with "AST constructor recursion
+# depth mismatch" if garbage collection runs a failing finalizer while pytest parses source code to
+# format a failure, and pytest then ends without the name of the test.
+REPORT = ("-v", "--tb=native")
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -19,7 +23,7 @@
     for test in known_red:
         print(f"skipped known failure: {test}", flush=True)
     arguments = [f"--deselect={test}" for test in known_red]
-    command = [sys.executable, "-m", "pytest", "-q", *arguments, *sys.argv[1:]]
+    command = [sys.executable, "-m", "pytest", *REPORT, *arguments, *sys.argv[1:]]
     return subprocess.run(command, cwd=KNOWN_RED.parent, check=False).returncode
 
 
