Let one node of a data centre read the store for the others

Cause: each node followed the store by itself, so calls to the store grew with nodes times changes.

Change: the nodes of a data centre choose one subscriber for each 64 nodes by rendezvous hashing over the listed VMs; the others follow its feed over the peer port: changes with the revision of the store, all changes of a batch in one frame, heartbeats every 500 ms. A node that is asked for a feed starts to read the store, so nothing is elected. A follower reads the store at its start, when no feed works, and when its own server's entry is removed. A feed that is silent for 1.1 s, or behind the revision of its follower, is left. A store that answers with an older revision than known is not read.

Errors in a message of the store, in a frame of a peer or in periodic work no longer end a task silently: a page of the store without `items` ended the task that follows the store.

--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -7,7 +7,7 @@
 from urllib.parse import urlencode
 
 import msgspec
-from attrs import define
+from attrs import define, frozen
 from basilhill.clocks import Clock
 from basilhill.outcomes import Header
 from expression import Error, Ok, Result
@@ -52,11 +52,11 @@
             query = {"prefix": ""} | ({"after": after} if after else {})
             page = await self.fetch(RANGE, query, READ_TIMEOUT_S)
             # Pages are read at different revisions, so watching starts at that of the first page.
-            revision = revision or int(page["asOf"])
-            items.extend(decode_item(item) for item in page["items"])
-            if not page["hasMore"] or not page["items"]:
+            revision = revision or page.revision
+            items.extend(page.items)
+            if not page.has_more or not page.items:
                 return StoreItems(tuple(items), revision)
-            after = page["items"][-1]["key"]
+            after = page.items[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`.
@@ -66,10 +66,9 @@
         """
         query = {"prefix": "", "after": str(after), "waitMs": str(wait_ms)}
         page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
-        events = tuple(decode_item(event) for event in page["events"])
-        return StoreEvents(events, int(page["asOf"]))
+        return StoreEvents(page.items, page.revision)
 
-    async def fetch(self, path: str, query: dict[str, str], timeout_s: float) -> dict[str, Any]:
+    async def fetch(self, path: str, query: dict[str, str], timeout_s: float) -> "Page":
         """Return the decoded body of a GET request."""
         request = HttpRequest("GET", f"{path}?{urlencode(query)}", [Header("host", self.address)])
         try:
@@ -88,14 +87,24 @@
         return decode_page(response.body)
 
 
-def decode_page(body: bytes) -> dict[str, Any]:
-    """Return the table in a response; raise StoreFailedError if it is malformed."""
+@frozen
+class Page:
+    """Items or events in one response of the store, and the store's revision."""
+
+    items: tuple[StoredItem, ...]
+    revision: int
+    has_more: bool
+
+
+def decode_page(body: bytes) -> Page:
+    """Return the content of a response; raise StoreFailedError if it is malformed."""
     try:
-        page = msgspec.json.decode(body, type=dict[str, Any])
-        int(page["asOf"])
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
+        table = msgspec.json.decode(body, type=dict[str, Any])
+        rows = table["items"] if "items" in table else table["events"]
+        items = tuple(decode_item(row) for row in rows)
+        return Page(items, int(table["asOf"]), bool(table.get("hasMore")))
+    except (msgspec.MsgspecError, AttributeError, KeyError, TypeError, ValueError) as error:
         raise StoreFailedError(f"malformed response of the store: {error!r}") from error
-    return page
 
 
 def decode_item(item: dict[str, Any]) -> StoredItem:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -28,6 +28,8 @@
     log: EventLog
     # Called with the ids of servers that were changed or removed.
     entries_changed: Callable[[set[str]], None] = field(default=lambda _ids: None)
+    # Called when all entries were replaced; changes that cancelled each other out are unknown.
+    entries_replaced: Callable[[], None] = field(default=lambda: None)
     version_changed: Callable[[], None] = field(default=lambda: None)
 
     def apply_configuration(self, data: bytes, source: str) -> bool:
@@ -72,17 +74,20 @@
             self.log.record("servers", "removed", server=server_id, source=source)
             self.entries_changed({server_id})
 
-    def replace(self, entries: Iterable[BackendEntry], retained_until_ms: int) -> None:
+    def replace(
+        self, entries: Iterable[BackendEntry], retained_until_ms: int, source: str = "store"
+    ) -> None:
         """Replace all entries; retain missing ones until `retained_until_ms` unless it is 0.
 
         Missing entries are retained after an outage of the store.
         """
         changed, missing = replace_entries(self.directory, entries, retained_until_ms)
         for server_id in changed:
-            self.apply_change(self.directory.entries[server_id], "store")
+            self.apply_change(self.directory.entries[server_id], source)
         if missing:
             event = "missing, retained" if retained_until_ms else "removed"
-            self.log.record("servers", event, servers=sorted(missing), source="store")
+            self.log.record("servers", event, servers=sorted(missing), source=source)
+        self.entries_replaced()
         if changed or missing:
             self.entries_changed(changed | missing)
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
@@ -11,7 +11,13 @@
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.frames import FrameKind, Hello, encode_frame
+from basilhill_node.sidecar.frames import (
+    FrameKind,
+    Hello,
+    decode_entry_row,
+    encode_entry,
+    encode_frame,
+)
 from basilhill_node.sidecar.state import ActiveConfiguration, SidecarSettings, StoreView
 from basilhill_node.sidecar.streams import StreamConnection
 
@@ -97,19 +103,7 @@
     def send_entries(self, connection: StreamConnection, entries: Iterable[BackendEntry]) -> None:
         """Send a peer an ENTRIES frame with server entries and recently removed server ids."""
         now_ms = self.clock.now_ms()
-        rows = [
-            [
-                entry.server_id,
-                entry.service,
-                entry.address,
-                entry.data_centre,
-                entry.slots,
-                entry.draining,
-                max(0, entry.warm_until_ms - now_ms),
-                entry.started_ms,
-            ]
-            for entry in entries
-        ]
+        rows = [encode_entry(entry, now_ms) for entry in entries]
         removed_ids = list(self.directory.removed_entries)[-MAX_REMOVED_IDS:]
         connection.send(encode_frame(FrameKind.ENTRIES, rows, removed_ids))
 
@@ -128,9 +122,7 @@
         """Apply the server entries and removals of an ENTRIES frame."""
         now_ms = self.clock.now_ms()
         for row in rows:
-            *head, cold_ms, started_ms = row
-            warm_until_ms = now_ms + cold_ms if cold_ms else 0
-            self.updater.put(BackendEntry(*head, warm_until_ms, started_ms), peer)
+            self.updater.put(decode_entry_row(row, now_ms), peer)
         for server_id in removed_ids:
             self.updater.remove(server_id, peer)
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -210,23 +210,21 @@
         self.state.pool.release(connection)
         return outcome
 
-    async def adjust_admission_level(self) -> None:
-        """Adjust the admission level every `ADJUST_INTERVAL_S` until cancelled."""
-        while True:
-            await asyncio.sleep(ADJUST_INTERVAL_S)
-            before = self.state.level.level
-            adjust_rank_level(self.state.level, self.state.slots, self.clock.now_ms())
-            if int(before) != int(self.state.level.level):
-                slots = self.state.slots
-                self.log.record(
-                    "level",
-                    "changed",
-                    before=round(before, 2),
-                    after=round(self.state.level.level, 2),
-                    in_flight=slots.in_flight,
-                    slots=slots.slots,
-                    queued=len(slots.waiting),
-                )
+    def adjust_admission_level(self) -> None:
+        """Adjust the admission level and log a change."""
+        before = self.state.level.level
+        adjust_rank_level(self.state.level, self.state.slots, self.clock.now_ms())
+        if int(before) != int(self.state.level.level):
+            slots = self.state.slots
+            self.log.record(
+                "level",
+                "changed",
+                before=round(before, 2),
+                after=round(self.state.level.level, 2),
+                in_flight=slots.in_flight,
+                slots=slots.slots,
+                queued=len(slots.waiting),
+            )
 
     def record(self, call: Execute, outcome: Outcome, arrived_ms: int, started_ms: int) -> None:
         """Log the outcome of a call with the inputs of the decision."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -1,15 +1,19 @@
 """Reading and watching of the configuration and server entries in the platform's store."""
 
 import asyncio
+from contextlib import suppress
 from random import Random
 
 from attrs import define, field
 from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
+from basilhill.queries.subscribers import feed_hosts, is_subscriber
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
+from basilhill_node.sidecar.commands.follow_feed import FeedFollower
+from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.state import StoreView
+from basilhill_node.sidecar.state import STORE, SidecarSettings, StoreView
 from basilhill_node.sidecar.store import (
     HistoryExpiredError,
     Store,
@@ -30,7 +34,17 @@
 RETRY_MAX_MS = 1_000
 # Servers register again within about 2 s after the store has recovered.
 REGISTRATION_GRACE_MS = 2_500
-SOURCE = "store"
+# Longest pause between the attempts of a node that is no subscriber.
+FOLLOWER_RETRY_MAX_MS = 2_000
+# Time for which a node that found no feed or got followers reads the store. While a fleet starts,
+# each new VM can be the next subscriber, and followers would move with each one.
+READER_HOLD_MS = 15_000
+# Longest time for which a subscriber that cannot reach the store follows another node.
+REFUSED_READER_MS = 15_000
+FEED_SPREAD_MS = 200
+# Pause while no server is listed, as when a whole fleet starts. One watch then returns the
+# registrations of many servers, and the node can follow a feed.
+COLD_START_S = (1.0, 1.5)
 
 
 def next_pause_ms(pause_ms: int, events: int, waited_ms: int) -> int:
@@ -44,30 +58,109 @@
 
 @define(eq=False)
 class StoreFollower:
-    """Task that keeps the configuration and the server directory in line with the store."""
+    """Task that keeps the configuration and the server directory in line with the store.
 
+    A few nodes of each data centre read the store; the others follow their feeds and read it only
+    at the start, when no feed works, or when this VM may have lost the store.
+    """
+
+    settings: SidecarSettings
     store: Store
     decoder: StoreDecoder
     updater: ViewUpdater
+    publisher: FeedPublisher
+    feeds: FeedFollower
     view: StoreView
     clock: Clock
     log: EventLog
     random: Random = field(factory=Random)
+    # Time until which a node that found no feed reads the store.
+    reads_until_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Connect the feeds: a follower makes this node read the store by itself."""
+        self.feeds.contact = self.record_feed_contact
+        self.feeds.applied = self.publisher.publish
+        self.publisher.wanted = self.feeds.stop
 
     async def run(self) -> None:
-        """Read all items and watch for changes, again after each failure, until cancelled."""
+        """Keep the state in line with the store until cancelled, through a feed where possible."""
         pause_ms = RETRY_MIN_MS
+        read_all = True
         while True:
             try:
-                await self.read()
+                if read_all or self.feeds.store_in_doubt:
+                    self.feeds.store_in_doubt = False
+                    await self.read()
+                    read_all = False
                 pause_ms = RETRY_MIN_MS
+                if not self.reads_store():
+                    if await self.follow():
+                        continue
+                    self.log.record("feed", "none found")
+                    self.reads_until_ms = self.clock.now_ms() + READER_HOLD_MS
                 await self.watch()
             except HistoryExpiredError as error:
+                read_all = True
                 self.log.record("store", "history expired, reading all items", reason=str(error))
             except StoreFailedError as error:
                 self.record_store_loss(str(error))
-                await asyncio.sleep(pause_ms * self.random.uniform(0.5, 1.0) / 1000)
-                pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+                self.publisher.end("the store is unreachable")
+                read_all = not await self.pause(pause_ms)
+                pause_ms = min(2 * pause_ms, self.longest_pause_ms())
+            except Exception as error:
+                # A node whose state no longer follows the store would serve an old configuration.
+                read_all = True
+                self.log.record("store", "following failed", problem=repr(error))
+                await asyncio.sleep(RETRY_MAX_MS / 1000)
+
+    def reads_store(self) -> bool:
+        """Return whether this node reads the store by itself instead of following a feed."""
+        directory, settings = self.updater.directory, self.settings
+        return (
+            self.publisher.is_wanted
+            or self.clock.now_ms() < self.reads_until_ms
+            # Only this node knows when the entries that it retains expire.
+            or bool(directory.retained_until_ms)
+            or is_subscriber(directory, settings.data_centre, settings.address)
+        )
+
+    def longest_pause_ms(self) -> int:
+        """Return the longest pause between attempts to reach the store, in ms.
+
+        A node that is no subscriber looks for a feed before each attempt.
+        """
+        return RETRY_MAX_MS if self.reads_store() else FOLLOWER_RETRY_MAX_MS
+
+    async def follow(self) -> bool:
+        """Follow the feed of another node until it ends; return whether there was one."""
+        settings = self.settings
+        hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
+        for host in self.feeds.working_first(hosts):
+            if await self.feeds.follow(host):
+                # Followers of one node do not all turn to the next one at once.
+                await asyncio.sleep(self.random.uniform(0, FEED_SPREAD_MS) / 1000)
+                return True
+            if self.publisher.is_wanted:
+                break
+        return False
+
+    async def pause(self, pause_ms: int) -> bool:
+        """Wait before the next attempt to reach the store; return whether a feed was followed.
+
+        A subscriber follows a feed only for a limited time, so that it reads the store again.
+        """
+        ends_ms = self.clock.now_ms() + int(pause_ms * self.random.uniform(0.5, 1.0))
+        limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
+        followed = False
+        with suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                followed = await self.follow()
+        if followed:
+            return True
+        left_ms = ends_ms - self.clock.now_ms()
+        await asyncio.sleep(max(0, left_ms) / 1000)
+        return False
 
     async def read(self) -> None:
         """Read all items of the store and apply them."""
@@ -75,20 +168,28 @@
         now_ms = self.clock.now_ms()
         # Entries that expired during an outage of the store may be registered again shortly.
         retained_until_ms = now_ms + REGISTRATION_GRACE_MS if self.view.unreachable_since_ms else 0
+        if read.revision < self.view.revision:
+            raise StoreFailedError(
+                f"store returned revision {read.revision}, {self.view.revision} is known"
+            )
+        self.view.source = STORE
         self.record_store_contact(now_ms, read.revision)
         entries = []
         for item in read.items:
             if item.key == self.decoder.configuration_key:
-                self.updater.apply_configuration(item.value or b"", SOURCE)
+                self.updater.apply_configuration(item.value or b"", STORE)
             elif item.key.startswith(self.decoder.entry_prefix):
                 entry = self.decode_entry(item)
                 if entry is not None:
                     entries.append(entry)
         self.updater.replace(entries, retained_until_ms)
+        self.publisher.publish()
 
     async def watch(self) -> None:
-        """Apply changes as they arrive, until the store fails."""
+        """Apply changes as they arrive, until the store fails or another node reads it."""
         pause_ms = 0
+        if not self.updater.directory.entries:
+            await asyncio.sleep(self.random.uniform(*COLD_START_S))
         while True:
             earliest_expiry_ms = min(
                 self.updater.directory.retained_until_ms.values(), default=None
@@ -96,29 +197,53 @@
             wait_ms = WATCH_MS
             if earliest_expiry_ms is not None:
                 wait_ms = max(1, min(WATCH_MS, earliest_expiry_ms - self.clock.now_ms()))
+            if self.publisher.pending:
+                # Shows immediately whether the store responds.
+                wait_ms = 1
             started_ms = self.clock.now_ms()
             watched = await self.store.watch(self.view.revision, wait_ms)
             now_ms = self.clock.now_ms()
+            self.view.source = STORE
             self.record_store_contact(now_ms, max(self.view.revision, watched.revision))
             for item in watched.events:
                 self.apply_event(item)
             self.updater.expire(now_ms)
+            self.publisher.publish()
+            if not self.updater.directory.retained_until_ms and self.yields_to_subscribers():
+                return
             pause_ms = next_pause_ms(pause_ms, len(watched.events), now_ms - started_ms)
             await asyncio.sleep(pause_ms / 1000)
 
+    def yields_to_subscribers(self) -> bool:
+        """Send followers of a node that is no subscriber to the subscribers of the data centre.
+
+        Return whether this node stops reading the store.
+        """
+        settings, directory = self.settings, self.updater.directory
+        now_ms = self.clock.now_ms()
+        serving_since_ms = self.publisher.serving_since_ms
+        if now_ms < self.reads_until_ms or (
+            self.publisher.followers and now_ms - serving_since_ms < READER_HOLD_MS
+        ):
+            return False
+        if is_subscriber(directory, settings.data_centre, settings.address):
+            return False
+        self.publisher.end("other nodes read the store")
+        return True
+
     def apply_event(self, item: StoredItem) -> None:
         if item.key == self.decoder.configuration_key:
             if item.value is not None:
-                self.updater.apply_configuration(item.value, SOURCE)
+                self.updater.apply_configuration(item.value, STORE)
             return
         if not item.key.startswith(self.decoder.entry_prefix):
             return
         entry = None if item.value is None else self.decode_entry(item)
         if entry is None:
             # An invalid entry removes the server that its key registered before.
-            self.updater.remove(item.key.removeprefix(self.decoder.entry_prefix), SOURCE)
+            self.updater.remove(item.key.removeprefix(self.decoder.entry_prefix), STORE)
         else:
-            self.updater.put(entry, SOURCE)
+            self.updater.put(entry, STORE)
 
     def decode_entry(self, item: StoredItem) -> BackendEntry | None:
         """Return the server entry of an item; log and return None if it cannot be decoded."""
@@ -140,11 +265,16 @@
             self.log.record("store", "reached", revision=revision, away_ms=away_ms)
             view.changed()
 
+    def record_feed_contact(self, age_ms: int, revision: int) -> None:
+        """Record that another node reported the store at a revision."""
+        self.record_store_contact(self.clock.now_ms() - age_ms, revision)
+
     def record_store_loss(self, reason: str) -> None:
         """Record that the store is unreachable, unless that is recorded already."""
         view = self.view
         if not view.reachable and view.unreachable_since_ms:
             return
         view.reachable, view.unreachable_since_ms = False, self.clock.now_ms()
+        view.source = ""
         self.log.record("store", "lost", reason=reason, revision=view.revision)
         view.changed()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -11,6 +11,7 @@
 
 import msgspec
 from attrs import define, field, frozen
+from basilhill.backends import BackendEntry
 from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal
 from expression import Error, Ok
 
@@ -45,6 +46,9 @@
     CONFIGURATION = 6
     ENTRIES = 7
     SUSPECTS = 8
+    SUBSCRIBE = 9
+    FEED = 10
+    FEED_END = 11
 
 
 class MalformedFrameError(Exception):
@@ -62,6 +66,31 @@
     backend_address: str = ""
 
 
+@frozen
+class Subscribe:
+    """Frame that asks a node for the changes after a revision of the store."""
+
+    node: str
+    version: int
+    revision: int
+
+
+@frozen
+class Feed:
+    """Frame with the changes of the store up to a revision; without changes it is a heartbeat.
+
+    `complete` is whether the rows are all entries. The configuration is empty if it is unchanged.
+    """
+
+    revision: int
+    # Time since the sender last received a response of the store, in ms.
+    age_ms: int
+    complete: bool
+    configuration: bytes
+    rows: list[list[Any]]
+    removed_ids: list[str]
+
+
 @define(eq=False)
 class Execute:
     """Request to run a call on the backend server beside the receiver."""
@@ -156,6 +185,25 @@
     return Reply(call_id, outcome, running, level / LEVEL_STEPS)
 
 
+def encode_entry(entry: BackendEntry, now_ms: int) -> list[Any]:
+    """Return a server entry as a row, with its remaining warm-up time instead of a local time."""
+    return [
+        entry.server_id,
+        entry.service,
+        entry.address,
+        entry.data_centre,
+        entry.slots,
+        entry.draining,
+        max(0, entry.warm_until_ms - now_ms),
+        entry.started_ms,
+    ]
+
+
+def decode_entry_row(row: list[Any], now_ms: int) -> BackendEntry:
+    *head, cold_ms, started_ms = row
+    return BackendEntry(*head, now_ms + cold_ms if cold_ms else 0, started_ms)
+
+
 @define(eq=False)
 class HeaderTable:
     """Numbers of repeated headers in one direction of a stream; a number takes one byte.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -17,6 +17,7 @@
     encode_response,
     parsed_header,
 )
+from basilhill_node.sidecar.periodic import repeat
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -64,15 +65,13 @@
         self.server = await loop.create_server(
             lambda: ServerConnection(self), address, port, backlog=BACKLOG
         )
-        self.timeout_task = loop.create_task(self.close_expired())
+        self.timeout_task = loop.create_task(repeat(TIMEOUT_CHECK_S, self.close_expired, self.log))
 
-    async def close_expired(self) -> None:
-        """Close connections that are idle or send too slowly, until cancelled."""
-        while True:
-            await asyncio.sleep(TIMEOUT_CHECK_S)
-            now_ms, limits = self.clock.now_ms(), self.limits()
-            for connection in tuple(self.connections):
-                connection.enforce_timeouts(now_ms, limits)
+    def close_expired(self) -> None:
+        """Close connections that are idle or send too slowly."""
+        now_ms, limits = self.clock.now_ms(), self.limits()
+        for connection in tuple(self.connections):
+            connection.enforce_timeouts(now_ms, limits)
 
     def leave(self) -> None:
         """Close idle connections now and the other ones after their last response."""
@@ -249,6 +248,14 @@
         self.enqueue(Exchange(False, False, response=response))
 
     async def run(self) -> None:
+        """Send all responses; an unexpected error closes this connection and no other."""
+        try:
+            await self.send_responses()
+        except Exception as error:
+            self.server.log.record("front", "connection failed", problem=repr(error))
+            self.transport.abort()
+
+    async def send_responses(self) -> None:
         """Send the responses of all requests in order, then close."""
         while True:
             while not self.exchanges:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -17,9 +17,11 @@
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
-from basilhill_node.sidecar.commands.execute_call import CallExecutor
+from basilhill_node.sidecar.commands.execute_call import ADJUST_INTERVAL_S, CallExecutor
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
+from basilhill_node.sidecar.commands.follow_feed import FeedFollower
 from basilhill_node.sidecar.commands.follow_store import StoreFollower
+from basilhill_node.sidecar.commands.publish_feed import HEARTBEAT_S, FeedPublisher
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
 from basilhill_node.sidecar.commands.send_call import CallSender
 from basilhill_node.sidecar.commands.serve_request import Origin
@@ -31,6 +33,7 @@
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.periodic import repeat
 from basilhill_node.sidecar.queries.exposition import exposition
 from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import (
@@ -69,6 +72,7 @@
     origin: Origin
     listener: PeerListener
     follower: StoreFollower
+    publisher: FeedPublisher
     client_listener: HttpServer
     ready: HttpServer
     metrics: HttpServer
@@ -124,8 +128,21 @@
         clock,
         log,
     )
-    updater.entries_changed = peer_updates.entries_changed
-    updater.version_changed = peer_updates.version_changed
+    publisher = FeedPublisher(
+        state.active_configuration, state.directory, state.store, state.lifecycle, clock, log
+    )
+
+    def entries_changed(server_ids: set[str]) -> None:
+        peer_updates.entries_changed(server_ids)
+        publisher.entries_changed(server_ids)
+
+    def version_changed() -> None:
+        peer_updates.version_changed()
+        publisher.version_changed()
+
+    updater.entries_changed = entries_changed
+    updater.entries_replaced = publisher.entries_replaced
+    updater.version_changed = version_changed
     state.store.changed = peer_updates.broadcast_hello
     poison_filter = PoisonRequestFilter(
         state.executor.poison_requests, state.executor.pool, clock, log, peer_updates.publish_report
@@ -133,7 +150,10 @@
     executor = CallExecutor(
         state.executor, state.directory, state.lifecycle, poison_filter, dialect, clock, log
     )
-    follower = StoreFollower(store, decoder, updater, state.store, clock, log)
+    feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
+    follower = StoreFollower(
+        settings, store, decoder, updater, publisher, feeds, state.store, clock, log
+    )
     peers = PeerStreams(peer_updates, clock, log)
     retries = RetryBudget(settings, state.origin, state.directory, clock)
     sender = CallSender(settings, state.origin, executor, peers, retries, dialect, clock)
@@ -149,14 +169,23 @@
         state.metrics,
         clock,
     )
-    listener = PeerListener(executor, state.origin.levels, peer_updates, clock, log)
+    listener = PeerListener(executor, state.origin.levels, peer_updates, publisher, clock, log)
     client_listener = HttpServer(
         origin.serve, lambda: state.active_configuration.limits, clock, log
     )
     ready = HttpServer(readiness_handler(state), RequestLimits, clock, log)
     metrics = HttpServer(metrics_handler(state), RequestLimits, clock, log)
     return Sidecar(
-        state, executor, peers, origin, listener, follower, client_listener, ready, metrics
+        state,
+        executor,
+        peers,
+        origin,
+        listener,
+        follower,
+        publisher,
+        client_listener,
+        ready,
+        metrics,
     )
 
 
@@ -204,8 +233,16 @@
     await node.ready.start(settings.address, settings.ready_port)
     await node.metrics.start(settings.address, settings.metrics_port)
     state.lifecycle.spawn(node.follower.run())
-    state.lifecycle.spawn(clean_up(node))
-    state.lifecycle.spawn(node.executor.adjust_admission_level())
+
+    def clean_up() -> None:
+        remove_expired_state(node)
+
+    for interval_s, step in (
+        (HEARTBEAT_S, node.publisher.send_heartbeat),
+        (CLEANUP_INTERVAL_S, clean_up),
+        (ADJUST_INTERVAL_S, node.executor.adjust_admission_level),
+    ):
+        state.lifecycle.spawn(repeat(interval_s, step, state.log))
     state.log.record(
         "node",
         "started",
@@ -216,23 +253,16 @@
     )
 
 
-async def clean_up(node: Sidecar) -> None:
-    """Remove expired state periodically until cancelled.
-
-    Without this, tables would grow with the uptime and with the fleet.
-    """
+def remove_expired_state(node: Sidecar) -> None:
+    """Remove expired state; without this, tables would grow with the uptime and with the fleet."""
     state = node.state
-    while True:
-        await asyncio.sleep(CLEANUP_INTERVAL_S)
-        now_ms = state.clock.now_ms()
-        state.executor.pool.close_idle()
-        drop_expired_levels(state.origin.levels, now_ms)
-        expire_crash_records(state.executor.poison_requests, now_ms)
-        directory = state.directory
-        retain_targets(
-            state.origin.loads, directory.entries.keys() | directory.removed_entries.keys()
-        )
-        node.peers.drop_closed()
+    now_ms = state.clock.now_ms()
+    state.executor.pool.close_idle()
+    drop_expired_levels(state.origin.levels, now_ms)
+    expire_crash_records(state.executor.poison_requests, now_ms)
+    directory = state.directory
+    retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
+    node.peers.drop_closed()
 
 
 async def leave(node: Sidecar) -> None:
@@ -242,6 +272,7 @@
     state.log.record("node", "leaving", requests=state.origin.open_requests)
     started_ms = state.clock.now_ms()
     longest_ms = state.settings.grace_ms - GRACE_MARGIN_MS
+    node.publisher.end("the node is stopping")
     node.client_listener.leave()
     await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
     state.lifecycle.closing = True
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -12,11 +12,13 @@
 
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.commands.execute_call import CallExecutor
+from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
     Execute,
     FrameKind,
     Reply,
+    Subscribe,
     decode_execute,
     encode_frame,
     encode_reply,
@@ -41,6 +43,7 @@
     executor: CallExecutor
     levels: RouteLevels
     peer_updates: PeerUpdateExchange
+    publisher: FeedPublisher
     clock: Clock
     log: EventLog
     streams: dict[StreamConnection, IncomingStream] = field(factory=dict)
@@ -64,6 +67,7 @@
         await incoming.connection.closed.wait()
         del self.streams[incoming.connection]
         self.peer_updates.close(incoming.connection)
+        self.publisher.close(incoming.connection)
         for task in tuple(incoming.calls.values()):
             task.cancel()
 
@@ -78,6 +82,8 @@
                 task.cancel()
         elif kind is FrameKind.PING:
             connection.send(PONG)
+        elif kind is FrameKind.SUBSCRIBE:
+            self.publisher.subscribe(connection, Subscribe(*fields))
         else:
             self.peer_updates.receive(connection, kind, fields)
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -23,6 +23,8 @@
 # Slots assumed for the local backend server until its entry is read; servers have 13 or more.
 INITIAL_SLOTS = 10
 POISON_REQUEST_TTL_MS = 60_000
+# Source of state that this node has read from the store itself.
+STORE = "store"
 
 
 @define
@@ -70,9 +72,14 @@
 
 @define(eq=False)
 class StoreView:
-    """State of the connection to the store; written by `follow_store`."""
+    """State of the connection to the store; written by `follow_store` and `follow_feed`.
+
+    The store is also reachable if another node reports its changes.
+    """
 
     reachable: bool = False
+    # Source of the changes: `STORE`, the node whose feed this node follows, or empty.
+    source: str = ""
     unreachable_since_ms: int = 0
     last_contact_ms: int = 0
     revision: int = 0
--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -10,7 +10,6 @@
     FrameKind,
     FrameReader,
     HeaderTable,
-    MalformedFrameError,
 )
 from basilhill_node.sidecar.http_client import set_socket_options
 
@@ -53,7 +52,8 @@
         try:
             for kind, fields in self.reader.feed(data):
                 self.handle(self, kind, fields)
-        except (MalformedFrameError, ValueError, TypeError, IndexError) as error:
+        except Exception as error:
+            # Fields of a malformed frame can fail in any way, and other streams must continue.
             self.failed(f"malformed frame: {error!r}")
             self.transport.abort()
 
--- a/packages/basilhill_node/tests/test_call_executor.py
+++ b/packages/basilhill_node/tests/test_call_executor.py
@@ -1,13 +1,13 @@
 """Tests of the slots of a backend server while calls wait and are cancelled."""
 
 import asyncio
-from contextlib import suppress
 
 import pytest
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import SystemClock
 from basilhill.commands.slots import release_slot
 from basilhill.outcomes import Reason
+from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.sidecar.commands.execute_call import CallExecutor
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
@@ -91,23 +91,18 @@
 
     async def handle(reader, writer):
         on_connection = 0
-        with suppress(asyncio.IncompleteReadError, ConnectionError):
-            while await reader.readuntil(b"\r\n\r\n"):
-                arrivals.append(on_connection)
-                on_connection += 1
-                # The copy of the refusal arrives just after the next request on this connection.
-                copy = refusal if on_connection > 1 else b""
-                writer.write(refusal if len(arrivals) == 1 else copy + answer)
-        writer.close()
-
-    server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        while await reader.readuntil(b"\r\n\r\n"):
+            arrivals.append(on_connection)
+            on_connection += 1
+            # The copy of the refusal arrives just after the next request on this connection.
+            copy = refusal if on_connection > 1 else b""
+            writer.write(refusal if len(arrivals) == 1 else copy + answer)
+
     executor = new_executor(1)
-    executor.state.pool.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-    refused = await executor.execute(call(1))
-    assert refused.error.reason is Reason.SERVER_REFUSED
-    retried = await executor.execute(call(1))
-    assert retried.is_ok() and retried.ok.body == b"ok"
-    assert arrivals == [0, 0]
-    executor.state.pool.close()
-    server.close()
-    await asyncio.sleep(0.02)
+    async with serve_streams(handle) as executor.state.pool.address:
+        refused = await executor.execute(call(1))
+        assert refused.error.reason is Reason.SERVER_REFUSED
+        retried = await executor.execute(call(1))
+        assert retried.is_ok() and retried.ok.body == b"ok"
+        assert arrivals == [0, 0]
+        executor.state.pool.close()
--- a/packages/basilhill_node/tests/test_endless_messages.py
+++ b/packages/basilhill_node/tests/test_endless_messages.py
@@ -7,6 +7,7 @@
 import pytest
 from basilhill.clocks import SystemClock
 from basilhill.configuration import RequestLimits
+from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.store import PlatformStore
 from basilhill_node.sidecar.event_log import EventLog
@@ -53,22 +54,15 @@
     sent = [0]
 
     async def handle(reader, writer):
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(begin)
-            for data in repeat(part):
-                writer.write(data)
-                await writer.drain()
-                sent[0] += len(data)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(begin)
+        for data in repeat(part):
+            writer.write(data)
+            await writer.drain()
+            sent[0] += len(data)
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    try:
-        yield f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", sent
-    finally:
-        server.close()
+    async with serve_streams(handle) as address:
+        yield address, sent
 
 
 @pytest.mark.parametrize("form", ENDLESS_RESPONSES)
@@ -96,20 +90,18 @@
         await reader.readuntil(b"\r\n\r\n")
         writer.write(head + b"x" * 600_000)
         await reader.read()
-        writer.close()
-
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    pool = ConnectionPool(f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", SystemClock(), LIMITS)
-    connections = [await pool.acquire() for _ in range(4)]
-    running = [asyncio.create_task(c.exchange(REQUEST, None)) for c in connections]
-    await asyncio.sleep(0.3)
-    assert any(task.done() for task in running)
-    assert pool.held.total <= LIMITS.body_bytes + 4 * LIMITS.small_body_bytes
-    for task in running:
-        task.cancel()
-    await asyncio.gather(*running, return_exceptions=True)
-    assert pool.held.total == 0
-    server.close()
+
+    async with serve_streams(handle) as address:
+        pool = ConnectionPool(address, SystemClock(), LIMITS)
+        connections = [await pool.acquire() for _ in range(4)]
+        running = [asyncio.create_task(c.exchange(REQUEST, None)) for c in connections]
+        await asyncio.sleep(0.3)
+        assert any(task.done() for task in running)
+        assert pool.held.total <= LIMITS.body_bytes + 4 * LIMITS.small_body_bytes
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+        assert pool.held.total == 0
 
 
 async def test_large_response_within_the_limits_is_delivered():
@@ -121,15 +113,12 @@
         writer.write(HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode())
         writer.write(body)
         await writer.drain()
-        writer.close()
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    pool = ConnectionPool(f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", SystemClock())
-    connection = await pool.acquire()
-    async with asyncio.timeout(5):
-        response = await connection.exchange(REQUEST, None)
-    assert len(response.body) == len(body)
-    server.close()
+    async with serve_streams(handle) as address:
+        connection = await ConnectionPool(address, SystemClock()).acquire()
+        async with asyncio.timeout(5):
+            response = await connection.exchange(REQUEST, None)
+        assert len(response.body) == len(body)
 
 
 async def test_endless_response_of_the_store_is_a_failure_of_the_store():
@@ -201,10 +190,8 @@
     async def handle(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         writer.write(CHUNKED + b"1\r\na\r\n0\r\nBasilhill-Not-Executed: 1\r\n\r\n")
-        writer.close()
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    pool = ConnectionPool(f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", SystemClock())
-    response = await (await pool.acquire()).exchange(REQUEST, None)
-    assert PlatformDialect().decode_answer(response).is_ok()
-    server.close()
+    async with serve_streams(handle) as address:
+        connection = await ConnectionPool(address, SystemClock()).acquire()
+        response = await connection.exchange(REQUEST, None)
+        assert PlatformDialect().decode_answer(response).is_ok()
--- a/packages/basilhill_node/tests/test_http_client.py
+++ b/packages/basilhill_node/tests/test_http_client.py
@@ -5,6 +5,7 @@
 
 import pytest
 from basilhill.clocks import SystemClock
+from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.sidecar.http_client import ConnectionFailedError, ConnectionPool
 
@@ -23,26 +24,20 @@
     remaining = list(responses)
 
     async def handle(reader, writer):
-        try:
-            while remaining and await reader.readuntil(b"\r\n\r\n"):
-                writer.write(remaining.pop(0))
-                await writer.drain()
-                if close or reset:
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
+        while remaining and await reader.readuntil(b"\r\n\r\n"):
+            writer.write(remaining.pop(0))
+            await writer.drain()
+            if close or reset:
+                break
         if reset:
             writer.transport.abort()
-        writer.close()
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    port = server.sockets[0].getsockname()[1]
-    pool = ConnectionPool(f"{ADDRESS}:{port}", SystemClock())
-    try:
-        yield pool
-    finally:
-        pool.close()
-        server.close()
+    async with serve_streams(handle) as address:
+        pool = ConnectionPool(address, SystemClock())
+        try:
+            yield pool
+        finally:
+            pool.close()
 
 
 async def send_request(pool: ConnectionPool, request_id: str = "one"):
@@ -118,11 +113,9 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    pool = ConnectionPool(f"{ADDRESS}:{server.sockets[0].getsockname()[1]}", SystemClock())
-    with pytest.raises(ConnectionFailedError):
-        await send_request(pool)
-    server.close()
+    async with serve_streams(handle) as address:
+        with pytest.raises(ConnectionFailedError):
+            await send_request(ConnectionPool(address, SystemClock()))
 
 
 async def test_malformed_response_fails():
--- a/packages/basilhill_node/tests/test_library_limits.py
+++ b/packages/basilhill_node/tests/test_library_limits.py
@@ -6,6 +6,7 @@
 import asyncio
 
 import aiohttp
+from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.node import serve_http
 from sanic import Sanic
 from sanic.response import text
@@ -29,14 +30,12 @@
         while responses and await reader.readuntil(b"\r\n\r\n"):
             writer.write(responses.pop(0))
 
-    server = await asyncio.start_server(handle, ADDRESS, 0)
-    url = f"http://{ADDRESS}:{server.sockets[0].getsockname()[1]}/"
-    async with aiohttp.ClientSession() as session:
+    async with serve_streams(handle) as address, aiohttp.ClientSession() as session:
+        url = f"http://{address}/"
         async with session.get(url) as response:
             assert await response.read() == b"first"
         async with session.get(url) as response:
             assert await response.read() == b"extra of first"
-    server.close()
 
 
 async def test_sanic_serves_pipelined_requests_sequentially():
