Check only the streams that have calls in flight, with one timer

Cause: each open stream to a peer woke its task every 250 ms. A node of a large fleet keeps tens of streams for 20 s each and has a call on few of them, so the wake-ups grew with the streams.

Change: one periodic step of the node checks the streams with calls in flight; unused streams are closed by the clean-up. A stream whose peer was found unresponsive is usable again after its last call; before, it refused calls until it was closed.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -32,7 +32,7 @@
 from basilhill_node.sidecar.http_server import HttpServer
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_listener import PeerListener
-from basilhill_node.sidecar.peer_streams import PeerStreams
+from basilhill_node.sidecar.peer_streams import CHECK_INTERVAL_S, PeerStreams
 from basilhill_node.sidecar.periodic import repeat
 from basilhill_node.sidecar.queries.exposition import exposition
 from basilhill_node.sidecar.queries.readiness import is_ready
@@ -240,6 +240,7 @@
     for interval_s, step in (
         (HEARTBEAT_S, node.publisher.send_heartbeat),
         (CLEANUP_INTERVAL_S, clean_up),
+        (CHECK_INTERVAL_S, node.peers.check_busy),
         (ADJUST_INTERVAL_S, node.executor.adjust_admission_level),
     ):
         state.lifecycle.spawn(repeat(interval_s, step, state.log))
@@ -262,7 +263,7 @@
     expire_crash_records(state.executor.poison_requests, now_ms)
     directory = state.directory
     retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
-    node.peers.drop_closed()
+    node.peers.drop_unused()
 
 
 async def leave(node: Sidecar) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -20,8 +20,9 @@
 from basilhill_node.sidecar.streams import StreamConnection
 
 CONNECT_TIMEOUT_S = 0.5
-# Interval of PING frames to a peer with calls in flight.
-PING_INTERVAL_S = 0.25
+# Interval at which the streams with calls in flight are checked, and at which a silent peer gets
+# PING frames.
+CHECK_INTERVAL_S = 0.25
 # A stream with calls in flight is closed if no frame is received for this long. Peers slowed 5
 # times by the platform still responded within 1 s.
 PEER_TIMEOUT_MS = 1_500
@@ -49,6 +50,8 @@
     peer_updates: PeerUpdateExchange
     clock: Clock
     log: EventLog
+    # The streams of this node that have calls in flight.
+    busy: set["PeerStream"]
     ids: count = field(factory=lambda: count(1))
     connection: StreamConnection | None = None
     ready: asyncio.Event = field(factory=asyncio.Event)
@@ -86,6 +89,7 @@
             # call.
             connection.received_ms = self.clock.now_ms()
         self.waiters[execute.call_id] = waiter
+        self.busy.add(self)
         connection.send(encode_execute(execute, connection.sent_headers))
         try:
             return await waiter
@@ -94,9 +98,12 @@
             raise
         finally:
             del self.waiters[execute.call_id]
+            if not self.waiters:
+                self.busy.discard(self)
+                self.unresponsive = False
 
     async def run(self) -> None:
-        """Open the stream and monitor it until it fails or is unused."""
+        """Open the stream and wait until it is closed."""
         host, _, port = self.address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -114,7 +121,8 @@
         connection = self.connection
         self.ready.set()
         try:
-            await self.watch(connection)
+            await connection.closed.wait()
+            self.record("stream closed")
         finally:
             self.ready.clear()
             self.connection = None
@@ -125,33 +133,26 @@
                 if not waiter.done():
                     waiter.set_result(LostCall(True, f"lost {self.address}"))
 
-    async def watch(self, connection: StreamConnection) -> None:
-        """Send PING while a peer with calls in flight sends no frames.
+    def check(self, now_ms: int) -> None:
+        """Send PING to a peer with calls in flight that sends no frames; close a lost stream."""
+        connection = self.connection
+        if connection is None:
+            return
+        inactive_ms = now_ms - connection.received_ms
+        if inactive_ms > PEER_TIMEOUT_MS:
+            self.record(f"no frames received for {inactive_ms} ms, closing the stream")
+            connection.close()
+            return
+        if self.unresponsive is not (inactive_ms > UNRESPONSIVE_MS):
+            self.unresponsive = not self.unresponsive
+            self.record("unresponsive" if self.unresponsive else "responsive again")
+        if inactive_ms > CHECK_INTERVAL_S * 1000:
+            connection.send(encode_frame(FrameKind.PING))
 
-        Return when the stream is closed, times out or is unused.
-        """
-        while True:
-            try:
-                async with asyncio.timeout(PING_INTERVAL_S):
-                    await connection.closed.wait()
-                self.record("stream closed")
-                return
-            except TimeoutError:
-                pass
-            now_ms = self.clock.now_ms()
-            inactive_ms = now_ms - connection.received_ms
-            if not self.waiters:
-                if now_ms - self.used_ms > UNUSED_STREAM_MS:
-                    return
-                continue
-            if inactive_ms > PEER_TIMEOUT_MS:
-                self.record(f"no frames received for {inactive_ms} ms, closing the stream")
-                return
-            if self.unresponsive is not (inactive_ms > UNRESPONSIVE_MS):
-                self.unresponsive = not self.unresponsive
-                self.record("unresponsive" if self.unresponsive else "responsive again")
-            if inactive_ms > PING_INTERVAL_S * 1000:
-                connection.send(encode_frame(FrameKind.PING))
+    def close_if_unused(self, now_ms: int) -> None:
+        """Close the stream if it has carried no call for `UNUSED_STREAM_MS`."""
+        if self.connection is not None and now_ms - self.used_ms > UNUSED_STREAM_MS:
+            self.connection.close()
 
     def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
         if kind is FrameKind.REPLY:
@@ -175,24 +176,35 @@
     clock: Clock
     log: EventLog
     streams: dict[str, PeerStream] = field(factory=dict)
+    busy: set[PeerStream] = field(factory=set)
 
     def stream(self, address: str) -> PeerStream:
         """Return the stream to a node; it is opened by its first call."""
         found = self.streams.get(address)
         if found is None:
-            found = PeerStream(address, self.peer_updates, self.clock, self.log)
+            found = PeerStream(address, self.peer_updates, self.clock, self.log, self.busy)
             self.streams[address] = found
         return found
 
-    def drop_closed(self) -> None:
-        """Drop closed streams without waiting calls."""
-        ended = [
-            address
-            for address, stream in self.streams.items()
-            if stream.task is not None and stream.task.done() and not stream.waiters
-        ]
-        for address in ended:
-            del self.streams[address]
+    def check_busy(self) -> None:
+        """Check the streams with calls in flight.
+
+        One timer serves all streams: in a large fleet most streams of a node are unused.
+        """
+        now_ms = self.clock.now_ms()
+        for stream in tuple(self.busy):
+            stream.check(now_ms)
+
+    def drop_unused(self) -> None:
+        """Close unused streams and drop the closed ones."""
+        now_ms = self.clock.now_ms()
+        for address, stream in tuple(self.streams.items()):
+            if stream.waiters or stream.task is None:
+                continue
+            if stream.task.done():
+                del self.streams[address]
+            else:
+                stream.close_if_unused(now_ms)
 
     def close(self) -> None:
         for stream in self.streams.values():
