--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -1,6 +1,6 @@
 """Adjust admission levels to the load of a backend server."""
 
-from basilhill.levels import RankAdmissionLevel, RouteLevelReport, RouteLevels
+from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevelReport, RouteLevels
 from basilhill.queries.levels import REPORT_LIFETIME_MS
 from basilhill.queries.ranks import split_rank
 from basilhill.slots import ConcurrencyLimiter
@@ -21,6 +21,19 @@
 RISE_FRACTION = 0.5
 
 
+def set_highest(levels: RouteLevels, level: RankAdmissionLevel, highest: float) -> None:
+    """Set the level that admits all requests, one above the least urgent rank in use.
+
+    A much higher level would hide restrictions: the mean over the servers of a route would admit
+    all requests while one server admits all, and one window would lift a restriction completely.
+    """
+    levels.highest = highest
+    if level.level in (level.highest, HIGHEST_LEVEL):
+        level.level = highest
+    level.highest = highest
+    level.level = min(level.level, highest)
+
+
 def count_work(level: RankAdmissionLevel, rank: int, work: float, share: float = 1.0) -> None:
     """Add the work of a call, divided by the admitted share of requests of its rank.
 
--- a/packages/basilhill/src/basilhill/levels.py
+++ b/packages/basilhill/src/basilhill/levels.py
@@ -2,7 +2,8 @@
 
 from attrs import define, field
 
-# Level that admits all requests. Ranks are the priorities of configured routes, which are smaller.
+# Level that admits all requests before a configuration is known. Ranks are the priorities of its
+# routes, which are smaller.
 HIGHEST_LEVEL = 40.0
 
 
--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -3,15 +3,17 @@
 from collections.abc import Callable
 from random import Random
 
+import pytest
 from basilhill.commands.levels import (
     adjust_rank_level,
     count_work,
     drop_expired_levels,
     record_called,
     record_level,
+    set_highest,
 )
 from basilhill.commands.slots import release_slot, request_slot, start_next_request
-from basilhill.levels import RankAdmissionLevel, RouteLevels
+from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevels
 from basilhill.queries.levels import admitted_share, route_level, tree_level
 from basilhill.queries.ranks import call_rank
 from basilhill.slots import ConcurrencyLimiter, SlotDecision
@@ -190,3 +192,39 @@
     record_level(levels, "table", "i-1", 4.5, 0)
     assert tree_level(levels, "browse", 30.0, 0) == 4.5
     assert tree_level(levels, "deposit", 30.0, 0) == 30.0
+
+
+def test_restriction_of_some_servers_counts_in_the_mean_of_a_route():
+    """Guard against a saturated deep service whose restriction the other servers hide.
+
+    Pattern of load: a burst saturates some servers of a service that requests call late. Requests
+    that are admitted nevertheless wait there until their timeout, and their work is lost.
+    """
+    levels, level = RouteLevels(HIGHEST_LEVEL), RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
+    set_highest(levels, level, 3.0)
+    for server_id, reported in (("a", 2.3), ("b", 2.3), ("c", level.level), ("d", level.level)):
+        record_level(levels, "lookup", server_id, reported, 0)
+    assert admitted_share(route_level(levels, "lookup", 0), 2) == pytest.approx(0.65)
+    assert admitted_share(route_level(levels, "lookup", 0), 1) == 1.0
+
+
+def test_restriction_is_lifted_over_several_windows():
+    """Guard against levels that oscillate between a restriction and no restriction at all."""
+    levels, level = RouteLevels(HIGHEST_LEVEL), RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
+    set_highest(levels, level, 3.0)
+    level.level = 1.2
+    limiter = ConcurrencyLimiter(SLOTS, service_ms=SERVICE_MS)
+    shares = []
+    for window in range(1, 8):
+        adjust_rank_level(level, limiter, window * WINDOW_MS)
+        shares.append(admitted_share(level.level, 2))
+    assert shares[0] < 0.5 < shares[-1] == 1.0
+
+
+def test_less_urgent_ranks_of_a_new_configuration_are_admitted():
+    """Guard against requests of a new rank that an old highest level refuses."""
+    levels, level = RouteLevels(HIGHEST_LEVEL), RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
+    set_highest(levels, level, 3.0)
+    set_highest(levels, level, 6.0)
+    assert admitted_share(route_level(levels, "new", 0), 5) == 1.0
+    assert admitted_share(tree_level(levels, "new", level.level, 0), 5) == 1.0
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -4,13 +4,19 @@
 
 from attrs import define, field
 from basilhill.backends import BackendDirectory, BackendEntry
-from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock
 from basilhill.commands.backends import expire_retained, put_entry, remove_entry, replace_entries
 from basilhill.commands.balancing import remove_target
+from basilhill.commands.levels import set_highest
+from basilhill.queries.configuration import least_urgent_rank
 
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.state import ActiveConfiguration, ExecutorState, SidecarSettings
+from basilhill_node.sidecar.state import (
+    ActiveConfiguration,
+    ExecutorState,
+    OriginState,
+    SidecarSettings,
+)
 from basilhill_node.sidecar.store import StoreDecoder
 
 
@@ -22,7 +28,7 @@
     decoder: StoreDecoder
     active_configuration: ActiveConfiguration
     directory: BackendDirectory
-    loads: LoadTable
+    origin: OriginState
     executor: ExecutorState
     clock: Clock
     log: EventLog
@@ -47,6 +53,7 @@
         self.active_configuration.raw = data
         self.active_configuration.applied_ms = self.clock.now_ms()
         self.active_configuration.source = source
+        set_highest(self.origin.levels, self.executor.level, least_urgent_rank(configuration) + 1.0)
         self.log.record(
             "config",
             "activated",
@@ -62,7 +69,7 @@
         before = self.directory.entries.get(entry.server_id)
         if before is not None and before.started_ms != entry.started_ms:
             # The server restarted as a new incarnation, so its earlier load is discarded.
-            remove_target(self.loads, entry.server_id)
+            remove_target(self.origin.loads, entry.server_id)
         if put_entry(self.directory, entry):
             self.executor.misdirected_ids.discard(entry.server_id)
             self.apply_change(entry, source)
@@ -70,7 +77,7 @@
 
     def remove(self, server_id: str, source: str) -> None:
         if remove_entry(self.directory, server_id):
-            remove_target(self.loads, server_id)
+            remove_target(self.origin.loads, server_id)
             self.log.record("servers", "removed", server=server_id, source=source)
             self.entries_changed({server_id})
 
--- a/packages/basilhill_node/tests/test_feed.py
+++ b/packages/basilhill_node/tests/test_feed.py
@@ -17,6 +17,7 @@
     ActiveConfiguration,
     ExecutorState,
     NodeLifecycle,
+    OriginState,
     SidecarSettings,
     StoreView,
 )
@@ -93,7 +94,7 @@
             PlatformDecoder(),
             configuration,
             self.directory,
-            LoadTable("a"),
+            OriginState(LoadTable("a")),
             ExecutorState(ConnectionPool("127.0.0.1:1", CLOCK)),
             CLOCK,
             log,
