Refuse calls that cannot end in time at a slow server

Each origin learned this by its own lost calls, one for each server.

Change: the node beside the server, which sees all its calls, compares the remaining time of a call with the last 10 response times of its route, and with the age of the calls that run now. It refuses a call as not run if at most 4 of 10 ended in time, or if two calls have run for 4 times the median; one call at a time probes the server. The origin tries up to 4 servers and avoids the slow one for 1 s.

--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -385,3 +385,20 @@
     answer = await fleet.send_attempt(origin, "/read/poison")
     assert answer.status == 503
     assert len([m for m in fleet.vms if m.server.runs]) == 3
+
+
+async def test_server_that_becomes_slow_gets_no_further_calls(fleet):
+    """Guard against calls that run into their timeout at a slow server while others are fast."""
+    slow, fast = fleet.vms[:2]
+    for vm in (slow, fast):
+        for _ in range(12):
+            assert (await fleet.send_attempt(vm, "/read/x")).status == 200
+    slow.server.run_ms = 60_000
+    stuck = [asyncio.create_task(fleet.send_attempt(slow, "/read/x")) for _ in range(2)]
+    fleet.tasks += stuck
+    await fleet.wait_until(lambda: slow.server.running == 2)
+    await asyncio.sleep(0.2)
+    for _ in range(5):
+        answer = await fleet.send_attempt(slow, "/read/x")
+        assert answer.status == 200 and fast.server.runs[answer.attempt] == 1
+    assert slow.server.running == 2
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -6,6 +6,7 @@
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
 from basilhill.commands.levels import adjust_rank_level, count_work
+from basilhill.commands.response_times import record_end, record_start
 from basilhill.commands.slots import (
     release_slot,
     request_slot,
@@ -16,6 +17,7 @@
 from basilhill.outcomes import Outcome, Reason, Refusal, may_have_run, not_run
 from basilhill.queries.backends import is_leaving
 from basilhill.queries.ranks import split_rank
+from basilhill.queries.response_times import can_end_in_time
 from basilhill.queries.slots import queue_drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
 from expression import Error
@@ -33,6 +35,8 @@
 from basilhill_node.sidecar.state import ExecutorState, NodeLifecycle, RunningCall
 
 ADJUST_INTERVAL_S = 0.1
+# Status with which a server ends a call at its deadline.
+GATEWAY_TIMEOUT = 504
 # A call still waiting for a slot is refused this long before its deadline, so that the origin
 # receives "not run" in time.
 REPLY_MARGIN_MS = 30
@@ -69,6 +73,7 @@
         refusal = (
             self.leaving_refusal(call, is_local)
             or self.poison_filter.refusal(call)
+            or self.slow_refusal(call, arrived_ms)
             or await self.wait_for_slot(call, arrived_ms)
         )
         if refusal is not None:
@@ -78,15 +83,20 @@
         self.state.running[call.request_id] = RunningCall(
             call.route, *split_rank(call.rank), call.repeated, call.share
         )
+        record_start(self.state.times, call.route, call.request_id, started_ms)
+        answered = False
         try:
             outcome = await self.run(call, arrived_ms)
+            answered = outcome.is_ok() and outcome.ok.status != GATEWAY_TIMEOUT
         except asyncio.CancelledError:
             ran_ms = self.clock.now_ms() - started_ms
             self.log.record("execute", "cancelled by its origin", call.request_id, ran_ms=ran_ms)
             raise
         finally:
             self.state.running.pop(call.request_id, None)
-            release_slot(self.state.slots, self.clock.now_ms() - started_ms)
+            ended_ms = self.clock.now_ms()
+            record_end(self.state.times, call.route, call.request_id, ended_ms, answered)
+            release_slot(self.state.slots, ended_ms - started_ms)
             self.start_waiting_calls()
         self.record(call, outcome, arrived_ms, started_ms)
         await self.poison_filter.record_outcome(call, outcome)
@@ -102,6 +112,12 @@
             return not_run(Reason.LEAVING, f"the server is no longer {call.server_id}")
         return None
 
+    def slow_refusal(self, call: Execute, now_ms: int) -> Refusal | None:
+        """Return a refusal if the server has become too slow to end the call in time."""
+        if can_end_in_time(self.state.times, call.route, call.remaining_ms, now_ms):
+            return None
+        return not_run(Reason.TOO_SLOW, f"the server takes longer than {call.remaining_ms} ms")
+
     async def wait_for_slot(self, call: Execute, arrived_ms: int) -> Refusal | None:
         """Acquire a slot, waiting for it if needed; return a refusal if there is none in time."""
         slots = self.state.slots
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -20,7 +20,7 @@
 from basilhill.queries.ranks import call_rank
 from expression import Error
 
-from basilhill_node.sidecar.commands.execute_call import CallExecutor
+from basilhill_node.sidecar.commands.execute_call import GATEWAY_TIMEOUT, CallExecutor
 from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.dialect import Dialect
 from basilhill_node.sidecar.frames import Execute
@@ -29,11 +29,12 @@
 from basilhill_node.sidecar.state import OriginState, SidecarSettings
 
 SERVER_ERROR = 500
-GATEWAY_TIMEOUT = 504
 # Refusals by a backend server itself, which count as arrivals at that server.
 SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
 # A server without a free slot is not chosen for this time while other servers have free capacity.
 REFUSAL_BACKOFF_MS = 50
+# A server that has become too slow for its calls is not chosen for this time.
+SLOW_BACKOFF_MS = 1_000
 # Time for which a server is not chosen after a refusal because it is leaving or its address now
 # belongs to another server. Its entry in the store changes within three heartbeats of 1.5 s.
 STALE_ENTRY_MS = 2_000
@@ -125,10 +126,14 @@
             or reason in SERVER_REFUSALS
         ):
             self.record_reached(opened, entry, reason is Reason.SERVER_REFUSED)
+        elif reason is Reason.TOO_SLOW:
+            opened.slow += 1
         else:
             opened.refused += 1
         if reason in (Reason.LEAVING, Reason.MISDIRECTED):
             record_refusal(target, now_ms, STALE_ENTRY_MS)
+        elif reason is Reason.TOO_SLOW:
+            record_refusal(target, now_ms, SLOW_BACKOFF_MS)
         elif reason is Reason.SERVER_REFUSED:
             record_response(target, failed=True)
         elif outcome.error.execution_status is ExecutionStatus.NOT_RUN:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -24,9 +24,8 @@
 from expression import Error, Ok
 
 from basilhill_node.metrics import Metrics
-from basilhill_node.sidecar.commands.execute_call import CallExecutor
+from basilhill_node.sidecar.commands.execute_call import GATEWAY_TIMEOUT, CallExecutor
 from basilhill_node.sidecar.commands.send_call import (
-    GATEWAY_TIMEOUT,
     SERVER_ERROR,
     SERVER_REFUSALS,
     CallSender,
@@ -39,6 +38,9 @@
 
 # Number of executors that may refuse a call for lack of a free slot before the client is refused.
 MAX_SLOT_REFUSALS = 2
+# Number of executors that may refuse a call because their server is slow. If 4 in 10 servers are
+# slow, 1 call in 40 meets four of them in a row.
+MAX_SLOW_REFUSALS = 4
 # Share of a route's target latency that a customer request may wait for a slot.
 WAIT_LIMIT_SHARE = 1 / 4
 # Deadline of a request without one, and wait limit of calls made by running requests.
@@ -209,6 +211,7 @@
                 "reached": len(opened.reached),
                 "sends": opened.sends,
                 "refusals": opened.refused,
+                "slow_servers": opened.slow,
                 "left_ms": opened.ends_ms - self.clock.now_ms(),
             }
         self.executor.log.record("serve", event, metadata.request_id, **result_fields)
@@ -254,7 +257,11 @@
             elif last_refusal.reason in SERVER_REFUSALS:
                 if not self.retries.may_resend(opened):
                     return self.final_outcome(opened, last_refusal)
-            elif last_refusal.reason is Reason.SUSPECT or opened.refused >= MAX_SLOT_REFUSALS:
+            elif (
+                last_refusal.reason is Reason.SUSPECT
+                or opened.refused >= MAX_SLOT_REFUSALS
+                or opened.slow >= MAX_SLOW_REFUSALS
+            ):
                 return self.final_outcome(opened, last_refusal)
 
     def next_server(self, opened: OpenRequest) -> BackendEntry | None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -12,8 +12,10 @@
 from basilhill.commands.balancing import retain_targets
 from basilhill.commands.levels import drop_expired_levels
 from basilhill.commands.poison_requests import expire_crash_records
+from basilhill.commands.response_times import retain_routes
 from basilhill.configuration import RequestLimits
 from basilhill.outcomes import Header
+from basilhill.queries.configuration import route_names
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
@@ -113,7 +115,7 @@
         decoder,
         state.active_configuration,
         state.directory,
-        state.origin.loads,
+        state.origin,
         state.executor,
         clock,
         log,
@@ -261,6 +263,7 @@
     state.executor.pool.close_idle()
     drop_expired_levels(state.origin.levels, now_ms)
     expire_crash_records(state.executor.poison_requests, now_ms)
+    retain_routes(state.executor.times, route_names(state.active_configuration.configuration))
     directory = state.directory
     retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
     node.peers.drop_unused()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -29,9 +29,11 @@
     tried: set[str] = field(factory=set)
     reached: set[str] = field(factory=set)
     refused_by: set[str] = field(factory=set)
-    # Number of arrivals at backend servers, and of refusals by executors before arrival.
+    # Number of arrivals at backend servers, and of refusals by executors before arrival: for lack
+    # of a slot or another cause, and because the server is too slow.
     sends: int = 0
     refused: int = 0
+    slow: int = 0
     uncertain: Refusal | None = None
     failed: Answer | None = None
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -13,6 +13,7 @@
 from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevels
 from basilhill.outcomes import Refusal
 from basilhill.poison_requests import PoisonRequestTable
+from basilhill.response_times import ResponseTimes
 from basilhill.retry_quota import RetryQuota
 from basilhill.slots import ConcurrencyLimiter
 
@@ -124,6 +125,7 @@
     level: RankAdmissionLevel = field(
         factory=lambda: RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
     )
+    times: ResponseTimes = field(factory=ResponseTimes)
     running: dict[str, RunningCall] = field(factory=dict)
     waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
     # Server ids that the local backend server has rejected as not its own. Calls to these ids are
