--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -254,7 +254,7 @@
     """
     monkeypatch.setattr(node_module, "DRAIN_NOTICE_MS", 300)
     node = fleet.vms[0].node
-    node.state.settings.grace_ms = 600 + node_module.GRACE_MARGIN_MS
+    node.state.settings.grace_ms = int(600 / (1 - node_module.GRACE_MARGIN_SHARE))
     fleet.vms[2].server.run_ms = 1_800
     reader, writer = await asyncio.open_connection(fleet.vms[0].address, CLIENT_PORT)
     for path, attempt in (("/write/x", "slow"), ("/read/x", "quick")):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -175,5 +175,6 @@
 
     def send_heartbeat(self) -> None:
         """Send the revision to all followers."""
+        self.view.followers = len(self.followers)
         if self.followers and self.is_current:
             self.send(self.encode_feed(set(), b"", False))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -53,9 +53,10 @@
 # Time from the start of leaving until the node refuses new requests. The platform checks readiness
 # once a second and removes a node after two failed checks.
 DRAIN_NOTICE_MS = 2_200
-# Part of the grace time reserved for the last responses and for closing. The platform tolerates
-# requests that servers are still running in the last sixth of the grace time, 1 s.
-GRACE_MARGIN_MS = 900
+# Share of the grace time reserved for the last responses and for the end of the process, which
+# takes longer on a slow VM. The platform tolerates requests that servers are still running in the
+# last sixth of the grace time.
+GRACE_MARGIN_SHARE = 0.15
 # Time to send the last responses after their requests have been expired.
 FINAL_RESPONSES_MS = 150
 DRAIN_POLL_S = 0.05
@@ -275,7 +276,7 @@
     state.lifecycle.leaving = True
     state.log.record("node", "leaving", requests=state.origin.open_requests)
     started_ms = state.clock.now_ms()
-    longest_ms = state.settings.grace_ms - GRACE_MARGIN_MS
+    longest_ms = int(state.settings.grace_ms * (1 - GRACE_MARGIN_SHARE))
     node.publisher.end("the node is stopping")
     node.client_listener.leave()
     await asyncio.sleep(DRAIN_NOTICE_MS / 1000)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterator
 
 from basilhill_node.sidecar.queries.readiness import is_ready
-from basilhill_node.sidecar.state import SidecarState
+from basilhill_node.sidecar.state import STORE, SidecarState
 
 GAUGE_HELP = {
     "ready": "1 if the node takes requests",
     "store_reachable": "1 if the platform's store answered last",
+    "reads_store": "1 if the node reads the platform's store itself, 0 if it follows a feed",
+    "feed_followers": "Nodes that follow the feed of this node",
     "store_age_ms": "Time since the store's last answer",
     "configuration_version": "Version of the configuration in force",
     "backend_servers": "Backend servers listed",
@@ -27,6 +29,8 @@
     return {
         "ready": is_ready(state.lifecycle, state.active_configuration),
         "store_reachable": state.store.reachable,
+        "reads_store": state.store.source == STORE,
+        "feed_followers": state.store.followers,
         "store_age_ms": state.clock.now_ms() - state.store.last_contact_ms,
         "configuration_version": state.active_configuration.version,
         "backend_servers": len(state.directory.entries),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -81,6 +81,8 @@
     reachable: bool = False
     # Source of the changes: `STORE`, the node whose feed this node follows, or empty.
     source: str = ""
+    # Number of nodes that follow the feed of this node; written by `publish_feed`.
+    followers: int = 0
     unreachable_since_ms: int = 0
     last_contact_ms: int = 0
     revision: int = 0
--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -6,9 +6,11 @@
 import pytest
 from basilhill.clocks import SystemClock
 from basilhill.configuration import RequestLimits
+from basilhill_node.sidecar import http_server
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_server import HttpServer
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
+from basilhill_node.sidecar.periodic import repeat
 
 ADDRESS = "127.0.0.1"
 LIMITS = RequestLimits(header_bytes=2_000, body_bytes=1_000, header_ms=300, idle_ms=600)
@@ -176,3 +178,33 @@
             port, b"HEAD /0 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
         )
         assert received.endswith(b"\r\n\r\n") and b"content-length: 2" in received
+
+
+async def test_error_in_the_task_of_a_connection_closes_that_connection_only(monkeypatch):
+    """Guard against a client that waits forever because the task of its connection has died."""
+    encode = http_server.encode_response
+
+    def fail_once(response, *arguments):
+        if response.body == b"/1":
+            raise RuntimeError("injected")
+        return encode(response, *arguments)
+
+    monkeypatch.setattr(http_server, "encode_response", fail_once)
+    async with served() as (_, _server, port):
+        assert await exchange_bytes(port, get("/1")) == b""
+        assert b"/2" in await exchange_bytes(port, get("/2", "Connection: close"))
+
+
+async def test_periodic_work_goes_on_after_an_error():
+    """Guard against a node whose periodic work stops for good at the first error."""
+    runs, clock = [], SystemClock()
+
+    def step() -> None:
+        runs.append(len(runs))
+        if len(runs) == 1:
+            raise RuntimeError("injected")
+
+    task = asyncio.create_task(repeat(0.01, step, EventLog(clock)))
+    await asyncio.sleep(0.1)
+    task.cancel()
+    assert len(runs) >= 2
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -252,3 +252,22 @@
     response = PlatformDialect().encode_refusal(refusal, "id")
     assert response.status == status
     assert header_value(response.headers, "retry-after") == retry_after
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"[]",
+        b"null",
+        b'{"asOf": 3}',
+        b'{"items": [{}], "hasMore": false, "asOf": 3}',
+        b'{"items": [3], "hasMore": false, "asOf": 3}',
+        b'{"items": null, "asOf": 3}',
+        b'{"events": [{"key": "servers/a", "revision": "x"}], "asOf": 3}',
+    ],
+)
+def test_malformed_page_of_the_store_is_a_failure_of_the_store(body):
+    """Guard against an error that ends the task which follows the store."""
+    with pytest.raises(StoreFailedError):
+        decode_page(body)
