Probe the store while others depend on a reader, and say "not run"

Change 1: a reader with followers probes the store every 0.7 s by a read that may be stale, of no keys (a tenth of the price of a call). A reader without a response sends its followers away. A follower whose feed ended otherwise than by a node that was up to date reads the changes itself first.

Change 2: the origin knows whether a call was sent or started.

Result: test_change_while_the_store_is_silent_to_the_reader_is_applied_in_time fails without the probe.

--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -402,3 +402,46 @@
         answer = await fleet.send_attempt(slow, "/read/x")
         assert answer.status == 200 and fast.server.runs[answer.attempt] == 1
     assert slow.server.running == 2
+
+
+async def test_request_that_waited_for_a_slot_until_its_timeout_is_refused_as_not_run(fleet):
+    """Guard against a client that may not retry although its request reached no server."""
+    vm = fleet.vms[2]
+    slots = vm.node.state.executor.slots
+    slots.in_flight = slots.slots
+    # A call inside a running request may wait until its timeout.
+    vm.node.state.executor.running["parent"] = RunningCall("r-up", 0, 0, False, 1.0)
+    headers = {"Basilhill-Deadline-Ms": "300"}
+    answer = await fleet.send_attempt(vm, "/write/x", "POST", b"1", attempt="parent.1", **headers)
+    assert answer.status == 503
+    assert not vm.server.runs
+
+
+async def test_request_that_runs_at_its_timeout_may_have_run(fleet):
+    """Guard against a refusal as not run for a request that a server runs."""
+    fleet.vms[2].server.run_ms = 1_000
+    headers = {"Basilhill-Deadline-Ms": "200"}
+    for vm in (fleet.vms[0], fleet.vms[2]):
+        answer = await fleet.send_attempt(vm, "/write/x", "POST", b"1", **headers)
+        assert answer.status == 504
+
+
+class SlowStream:
+    """Stream to a peer whose connection is not established in time."""
+
+    task = None
+    waiters = ()
+
+    async def call(self, _execute):
+        await asyncio.sleep(60)
+
+
+async def test_request_to_a_peer_that_does_not_accept_connections_in_time_has_not_run(fleet):
+    """Guard against a request reported as possibly run that was never sent to a peer."""
+    vm = fleet.vms[0]
+    address = f"{fleet.vms[2].address}:{vm.node.state.settings.peer_port}"
+    vm.node.peers.streams[address] = SlowStream()
+    answer = await fleet.send_attempt(
+        vm, "/write/x", "POST", b"1", **{"Basilhill-Deadline-Ms": "200"}
+    )
+    assert answer.status == 503
--- a/packages/basilhill_fakes/tests/test_store_feeds.py
+++ b/packages/basilhill_fakes/tests/test_store_feeds.py
@@ -109,7 +109,38 @@
     await fleet.wait_until(
         lambda: all(vm.node.state.active_configuration.version == 9 for vm in fleet.vms)
     )
-    assert reader.node.state.store.source not in (STORE, "")
+    assert reader.node.state.active_configuration.source != STORE
+
+
+async def test_change_while_the_store_is_silent_to_the_reader_is_applied_in_time(fleet):
+    """Guard against followers of a reader whose watch gets no response and no error.
+
+    The store responded to the followers all the while.
+    """
+    (reader,) = readers(fleet)
+    reader.node.follower.store = SilentStore()
+    # The watch of the reader that is in flight ends with this change.
+    fleet.store.put("op/config", build_configuration(14, READS))
+    await wait_applied(fleet, 14, fleet.vms)
+    await asyncio.sleep(0.5)
+    fleet.store.put("op/config", build_configuration(15, READS))
+    await wait_applied(fleet, 15, [vm for vm in fleet.vms if vm is not reader])
+
+
+class SilentStore:
+    """Store that does not respond to this node, with the timeouts of the real client."""
+
+    async def read(self):
+        await asyncio.sleep(1.5)
+        raise StoreFailedError("no response")
+
+    async def watch(self, _after: int, wait_ms: int):
+        await asyncio.sleep(wait_ms / 1000 + 1.5)
+        raise StoreFailedError("no response")
+
+    async def probe(self) -> None:
+        await asyncio.sleep(0.6)
+        raise StoreFailedError("no response")
 
 
 class RefusingStore:
@@ -121,6 +152,9 @@
     async def watch(self, _after: int, _wait_ms: int):
         raise StoreFailedError("status 503")
 
+    async def probe(self) -> None:
+        raise StoreFailedError("status 503")
+
 
 async def test_outage_of_the_store_ends_for_all_nodes(fleet):
     """Guard against followers that keep an old view after the store is back."""
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -28,6 +28,9 @@
 OK = 200
 # The store usually responds within 4 ms, and takes 60 times as long when it is slow.
 READ_TIMEOUT_S = 1.5
+# No key has this prefix, so a probe returns no items.
+PROBE_PREFIX = "basilhill-probe/"
+PROBE_TIMEOUT_S = 0.6
 # A watch fails if it has not returned this long after `wait_ms`, since its connection is then
 # unresponsive.
 WATCH_MARGIN_S = 1.5
@@ -68,6 +71,13 @@
         page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
         return StoreEvents(page.items, page.revision)
 
+    async def probe(self) -> None:
+        """Raise StoreFailedError if the store does not respond.
+
+        A read that may be stale costs a tenth of another one.
+        """
+        await self.fetch(RANGE, {"prefix": PROBE_PREFIX, "allowStale": "1"}, PROBE_TIMEOUT_S)
+
     async def fetch(self, path: str, query: dict[str, str], timeout_s: float) -> "Page":
         """Return the decoded body of a GET request."""
         request = HttpRequest("GET", f"{path}?{urlencode(query)}", [Header("host", self.address)])
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -84,6 +84,7 @@
             call.route, *split_rank(call.rank), call.repeated, call.share
         )
         record_start(self.state.times, call.route, call.request_id, started_ms)
+        call.dispatched = True
         answered = False
         try:
             outcome = await self.run(call, arrived_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -46,6 +46,8 @@
     connection: StreamConnection | None = None
     fed_ms: int = 0
     live: bool = False
+    # Whether the last feed ended otherwise than by a node that was up to date.
+    failed: bool = False
     behind_since_ms: int = 0
     # Times of the last failures of feeds, by host.
     failed_ms: dict[str, int] = field(factory=dict)
@@ -65,7 +67,7 @@
     async def follow(self, host: str) -> bool:
         """Follow the feed of the node on a host until it ends; return whether it began."""
         loop = asyncio.get_running_loop()
-        self.live, self.behind_since_ms = False, 0
+        self.live, self.failed, self.behind_since_ms = False, True, 0
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -121,7 +123,9 @@
         if kind is FrameKind.FEED:
             self.receive(connection, Feed(*fields))
         elif kind is FrameKind.FEED_END:
-            self.record(f"ended by the sender: {fields[0]}")
+            reason, was_current = fields
+            self.failed = not was_current
+            self.record(f"ended by the sender: {reason}")
             connection.close()
         elif kind is FrameKind.HELLO:
             connection.peer = fields[0]
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -19,6 +19,7 @@
     Store,
     StoreDecoder,
     StoredItem,
+    StoreEvents,
     StoreFailedError,
 )
 
@@ -42,6 +43,9 @@
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
 FEED_SPREAD_MS = 200
+# Pause between the probes of a node that others depend on. With the probe's timeout of 0.6 s, a
+# silent store is found within 1.3 s; the strictest bound for applying a change is 2 s.
+PROBE_INTERVAL_S = 0.7
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -96,6 +100,9 @@
                 pause_ms = RETRY_MIN_MS
                 if not self.reads_store():
                     if await self.follow():
+                        if self.feeds.failed:
+                            # The feed may have been silent while changes were made.
+                            await self.read_changes(1)
                         continue
                     self.log.record("feed", "none found")
                     self.reads_until_ms = self.clock.now_ms() + READER_HOLD_MS
@@ -201,19 +208,48 @@
                 # Shows immediately whether the store responds.
                 wait_ms = 1
             started_ms = self.clock.now_ms()
-            watched = await self.store.watch(self.view.revision, wait_ms)
+            changes = await self.read_changes(wait_ms)
             now_ms = self.clock.now_ms()
-            self.view.source = STORE
-            self.record_store_contact(now_ms, max(self.view.revision, watched.revision))
-            for item in watched.events:
-                self.apply_event(item)
-            self.updater.expire(now_ms)
-            self.publisher.publish()
             if not self.updater.directory.retained_until_ms and self.yields_to_subscribers():
                 return
-            pause_ms = next_pause_ms(pause_ms, len(watched.events), now_ms - started_ms)
+            pause_ms = next_pause_ms(pause_ms, changes, now_ms - started_ms)
             await asyncio.sleep(pause_ms / 1000)
 
+    async def read_changes(self, wait_ms: int) -> int:
+        """Wait for changes of the store and apply them; return how many there were."""
+        watched = await self.watch_and_probe(wait_ms)
+        now_ms = self.clock.now_ms()
+        self.view.source = STORE
+        self.record_store_contact(now_ms, max(self.view.revision, watched.revision))
+        for item in watched.events:
+            self.apply_event(item)
+        self.updater.expire(now_ms)
+        self.publisher.publish()
+        return len(watched.events)
+
+    async def watch_and_probe(self, wait_ms: int) -> StoreEvents:
+        """Return the changes of the store; raise StoreFailedError if it does not respond.
+
+        A waiting watch does not show whether the store still responds to this node. While others
+        depend on it, the node probes the store, so that they can turn to another node in time.
+        """
+        watching = asyncio.create_task(self.store.watch(self.view.revision, wait_ms))
+        tasks = {watching}
+        try:
+            while not watching.done():
+                await asyncio.wait({watching}, timeout=PROBE_INTERVAL_S)
+                if self.publisher.followers and not watching.done():
+                    probing = asyncio.create_task(self.store.probe())
+                    tasks = {watching, probing}
+                    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                    if probing.done():
+                        probing.result()
+            return watching.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
     def yields_to_subscribers(self) -> bool:
         """Send followers of a node that is no subscriber to the subscribers of the data centre.
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -58,7 +58,7 @@
         """Register a follower, and serve it now or once this node reads the store."""
         refusal = self.refusal()
         if refusal:
-            connection.send(encode_frame(FrameKind.FEED_END, refusal))
+            connection.send(encode_frame(FrameKind.FEED_END, refusal, False))
             return
         connection.peer = subscription.node
         self.pending[connection] = subscription
@@ -167,7 +167,7 @@
         if not self.is_wanted:
             return
         self.log.record("feed", "ended", reason=reason, followers=len(self.followers))
-        frame = encode_frame(FrameKind.FEED_END, reason)
+        frame = encode_frame(FrameKind.FEED_END, reason, self.is_current)
         for connection in self.followers | self.pending.keys():
             connection.send(frame)
         self.followers.clear()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -77,12 +77,15 @@
             self.dialect.client_headers(opened.request),
             opened.request.body,
         )
+        opened.call = execute
         target = find_or_add_target(self.origin.loads, entry.server_id)
         record_call_start(target)
         try:
             outcome = await self.transmit(entry, execute)
         finally:
             record_call_end(target)
+        # The outcome states whether the call ran.
+        opened.call = None
         self.record_outcome(opened, entry, outcome, self.clock.now_ms() - now_ms)
         return outcome
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -217,7 +217,7 @@
         self.executor.log.record("serve", event, metadata.request_id, **result_fields)
 
     async def dispatch(self, opened: OpenRequest) -> Outcome:
-        """Send a request to servers; when its timeout expires, report that it may have run."""
+        """Send a request to servers; when its timeout expires, report whether it may have run."""
         try:
             async with asyncio.timeout((opened.ends_ms - self.clock.now_ms()) / 1000) as timeout:
                 self.origin.timeouts.add(timeout)
@@ -226,7 +226,10 @@
                 finally:
                     self.origin.timeouts.discard(timeout)
         except TimeoutError:
-            return Error(may_have_run(Reason.DEADLINE, "no answer in time"))
+            if opened.may_have_run():
+                return Error(may_have_run(Reason.DEADLINE, "no answer in time"))
+            text = "no server accepted the request in time"
+            return Error(not_run(Reason.DEADLINE, text, self.retry_after_ms(opened)))
 
     def expire_all(self) -> None:
         """Expire the timeouts of all open requests, so that each client still gets a response."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -111,6 +111,8 @@
     target: str
     headers: list[Header]
     body: bytes
+    # Whether the call may have left this node or reached the local server; not sent to the peer.
+    dispatched: bool = False
 
 
 @define(eq=False)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -5,6 +5,7 @@
 from basilhill.outcomes import Answer, Refusal
 
 from basilhill_node.sidecar.dialect import RequestMetadata
+from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest
 
 
@@ -34,6 +35,8 @@
     sends: int = 0
     refused: int = 0
     slow: int = 0
+    # Call that is in progress at a server, None before the first one.
+    call: Execute | None = None
     uncertain: Refusal | None = None
     failed: Answer | None = None
 
@@ -41,6 +44,12 @@
         """Return whether the route allows an attempt at one more server."""
         return len(self.reached) < self.route.attempts
 
+    def may_have_run(self) -> bool:
+        """Return whether the request may have run at a server until now."""
+        if self.uncertain is not None or self.failed is not None:
+            return True
+        return self.call is not None and self.call.dispatched
+
     def has_further_server(self) -> bool:
         """Return whether a further server is allowed or one that refused can be tried again."""
         return self.may_reach_another() or bool(self.refused_by)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -83,6 +83,7 @@
     async def exchange(self, connection: StreamConnection, execute: Execute) -> Reply | LostCall:
         """Send a call on an open stream and wait for its reply."""
         execute.call_id = next(self.ids)
+        execute.dispatched = True
         waiter = asyncio.get_running_loop().create_future()
         if not self.waiters:
             # A peer without calls may send no frames, so the peer timeout starts with the first
--- a/packages/basilhill_node/src/basilhill_node/sidecar/store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/store.py
@@ -49,6 +49,10 @@
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
         ...
 
+    async def probe(self) -> None:
+        """Raise StoreFailedError if the store does not respond."""
+        ...
+
 
 class StoreDecoder(Protocol):
     """Decoder of the values in the store, which makes no decisions."""
