--- /dev/null
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -0,0 +1,210 @@
+"""Fleet of real nodes on simulated time, network and store."""
+
+import asyncio
+from contextvars import copy_context
+from random import Random
+
+from attrs import define, field
+from basilhill_node.platform.decoder import PlatformDecoder
+from basilhill_node.platform.http import PlatformDialect
+from basilhill_node.platform.store import (
+    PROBE_TIMEOUT_S,
+    READ_TIMEOUT_S,
+    WATCH_MARGIN_S,
+    decode_item,
+)
+from basilhill_node.sidecar.node import Sidecar, build_sidecar, close_sidecar, start_sidecar
+from basilhill_node.sidecar.state import SidecarSettings
+from basilhill_node.sidecar.store import (
+    HistoryExpiredError,
+    StoreEvents,
+    StoreFailedError,
+    StoreItems,
+)
+
+from basilhill_fakes.platform_store import PlatformStoreState
+from basilhill_fakes.sidecar_fleet import build_configuration, build_route
+from basilhill_fakes.simulated_loop import HOST, SimulatedClock, SimulatedLoop
+
+STORE_LATENCY_S = 0.004
+READS = build_route("r-read", "/read/", "calendar")
+
+
+@define(eq=False)
+class StoreAccess:
+    """Access of one host to the store, or of all hosts."""
+
+    # Calls get no response; calls that wait when silence begins never get one.
+    silent: bool = False
+    refused: bool = False
+    # Number of times that silence has begun.
+    silences: int = 0
+
+    def silence(self) -> None:
+        self.silent = True
+        self.silences += 1
+
+    def restore(self) -> None:
+        self.silent = self.refused = False
+
+
+@define(eq=False)
+class SimulatedStore:
+    """Store as one host sees it, with the timeouts of the platform's client."""
+
+    state: PlatformStoreState
+    paths: tuple[StoreAccess, ...]
+
+    async def read(self) -> StoreItems:
+        """Return all items; raise StoreFailedError if the store is out of reach."""
+        await self.respond(READ_TIMEOUT_S)
+        items = tuple(decode_item(item) for item in self.state.items.values())
+        return StoreItems(items, self.state.revision)
+
+    async def probe(self) -> None:
+        """Raise StoreFailedError if the store is out of reach."""
+        await self.respond(PROBE_TIMEOUT_S)
+
+    async def watch(self, after: int, wait_ms: int) -> StoreEvents:
+        """Return the changes after a revision, or none if there are none within `wait_ms`."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        longest_s = wait_ms / 1000 + WATCH_MARGIN_S
+        silences = self.silences()
+        await self.respond(longest_s)
+        while True:
+            if after < self.state.oldest_revision:
+                raise HistoryExpiredError(f"no history since revision {after}")
+            events = [item for item in self.state.events if item["revision"] > after]
+            left_s = started_s + wait_ms / 1000 - loop.time()
+            if silences != self.silences():
+                await asyncio.sleep(started_s + longest_s - loop.time())
+                raise StoreFailedError("the response was lost")
+            if events or left_s <= 0:
+                return StoreEvents(tuple(map(decode_item, events)), self.state.revision)
+            changed = self.state.changed
+            try:
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    async def respond(self, longest_s: float) -> None:
+        """Wait for the store's latency; raise StoreFailedError if it does not respond."""
+        await asyncio.sleep(STORE_LATENCY_S)
+        if any(path.refused for path in self.paths):
+            raise StoreFailedError("status 503")
+        if any(path.silent for path in self.paths):
+            await asyncio.sleep(longest_s - STORE_LATENCY_S)
+            raise StoreFailedError(f"store did not respond within {longest_s} s")
+
+    def silences(self) -> int:
+        return sum(path.silences for path in self.paths)
+
+
+@define(eq=False)
+class SimulatedVm:
+    """VM with its node, its path to the store, and the time since which nothing disturbs it."""
+
+    address: str
+    data_centre: str
+    path: StoreAccess = field(factory=StoreAccess)
+    node: Sidecar | None = None
+    # Time of the last disturbance of the VM, in seconds.
+    disturbed_s: float = 0.0
+
+
+@define(eq=False)
+class SimulatedFleet:
+    """Nodes on a simulated loop, with the store that they read."""
+
+    loop: SimulatedLoop
+    random: Random
+    store: PlatformStoreState = field(factory=PlatformStoreState)
+    access: StoreAccess = field(factory=StoreAccess)
+    vms: list[SimulatedVm] = field(factory=list)
+    # Acknowledged versions with the time of their acknowledgement, in seconds.
+    acknowledged: list[tuple[float, int]] = field(factory=list)
+    version: int = 0
+    # Time of the last disturbance of the store, in seconds.
+    store_disturbed_s: float = 0.0
+
+    def add_vm(self, data_centre: str) -> SimulatedVm:
+        """Add a VM without a running node, and register its server."""
+        number = len(self.vms) + 1
+        vm = SimulatedVm(f"10.0.0.{number}", data_centre)
+        self.vms.append(vm)
+        entry = {
+            "service": "calendar",
+            "address": f"{vm.address}:8301",
+            "zone": data_centre,
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+            "coldRemainingS": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        self.store.put(f"servers/i-{number}", entry)
+        return vm
+
+    def change_configuration(self) -> None:
+        """Write the next version to the store, which acknowledges it at once."""
+        self.version += 1
+        self.store.put("op/config", build_configuration(self.version, READS))
+        self.acknowledged.append((self.loop.time(), self.version))
+
+    async def start(self, vm: SimulatedVm) -> None:
+        """Start the node of a VM in a context that has its host."""
+        await self.loop.create_task(self.start_node(vm), context=copy_context())
+
+    async def start_node(self, vm: SimulatedVm) -> None:
+        HOST.set(vm.address)
+        store = SimulatedStore(self.store, (self.access, vm.path))
+        clock = SimulatedClock(self.loop)
+        vm.node = build_sidecar(
+            node_settings(vm), store, PlatformDecoder(), PlatformDialect(), clock
+        )
+        vm.node.follower.random = Random(self.random.random())
+        vm.disturbed_s = self.loop.time()
+        await start_sidecar(vm.node)
+
+    def kill(self, vm: SimulatedVm) -> None:
+        """End the process of a node without notice."""
+        if vm.node is not None:
+            self.loop.network.reset(vm.address)
+            close_sidecar(vm.node)
+            vm.node = None
+
+    def cut(self, vm: SimulatedVm) -> None:
+        """Cut a VM off from all other nodes."""
+        for other in self.vms:
+            if other is not vm:
+                self.loop.network.cut.add(frozenset((vm.address, other.address)))
+
+    def reconnect(self, vm: SimulatedVm) -> None:
+        """End the cuts of a VM."""
+        self.loop.network.cut = {pair for pair in self.loop.network.cut if vm.address not in pair}
+
+    def stop(self) -> None:
+        for vm in self.vms:
+            self.kill(vm)
+
+
+def node_settings(vm: SimulatedVm) -> SidecarSettings:
+    return SidecarSettings(
+        node=f"node-{vm.address}",
+        address=vm.address,
+        data_centre=vm.data_centre,
+        service="calendar",
+        backend_address=f"{vm.address}:8301",
+        client_port=8304,
+        peer_port=8300,
+        ready_port=8302,
+        metrics_port=9464,
+        store_address="",
+        grace_ms=6_000,
+        retry_ratio=0.2,
+        retry_window_ms=10_000,
+        retry_minimum=48,
+    )
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -0,0 +1,168 @@
+"""Tests of the age of configurations over simulated time, with random orders of faults."""
+
+import asyncio
+from random import Random
+
+import pytest
+from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
+from basilhill_fakes.simulated_loop import SimulatedLoop
+
+# Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
+# nodes that nothing has disturbed for `CONTACT_S`.
+APPLY_S = 2.0
+CONTACT_S = 3.0
+CHECK_S = 0.05
+RUN_S = 60.0
+VMS = 6
+SEEDS = range(24)
+
+
+@pytest.fixture
+def loop():
+    running = SimulatedLoop()
+    asyncio.set_event_loop(running)
+    yield running
+    asyncio.set_event_loop(None)
+    running.close()
+
+
+def run(loop: SimulatedLoop, scenario) -> None:
+    """Run a scenario, then end all tasks that are left."""
+    try:
+        loop.run_until_complete(scenario)
+    finally:
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+
+
+async def start_fleet(loop: SimulatedLoop, seed: int, data_centres: str) -> SimulatedFleet:
+    fleet = SimulatedFleet(loop, Random(seed))
+    for data_centre in data_centres:
+        fleet.add_vm(data_centre)
+    fleet.change_configuration()
+    for vm in fleet.vms:
+        await fleet.start(vm)
+    return fleet
+
+
+def is_in_touch(fleet: SimulatedFleet, vm: SimulatedVm) -> bool:
+    """Return whether the bounds hold for a VM now."""
+    if vm.node is None:
+        return False
+    calm_since_s = max(vm.disturbed_s, fleet.store_disturbed_s)
+    return fleet.loop.time() - calm_since_s >= CONTACT_S
+
+
+def check_versions(fleet: SimulatedFleet, seen: dict[object, int]) -> None:
+    """Fail if a VM in touch has an older version than it must have, or goes back to one."""
+    now_s = fleet.loop.time()
+    due = max((v for acked_s, v in fleet.acknowledged if acked_s <= now_s - APPLY_S), default=0)
+    for vm in fleet.vms:
+        if vm.node is None:
+            continue
+        version = vm.node.state.active_configuration.version
+        assert version >= seen.get(vm.node, 0), f"{vm.address} went back at {now_s:.2f} s"
+        seen[vm.node] = version
+        if is_in_touch(fleet, vm):
+            assert version >= due, f"{vm.address} has {version}, due is {due} at {now_s:.2f} s"
+
+
+async def check_until(fleet: SimulatedFleet, end_s: float, seen: dict[object, int]) -> None:
+    while fleet.loop.time() < end_s:
+        await asyncio.sleep(CHECK_S)
+        for vm in fleet.vms:
+            if vm.path.silent or vm.path.refused or vm.address in cut_hosts(fleet):
+                vm.disturbed_s = fleet.loop.time()
+        if fleet.access.silent or fleet.access.refused:
+            fleet.store_disturbed_s = fleet.loop.time()
+        check_versions(fleet, seen)
+
+
+def cut_hosts(fleet: SimulatedFleet) -> set[str]:
+    """Return the hosts that are cut off from all others."""
+    pairs = fleet.loop.network.cut
+    hosts = {host for pair in pairs for host in pair}
+    return {host for host in hosts if sum(host in pair for pair in pairs) == len(fleet.vms) - 1}
+
+
+async def walk(fleet: SimulatedFleet, seed: int) -> None:
+    """Inject random faults and changes until `RUN_S`, and check all the while."""
+    random, seen = Random(seed), {}
+    while fleet.loop.time() < RUN_S:
+        await check_until(fleet, fleet.loop.time() + random.expovariate(1 / 1.2), seen)
+        vm = random.choice(fleet.vms)
+        step = random.choice(
+            ("change", "change", "change", "outage", "outage", "path", "restart", "cut", "entry")
+        )
+        if step == "change":
+            for _ in range(random.choice((1, 1, 4))):
+                fleet.change_configuration()
+        elif step == "outage":
+            toggle(fleet.access, random)
+        elif step == "path":
+            toggle(vm.path, random)
+        elif step == "restart":
+            if vm.node is None:
+                await fleet.start(vm)
+            else:
+                fleet.kill(vm)
+        elif step == "cut":
+            if vm.address in cut_hosts(fleet):
+                fleet.reconnect(vm)
+            else:
+                fleet.cut(vm)
+        elif step == "entry":
+            # Changes that come in groups lengthen the pause after a watch.
+            fleet.store.put(f"servers/x-{random.randrange(9)}", b"not an entry")
+    fleet.stop()
+
+
+def toggle(access, random: Random) -> None:
+    """End an outage, or begin one of a random kind."""
+    if access.silent or access.refused:
+        access.restore()
+    elif random.random() < 0.7:
+        access.silence()
+    else:
+        access.refused = True
+
+
+@pytest.mark.parametrize("data_centres", ["a" * VMS, "aaabbc"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_versions_are_in_force_within_the_bound_in_any_order_of_faults(loop, seed, data_centres):
+    """Guard against nodes that serve a replaced configuration for longer than the bound allows.
+
+    Two nodes once followed no feed, waited in a watch that got no response, and counted as up to
+    date for 27 s.
+    """
+
+    async def scenario() -> None:
+        await walk(await start_fleet(loop, seed, data_centres), seed)
+
+    run(loop, scenario())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_node_whose_feed_ends_in_a_second_outage_has_the_version_in_time(loop, seed):
+    """Guard against followers that wait for the store without evidence that it responds.
+
+    They followed a feed since the first outage; it ended in the second one, and no other node had
+    a feed. Their watch got no response, and the next call came 26.5 s later.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, "a" * VMS), {}
+        for at_s, for_s in ((20.0, 6.4), (40.0, 9.3)):
+            await check_until(fleet, at_s, seen)
+            fleet.access.silence()
+            await check_until(fleet, at_s + for_s, seen)
+            fleet.access.restore()
+            for _ in range(4):
+                fleet.change_configuration()
+                await check_until(fleet, loop.time() + 0.05, seen)
+        await check_until(fleet, 60.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
