Bound the age of the evidence that a node is up to date

Cause: a node counted as up to date as long as nothing failed. Three places let it wait without any evidence: a reader without followers sent no probes, so that a watch of 25 s without a response was found only after 26.5 s; a node that followed a feed while it waited for a lost store did not read the store when that feed failed; and a watch whose connection had gone silent was not noticed while new connections worked. Peers sent such a node nothing, since it reported the store as reachable.

Change: each node that reads the store probes it when its last response is 0.7 s old, whatever it waits for, and replaces a watch that does not return the revision of an earlier probe. A feed that failed is followed by a read wherever it was followed. Until a lost store responds to a probe, no full read is sent. The silence, the check, the spread and the heartbeat of feeds are shortened, so that the sum of all stages is within the bound of 2 s.

--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -61,9 +61,10 @@
         items = tuple(decode_item(item) for item in self.state.items.values())
         return StoreItems(items, self.state.revision)
 
-    async def probe(self) -> None:
-        """Raise StoreFailedError if the store is out of reach."""
+    async def probe(self) -> int:
+        """Return the revision; raise StoreFailedError if the store is out of reach."""
         await self.respond(PROBE_TIMEOUT_S)
+        return self.state.revision
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -6,6 +6,8 @@
 import pytest
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
 from basilhill_fakes.simulated_loop import SimulatedLoop
+from basilhill_node.platform.store import PROBE_TIMEOUT_S
+from basilhill_node.sidecar.commands import follow_feed, follow_store
 
 # Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
 # nodes that nothing has disturbed for `CONTACT_S`.
@@ -166,3 +168,42 @@
         fleet.stop()
 
     run(loop, scenario())
+
+
+def test_watch_whose_response_is_lost_is_replaced_in_time(loop):
+    """Guard against a node whose watch waits on a silent connection while new ones work."""
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, 1, "a" * VMS), {}
+        await check_until(fleet, 20.0, seen)
+        fleet.access.silences += 1
+        for _ in range(20):
+            fleet.change_configuration()
+            await check_until(fleet, loop.time() + 0.33, seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+def test_sum_of_all_stages_is_within_the_bound():
+    """Guard against a bound that holds only if the stages are not at their worst together.
+
+    A change is made right after a watch; its reader then fails, or loses the store.
+    """
+    own_read_s = (follow_store.FEED_SPREAD_MS / 1000) + 0.01
+    silent_reader_s = (
+        follow_store.COALESCE_MAX_MS / 1000
+        + follow_feed.FEED_SILENCE_MS / 1000
+        + follow_feed.CHECK_S
+        + own_read_s
+    )
+    silent_store_s = (
+        max(follow_store.COALESCE_MAX_MS, follow_store.PROBE_AGE_MS) / 1000
+        + PROBE_TIMEOUT_S
+        + own_read_s
+    )
+    feed_behind_s = follow_feed.FEED_BEHIND_MS / 1000 + follow_feed.CHECK_S + own_read_s
+    silent_watch_s = 2 * follow_store.PROBE_AGE_MS / 1000 + own_read_s
+    assert max(silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s) < APPLY_S
+    # After an outage, a node has the version when it is in touch again.
+    assert PROBE_TIMEOUT_S + follow_store.RETRY_MAX_MS / 1000 + own_read_s < CONTACT_S
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -71,12 +71,14 @@
         page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
         return StoreEvents(page.items, page.revision)
 
-    async def probe(self) -> None:
-        """Raise StoreFailedError if the store does not respond.
+    async def probe(self) -> int:
+        """Return a recent revision; raise StoreFailedError if the store does not respond.
 
         A read that may be stale costs a tenth of another one.
         """
-        await self.fetch(RANGE, {"prefix": PROBE_PREFIX, "allowStale": "1"}, PROBE_TIMEOUT_S)
+        query = {"prefix": PROBE_PREFIX, "allowStale": "1"}
+        page = await self.fetch(RANGE, query, PROBE_TIMEOUT_S)
+        return page.revision
 
     async def fetch(self, path: str, query: dict[str, str], timeout_s: float) -> "Page":
         """Return the decoded body of a GET request."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 from typing import Any
 
 from attrs import define, field
@@ -21,16 +22,24 @@
 from basilhill_node.sidecar.streams import StreamConnection
 
 CONNECT_TIMEOUT_S = 0.5
-CHECK_S = 0.25
-# A feed without frames for this long has failed: heartbeats come every 500 ms. The strictest bound
-# for applying a change is 2 s.
-FEED_SILENCE_MS = 1_100
+CHECK_S = 0.1
+# A feed without frames for this long has failed: heartbeats come every 400 ms. The strictest bound
+# for applying a change is 2 s, which includes the pause of the sender after its last watch.
+FEED_SILENCE_MS = 900
 # A node that is asked first reads the store, whose responses take up to 0.3 s when it is slow.
 FEED_START_MS = 600
 # Time for which a node whose feed failed is asked last.
 FEED_PENALTY_MS = 10_000
 # A feed whose revision is below that of this node for this long is left.
-FEED_BEHIND_MS = 1_500
+FEED_BEHIND_MS = 1_000
+
+
+class FeedEnd(Enum):
+    """How a feed ended: before its first frame, up to date, or possibly without some changes."""
+
+    NOT_BEGUN = "not begun"
+    CURRENT = "current"
+    FAILED = "failed"
 
 
 @define(eq=False)
@@ -46,8 +55,8 @@
     connection: StreamConnection | None = None
     fed_ms: int = 0
     live: bool = False
-    # Whether the last feed ended otherwise than by a node that was up to date.
-    failed: bool = False
+    # Whether the sender ended the feed while it was up to date.
+    ended_current: bool = False
     behind_since_ms: int = 0
     # Times of the last failures of feeds, by host.
     failed_ms: dict[str, int] = field(factory=dict)
@@ -64,10 +73,10 @@
         self.failed_ms = {host: ms for host, ms in self.failed_ms.items() if ms > oldest_ms}
         return sorted(hosts, key=lambda host: self.failed_ms.get(host, 0))
 
-    async def follow(self, host: str) -> bool:
-        """Follow the feed of the node on a host until it ends; return whether it began."""
+    async def follow(self, host: str) -> FeedEnd:
+        """Follow the feed of the node on a host until it ends; return how it ended."""
         loop = asyncio.get_running_loop()
-        self.live, self.failed, self.behind_since_ms = False, True, 0
+        self.live, self.ended_current, self.behind_since_ms = False, False, 0
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -78,7 +87,7 @@
         except (OSError, TimeoutError) as error:
             self.log.record("feed", "cannot connect", host=host, problem=repr(error))
             self.failed_ms[host] = self.clock.now_ms()
-            return False
+            return FeedEnd.NOT_BEGUN
         self.connection = connection
         self.fed_ms = self.clock.now_ms()
         try:
@@ -90,7 +99,9 @@
             self.connection = None
             self.view.source = ""
             connection.close()
-        return self.live
+        if not self.live:
+            return FeedEnd.NOT_BEGUN
+        return FeedEnd.CURRENT if self.ended_current else FeedEnd.FAILED
 
     def subscribe(self, connection: StreamConnection) -> None:
         subscription = Subscribe(
@@ -124,7 +135,7 @@
             self.receive(connection, Feed(*fields))
         elif kind is FrameKind.FEED_END:
             reason, was_current = fields
-            self.failed = not was_current
+            self.ended_current = was_current
             self.record(f"ended by the sender: {reason}")
             connection.close()
         elif kind is FrameKind.HELLO:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -10,7 +10,7 @@
 from basilhill.queries.subscribers import feed_hosts, is_subscriber
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
-from basilhill_node.sidecar.commands.follow_feed import FeedFollower
+from basilhill_node.sidecar.commands.follow_feed import FeedEnd, FeedFollower
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.state import STORE, SidecarSettings, StoreView
@@ -35,17 +35,16 @@
 RETRY_MAX_MS = 1_000
 # Servers register again within about 2 s after the store has recovered.
 REGISTRATION_GRACE_MS = 2_500
-# Longest pause between the attempts of a node that is no subscriber.
-FOLLOWER_RETRY_MAX_MS = 2_000
 # Time for which a node that found no feed or got followers reads the store. While a fleet starts,
 # each new VM can be the next subscriber, and followers would move with each one.
 READER_HOLD_MS = 15_000
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
-FEED_SPREAD_MS = 200
-# Pause between the probes of a node that others depend on. With the probe's timeout of 0.6 s, a
-# silent store is found within 1.3 s; the strictest bound for applying a change is 2 s.
-PROBE_INTERVAL_S = 0.7
+FEED_SPREAD_MS = 100
+# Age of the last response of the store at which a node that reads it sends a probe. With the
+# probe's timeout of 0.6 s, a silent store is found within 1.35 s after its last response, since a
+# pause after a watch may take longer than this.
+PROBE_AGE_MS = 700
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -80,6 +79,8 @@
     random: Random = field(factory=Random)
     # Time until which a node that found no feed reads the store.
     reads_until_ms: int = 0
+    # Whether a feed failed, which may have been silent while changes were made.
+    missed_changes: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Connect the feeds: a follower makes this node read the store by itself."""
@@ -97,12 +98,12 @@
                     self.feeds.store_in_doubt = False
                     await self.read()
                     read_all = False
+                if self.missed_changes:
+                    await self.read_changes(1)
+                    self.missed_changes = False
                 pause_ms = RETRY_MIN_MS
                 if not self.reads_store():
                     if await self.follow():
-                        if self.feeds.failed:
-                            # The feed may have been silent while changes were made.
-                            await self.read_changes(1)
                         continue
                     self.log.record("feed", "none found")
                     self.reads_until_ms = self.clock.now_ms() + READER_HOLD_MS
@@ -113,8 +114,8 @@
             except StoreFailedError as error:
                 self.record_store_loss(str(error))
                 self.publisher.end("the store is unreachable")
-                read_all = not await self.pause(pause_ms)
-                pause_ms = min(2 * pause_ms, self.longest_pause_ms())
+                read_all = not await self.wait_for_store(pause_ms)
+                pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
             except Exception as error:
                 # A node whose state no longer follows the store would serve an old configuration.
                 read_all = True
@@ -132,19 +133,14 @@
             or is_subscriber(directory, settings.data_centre, settings.address)
         )
 
-    def longest_pause_ms(self) -> int:
-        """Return the longest pause between attempts to reach the store, in ms.
-
-        A node that is no subscriber looks for a feed before each attempt.
-        """
-        return RETRY_MAX_MS if self.reads_store() else FOLLOWER_RETRY_MAX_MS
-
     async def follow(self) -> bool:
         """Follow the feed of another node until it ends; return whether there was one."""
         settings = self.settings
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
-            if await self.feeds.follow(host):
+            ended = await self.feeds.follow(host)
+            if ended is not FeedEnd.NOT_BEGUN:
+                self.missed_changes = ended is FeedEnd.FAILED
                 # Followers of one node do not all turn to the next one at once.
                 await asyncio.sleep(self.random.uniform(0, FEED_SPREAD_MS) / 1000)
                 return True
@@ -152,22 +148,28 @@
                 break
         return False
 
-    async def pause(self, pause_ms: int) -> bool:
-        """Wait before the next attempt to reach the store; return whether a feed was followed.
+    async def wait_for_store(self, pause_ms: int) -> bool:
+        """Wait until the store responds to a probe or a feed was followed; return whether one was.
 
         A subscriber follows a feed only for a limited time, so that it reads the store again.
         """
-        ends_ms = self.clock.now_ms() + int(pause_ms * self.random.uniform(0.5, 1.0))
-        limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
-        followed = False
-        with suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                followed = await self.follow()
-        if followed:
-            return True
-        left_ms = ends_ms - self.clock.now_ms()
-        await asyncio.sleep(max(0, left_ms) / 1000)
-        return False
+        while True:
+            ends_ms = self.clock.now_ms() + int(pause_ms * self.random.uniform(0.5, 1.0))
+            limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
+            followed = False
+            with suppress(TimeoutError):
+                async with asyncio.timeout(limit_s):
+                    followed = await self.follow()
+            if followed:
+                return True
+            await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
+            pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+            try:
+                await self.store.probe()
+            except StoreFailedError as error:
+                self.log.record("store", "still lost", reason=str(error))
+            else:
+                return False
 
     async def read(self) -> None:
         """Read all items of the store and apply them."""
@@ -230,21 +232,30 @@
     async def watch_and_probe(self, wait_ms: int) -> StoreEvents:
         """Return the changes of the store; raise StoreFailedError if it does not respond.
 
-        A waiting watch does not show whether the store still responds to this node. While others
-        depend on it, the node probes the store, so that they can turn to another node in time.
+        A waiting watch shows neither whether the store still responds nor whether its own
+        connection still works. Therefore the node probes the store, and replaces a watch that does
+        not return the revision of a probe until the next probe.
         """
         watching = asyncio.create_task(self.store.watch(self.view.revision, wait_ms))
         tasks = {watching}
+        probed_revision = 0
         try:
-            while not watching.done():
-                await asyncio.wait({watching}, timeout=PROBE_INTERVAL_S)
-                if self.publisher.followers and not watching.done():
-                    probing = asyncio.create_task(self.store.probe())
-                    tasks = {watching, probing}
-                    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                    if probing.done():
-                        probing.result()
-            return watching.result()
+            while True:
+                age_ms = self.clock.now_ms() - self.view.last_contact_ms
+                await asyncio.wait({watching}, timeout=max(0, PROBE_AGE_MS - age_ms) / 1000)
+                if watching.done():
+                    return watching.result()
+                if probed_revision > self.view.revision:
+                    self.log.record("store", "watch replaced", revision=probed_revision)
+                    watching.cancel()
+                    return await self.store.watch(self.view.revision, 1)
+                probing = asyncio.create_task(self.store.probe())
+                tasks = {watching, probing}
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                if watching.done():
+                    return watching.result()
+                probed_revision = probing.result()
+                self.view.last_contact_ms = self.clock.now_ms()
         finally:
             for task in tasks:
                 task.cancel()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -12,7 +12,7 @@
 from basilhill_node.sidecar.state import STORE, ActiveConfiguration, NodeLifecycle, StoreView
 from basilhill_node.sidecar.streams import StreamConnection
 
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = 0.4
 # Changes kept for followers that subscribe again; older followers get all entries.
 HISTORY_LIMIT = 1_000
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/store.py
@@ -49,8 +49,8 @@
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
         ...
 
-    async def probe(self) -> None:
-        """Raise StoreFailedError if the store does not respond."""
+    async def probe(self) -> int:
+        """Return a recent revision; raise StoreFailedError if the store does not respond."""
         ...
 
 
