Reproduce the requests beyond a named limit

Cause: a server in need states the requests a second that it takes, and one that leaves says so in its answers; nodes pass both statements on and do not read them.

--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -25,6 +25,11 @@
     rejections_before_run: int = 0
     resets: bool = False
     draining: bool = False
+    # Values of the headers with which the server names its limit, and whether it says it leaves.
+    limits: tuple[str, ...] = ()
+    says_leaving: bool = False
+    # Times of arrivals, in seconds of the event loop.
+    arrived_s: list[float] = field(factory=list)
     # Node address, Host header and path of the internal call that each run makes through that node.
     calls: tuple[str, str, str] | None = None
     session: object | None = None
@@ -38,10 +43,20 @@
     started: Callable[[str, str, bytes], None] = field(default=lambda *_request: None)
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Handle one request, and state the limit and the leaving of the server."""
+        response = await self.run(request)
+        for limit in self.limits:
+            response.headers.add("Server-Limit", limit)
+        if self.says_leaving:
+            response.headers["Server-Leaving"] = "1"
+        return response
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
         """Run one request; reject it if addressed to another server or by an injected fault."""
         attempt = request.headers[ATTEMPT_ID]
         echo = {ATTEMPT_ID: attempt}
         self.arrivals[attempt] += 1
+        self.arrived_s.append(asyncio.get_running_loop().time())
         self.headers.append(dict(request.headers))
         if request.headers.get("Basilhill-Target-Instance") != self.server_id:
             return web.Response(status=421, headers=echo | {"Basilhill-Instance-Id": "i-other"})
