Keep the limit that a backend server states

Cause: no code read the limit. It is the class of a statement of a server that nodes pass on and do not act upon.

Change: the node beside a server, which sends all its calls, keeps a token bucket of the stated rate. A call without a token waits in the queue of the slots, in order of rank, or is refused as not run before it takes a slot. The level and the calls that a node reports count a limited server by its rate, so origins choose other servers or refuse early. Frames are unchanged, so nodes of both versions work together.

--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -3,6 +3,7 @@
 from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevelReport, RouteLevels
 from basilhill.queries.levels import REPORT_LIFETIME_MS
 from basilhill.queries.ranks import split_rank
+from basilhill.queries.slots import sustained_calls
 from basilhill.slots import ConcurrencyLimiter
 
 # Target utilisation of the slots; above it, calls queue and response times rise.
@@ -45,9 +46,9 @@
 
 
 def adjust_rank_level(level: RankAdmissionLevel, limiter: ConcurrencyLimiter, now_ms: int) -> None:
-    """Adjust the level so that the work of the admitted ranks fits the slots."""
+    """Adjust the level so that the work of the admitted ranks fits the slots and the rate limit."""
     update_level(
-        level, TARGET_UTILISATION * max(1, limiter.slots), backlog_by_rank(limiter), now_ms
+        level, sustained_calls(limiter, TARGET_UTILISATION), backlog_by_rank(limiter), now_ms
     )
 
 
--- a/packages/basilhill/src/basilhill/commands/slots.py
+++ b/packages/basilhill/src/basilhill/commands/slots.py
@@ -4,7 +4,8 @@
 
 from attrs import frozen
 
-from basilhill.queries.slots import expected_slot_wait_ms
+from basilhill.commands.rate_limits import refill_tokens, return_token, take_token
+from basilhill.queries.slots import expected_slot_wait_ms, has_free_slot
 from basilhill.slots import ConcurrencyLimiter, SlotDecision, SlotRequest
 
 # Weight of the newest call in the mean slot time.
@@ -26,7 +27,8 @@
     """Start a call, queue it by rank, or refuse it if its wait would exceed its wait limit."""
     limiter.sequence += 1
     request = SlotRequest(rank, limiter.sequence, wait_limit_ms, now_ms)
-    if limiter.in_flight < limiter.slots and not limiter.waiting:
+    refill_tokens(limiter, now_ms)
+    if has_free_slot(limiter) and not limiter.waiting and take_token(limiter):
         limiter.in_flight += 1
         return SlotGrant(SlotDecision.STARTED, request)
     insort(limiter.waiting, request)
@@ -67,11 +69,12 @@
 def return_slot(limiter: ConcurrencyLimiter) -> None:
     """Free a slot that was not used, without an update of the mean slot time."""
     limiter.in_flight -= 1
+    return_token(limiter)
 
 
 def start_next_request(limiter: ConcurrencyLimiter) -> SlotRequest | None:
-    """Start the first queued request if a slot is free; return it or None."""
-    if not limiter.waiting or limiter.in_flight >= limiter.slots:
+    """Start the first queued request if a slot is free and a token left; return it or None."""
+    if not limiter.waiting or not has_free_slot(limiter) or not take_token(limiter):
         return None
     limiter.in_flight += 1
     return limiter.waiting.pop(0)
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -1,12 +1,19 @@
 """Headers and status codes of the platform's HTTP messages."""
 
+import re
+from collections.abc import Sequence
 from random import Random
 
 from attrs import define, field
 from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal, not_run
 from expression import Error, Ok, Result
 
-from basilhill_node.sidecar.dialect import MalformedMetadata, RequestMetadata, ServerMetadata
+from basilhill_node.sidecar.dialect import (
+    MalformedMetadata,
+    RequestMetadata,
+    ServerMetadata,
+    ServerStatement,
+)
 from basilhill_node.sidecar.messages import (
     HttpRequest,
     HttpResponse,
@@ -22,12 +29,14 @@
 INSTANCE_ID = "basilhill-instance-id"
 CALLER_SERVICE = "basilhill-caller-service"
 RETRY_AFTER = "retry-after"
+SERVER_LIMIT = "server-limit"
 ID_SEPARATOR = "."
 MISDIRECTED = 421
 # Headers that the node sets on requests to backend servers; values from clients are dropped.
 NODE_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE))
 ECHOED_HEADERS = frozenset((REQUEST_ID,))
 LONGEST_DEADLINE_MS = 3_600_000
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 # Status of a request that may have run, by reason; the default is 502.
 UNCERTAIN_STATUS = {Reason.DEADLINE: 504}
 # Status of a request that did not run, by reason; the default is 503.
@@ -87,6 +96,17 @@
         headers = tuple(forwarded_headers(response.headers, ECHOED_HEADERS))
         return Ok(Answer(response.status, headers, response.body))
 
+    def decode_statement(self, headers: Sequence[Header]) -> ServerStatement:
+        """Return what a backend server states about itself in the headers of a response.
+
+        Of several limits the lowest one holds; a malformed one leaves all of them unknown.
+        """
+        texts = [header.value.strip() for header in headers if header.name == SERVER_LIMIT]
+        malformed = [text for text in texts if not DECIMAL_NUMBER.fullmatch(text)]
+        if malformed:
+            return ServerStatement(problem=f"the limit {malformed[0][:40]!r} is no decimal number")
+        return ServerStatement(min(map(float, texts), default=None))
+
     def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         headers = [Header(REQUEST_ID, request_id), *answer.headers]
         return HttpResponse(answer.status, headers, answer.body)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -1,11 +1,13 @@
 """Execution of calls on the local backend server."""
 
 import asyncio
+from collections.abc import Sequence
 
 from attrs import define
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
 from basilhill.commands.levels import adjust_rank_level, count_work
+from basilhill.commands.rate_limits import refill_tokens, state_limit
 from basilhill.commands.response_times import record_end, record_start
 from basilhill.commands.slots import (
     release_slot,
@@ -14,11 +16,12 @@
     start_next_request,
     withdraw_request,
 )
-from basilhill.outcomes import Outcome, Reason, Refusal, may_have_run, not_run
+from basilhill.outcomes import Header, Outcome, Reason, Refusal, may_have_run, not_run
 from basilhill.queries.backends import is_leaving
 from basilhill.queries.ranks import split_rank
+from basilhill.queries.rate_limits import token_wait_ms
 from basilhill.queries.response_times import can_end_in_time
-from basilhill.queries.slots import queue_drain_ms
+from basilhill.queries.slots import has_free_slot, queue_drain_ms
 from basilhill.slots import SlotDecision, SlotRequest
 from expression import Error
 
@@ -61,6 +64,8 @@
     dialect: Dialect
     clock: Clock
     log: EventLog
+    # Timer for the next token of a server with a rate limit.
+    token_timer: asyncio.TimerHandle | None = None
 
     async def execute(self, call: Execute, is_local: bool = False) -> Outcome:
         """Wait for a slot and run a call; return the response, or a refusal with its status.
@@ -134,6 +139,7 @@
         wait_limit_ms = min(call.wait_limit_ms, call.remaining_ms - REPLY_MARGIN_MS)
         waiter = asyncio.get_running_loop().create_future()
         self.state.waiters[grant.request.sequence] = waiter
+        self.schedule_next_token()
         try:
             async with asyncio.timeout(max(0, wait_limit_ms) / 1000):
                 return await waiter
@@ -151,10 +157,23 @@
             del self.state.waiters[grant.request.sequence]
 
     def start_waiting_calls(self) -> None:
+        refill_tokens(self.state.slots, self.clock.now_ms())
         while (request := start_next_request(self.state.slots)) is not None:
             if not self.resolve_waiter(request, None):
                 # The call was cancelled in this event loop iteration and has not withdrawn yet.
                 return_slot(self.state.slots)
+        self.schedule_next_token()
+
+    def schedule_next_token(self) -> None:
+        """Start the first waiting call once there is a token, if it waits for nothing else."""
+        slots = self.state.slots
+        if self.token_timer is not None:
+            self.token_timer.cancel()
+            self.token_timer = None
+        if slots.rate is not None and slots.waiting and has_free_slot(slots):
+            wait_s = (int(token_wait_ms(slots.rate, 0)) + 1) / 1000
+            loop = asyncio.get_running_loop()
+            self.token_timer = loop.call_later(wait_s, self.start_waiting_calls)
 
     def refuse_waiting_call(self, request: SlotRequest) -> None:
         """Refuse a waiting call that was displaced by calls of higher priority."""
@@ -170,7 +189,10 @@
 
     def overload_refusal(self) -> Refusal:
         """Return the refusal of a call that got no slot in time."""
-        text = f"{self.state.slots.in_flight} of {self.state.slots.slots} slots are in use"
+        slots = self.state.slots
+        text = f"{slots.in_flight} of {slots.slots} slots are in use"
+        if slots.rate is not None:
+            text += f", the server takes {slots.rate.per_s} calls per second"
         return not_run(Reason.OVERLOADED, text, int(queue_drain_ms(self.state.slots)) + 1)
 
     async def run(self, call: Execute, arrived_ms: int) -> Outcome:
@@ -218,8 +240,11 @@
         def accepts(headers) -> bool:
             return self.dialect.matches_request(headers, call.request_id)
 
+        sent_ms = self.clock.now_ms()
         response = await connection.exchange(data, accepts, call.method == "HEAD")
         outcome = self.dialect.decode_answer(response)
+        if outcome.is_ok() or outcome.error.reason is not Reason.MISDIRECTED:
+            self.record_statement(call, response.headers, sent_ms)
         if outcome.is_error():
             connection.refused_ids.add(call.request_id)
             if outcome.error.reason is Reason.MISDIRECTED:
@@ -227,6 +252,21 @@
         self.state.pool.release(connection)
         return outcome
 
+    def record_statement(self, call: Execute, headers: Sequence[Header], sent_ms: int) -> None:
+        """Apply what the server states about itself in a response."""
+        statement, slots = self.dialect.decode_statement(headers), self.state.slots
+        if statement.problem:
+            # The last limit that could be decoded still holds.
+            self.log.record("limit", "ignored", call.request_id, problem=statement.problem)
+        elif state_limit(slots, statement.limit_per_s, sent_ms, self.clock.now_ms()):
+            self.log.record(
+                "limit",
+                "changed" if slots.rate else "ended",
+                call.request_id,
+                server=call.server_id,
+                per_s=statement.limit_per_s,
+            )
+
     def adjust_admission_level(self) -> None:
         """Adjust the admission level and log a change."""
         before = self.state.level.level
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -18,6 +18,7 @@
 from basilhill.outcomes import ExecutionStatus, Outcome, Reason, may_have_run, not_run
 from basilhill.queries.levels import tree_level
 from basilhill.queries.ranks import call_rank
+from basilhill.queries.slots import reported_calls
 from expression import Error
 
 from basilhill_node.sidecar.commands.execute_call import GATEWAY_TIMEOUT, CallExecutor
@@ -95,6 +96,8 @@
         if entry.address == self.settings.backend_address:
             outcome = await self.executor.execute(execute, is_local=True)
             now_ms = self.clock.now_ms()
+            target = find_or_add_target(self.origin.loads, entry.server_id)
+            record_report(target, reported_calls(self.executor.state.slots, now_ms))
             level = tree_level(levels, route, self.executor.state.level.level, now_ms)
             record_level(levels, route, entry.server_id, level, now_ms)
             return outcome
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -1,5 +1,6 @@
 """Interface for translation between HTTP messages of a platform and records of the node."""
 
+from collections.abc import Sequence
 from typing import Protocol
 
 from attrs import frozen
@@ -39,6 +40,18 @@
     problem: str
 
 
+@frozen
+class ServerStatement:
+    """Statements of a backend server about itself in a response.
+
+    `limit_per_s` is how many requests per second it takes from all nodes, None if it states none.
+    `problem` is why a stated limit cannot be decoded.
+    """
+
+    limit_per_s: float | None = None
+    problem: str = ""
+
+
 class Dialect(Protocol):
     """Translator between HTTP messages and records, which makes no decisions."""
 
@@ -62,6 +75,10 @@
         """Return the response of a backend server, or a refusal if it did not run the request."""
         ...
 
+    def decode_statement(self, headers: Sequence[Header]) -> ServerStatement:
+        """Return what a backend server states about itself in the headers of a response."""
+        ...
+
     def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         """Return the response that passes a backend server's response on to the client."""
         ...
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -8,6 +8,7 @@
 from basilhill.levels import RouteLevels
 from basilhill.outcomes import Reason, may_have_run
 from basilhill.queries.levels import tree_level
+from basilhill.queries.slots import reported_calls
 from expression import Error
 
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
@@ -101,11 +102,9 @@
         except Exception as error:
             self.log.record("execute", "failed", call.request_id, problem=repr(error))
             outcome = Error(may_have_run(Reason.INTERNAL, "the node failed"))
-        slots = self.executor.state.slots
-        running = slots.in_flight + len(slots.waiting)
-        level = tree_level(
-            self.levels, call.route, self.executor.state.level.level, self.clock.now_ms()
-        )
+        now_ms = self.clock.now_ms()
+        running = reported_calls(self.executor.state.slots, now_ms)
+        level = tree_level(self.levels, call.route, self.executor.state.level.level, now_ms)
         reply = Reply(call.call_id, outcome, running, level)
         connection = incoming.connection
         connection.send(encode_reply(reply, connection.sent_headers))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -123,7 +123,9 @@
     """State of this node as executor of calls; written by `execute_call`."""
 
     pool: ConnectionPool
-    slots: ConcurrencyLimiter = field(factory=lambda: ConcurrencyLimiter(INITIAL_SLOTS))
+    slots: ConcurrencyLimiter = field(
+        factory=lambda: ConcurrencyLimiter(INITIAL_SLOTS, heard=False)
+    )
     level: RankAdmissionLevel = field(
         factory=lambda: RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
     )
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -8,7 +8,7 @@
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import decode_item, decode_page
-from basilhill_node.sidecar.dialect import ServerMetadata
+from basilhill_node.sidecar.dialect import ServerMetadata, ServerStatement
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, header_value
 from basilhill_node.sidecar.store import StoreFailedError
 
@@ -271,3 +271,22 @@
     """Guard against an error that ends the task which follows the store."""
     with pytest.raises(StoreFailedError):
         decode_page(body)
+
+
+@pytest.mark.parametrize(
+    ("values", "limit_per_s"),
+    [((), None), (("20.4",), 20.4), ((" 3 ",), 3.0), (("0",), 0.0), (("20", "8.5"), 8.5)],
+)
+def test_limit_of_a_server_is_decoded(values, limit_per_s):
+    headers = [Header("server-limit", value) for value in values]
+    assert PlatformDialect().decode_statement(headers) == ServerStatement(limit_per_s)
+
+
+@pytest.mark.parametrize(
+    "value", ["", "x", "-1", "inf", "nan", "1e9", "1_0", "20, 8", "٣", "9" * 40]
+)
+def test_malformed_limit_of_a_server_is_reported(value):
+    """Guard against a malformed limit that removes the limit or is taken for an infinite one."""
+    headers = [Header("server-limit", "5"), Header("server-limit", value)]
+    statement = PlatformDialect().decode_statement(headers)
+    assert statement.limit_per_s is None and statement.problem
