Send no new calls to a server that states that it leaves

Cause: the header was passed on and not read; only the store's entry made a server count as leaving.

Change: the directory of servers owns the state: the statement marks the incarnation of the server as draining until it is listed with another start time, whatever else the store lists. The node beside the server applies it to all calls, and each origin remembers what it has passed on, since the node beside the server may restart.

--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from attrs import evolve
+
 from basilhill.backends import BackendDirectory, BackendEntry
 
 REMOVED_ENTRIES_LIMIT = 1_000
@@ -9,6 +11,11 @@
 
 def put_entry(directory: BackendDirectory, entry: BackendEntry) -> bool:
     """Add or replace an entry; return whether anything but its warm-up time changed."""
+    if directory.leaving.get(entry.server_id, entry.started_ms) != entry.started_ms:
+        # The server started again.
+        del directory.leaving[entry.server_id]
+    if entry.server_id in directory.leaving:
+        entry = evolve(entry, draining=True)
     before = directory.entries.get(entry.server_id)
     directory.entries[entry.server_id] = entry
     directory.retained_until_ms.pop(entry.server_id, None)
@@ -52,7 +59,28 @@
     update_newest(directory, entry.address)
     directory.removed_entries[server_id] = entry
     if len(directory.removed_entries) > REMOVED_ENTRIES_LIMIT:
-        del directory.removed_entries[next(iter(directory.removed_entries))]
+        oldest_id = next(iter(directory.removed_entries))
+        del directory.removed_entries[oldest_id]
+        directory.leaving.pop(oldest_id, None)
+    return True
+
+
+def mark_leaving(directory: BackendDirectory, server_id: str) -> bool:
+    """Count a server as draining after it stated that it leaves; return whether that is new."""
+    if server_id in directory.leaving:
+        return False
+    listed = directory.entries.get(server_id)
+    entry = listed or directory.removed_entries.get(server_id)
+    if entry is None:
+        return False
+    directory.leaving[server_id] = entry.started_ms
+    if listed is None:
+        directory.removed_entries[server_id] = evolve(entry, draining=True)
+        return True
+    retained_until_ms = directory.retained_until_ms.get(server_id)
+    put_entry(directory, entry)
+    if retained_until_ms is not None:
+        directory.retained_until_ms[server_id] = retained_until_ms
     return True
 
 
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -2,7 +2,13 @@
 
 from attrs import evolve
 from basilhill.backends import BackendDirectory, BackendEntry
-from basilhill.commands.backends import expire_retained, put_entry, remove_entry, replace_entries
+from basilhill.commands.backends import (
+    expire_retained,
+    mark_leaving,
+    put_entry,
+    remove_entry,
+    replace_entries,
+)
 from basilhill.queries.backends import is_leaving, ready_entries
 
 FIRST = BackendEntry("i-1", "calendar", "10.0.0.1:80", "buc-a", 10)
@@ -140,3 +146,47 @@
     put_entry(listed, moved)
     assert ready_entries(listed, "calendar") == [moved]
     assert listed.newest_by_address == {"10.0.0.9:80": "i-1"}
+
+
+def test_server_that_states_that_it_leaves_stays_so_while_the_store_lists_it_as_ready():
+    """Guard against new calls to a leaving server after the next change of its entry."""
+    listed = directory(FIRST, SECOND)
+    assert mark_leaving(listed, "i-1") and not mark_leaving(listed, "i-1")
+    put_entry(listed, evolve(FIRST, warm_until_ms=500))
+    replace_entries(listed, [FIRST, SECOND])
+    assert ready_entries(listed, "calendar") == [SECOND]
+    assert is_leaving(listed, "i-1")
+
+
+def test_leaving_server_is_not_used_after_its_removal():
+    """Guard against a server that left and is used because its service has no other one."""
+    listed = directory(FIRST)
+    mark_leaving(listed, "i-1")
+    remove_entry(listed, "i-1")
+    assert ready_entries(listed, "calendar") == [] and is_leaving(listed, "i-1")
+    listed = directory(FIRST)
+    remove_entry(listed, "i-1")
+    assert ready_entries(listed, "calendar") == [FIRST]
+    mark_leaving(listed, "i-1")
+    assert ready_entries(listed, "calendar") == []
+
+
+def test_server_that_started_again_is_not_leaving():
+    """Guard against a mark that outlives the incarnation which stated that it leaves."""
+    listed = directory(FIRST)
+    mark_leaving(listed, "i-1")
+    put_entry(listed, evolve(FIRST, started_ms=7))
+    assert not is_leaving(listed, "i-1") and not listed.leaving
+
+
+def test_leaving_server_missing_after_an_outage_is_removed_in_time():
+    """Guard against an entry that stays because the server stated that it leaves."""
+    listed = directory(FIRST)
+    replace_entries(listed, [], retained_until_ms=2_500)
+    mark_leaving(listed, "i-1")
+    assert expire_retained(listed, 2_500) == {"i-1"}
+
+
+def test_statement_of_an_unknown_server_changes_nothing():
+    listed = directory(FIRST)
+    assert not mark_leaving(listed, "i-9") and not listed.leaving
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -30,6 +30,7 @@
 CALLER_SERVICE = "basilhill-caller-service"
 RETRY_AFTER = "retry-after"
 SERVER_LIMIT = "server-limit"
+SERVER_LEAVING = "server-leaving"
 ID_SEPARATOR = "."
 MISDIRECTED = 421
 # Headers that the node sets on requests to backend servers; values from clients are dropped.
@@ -101,11 +102,13 @@
 
         Of several limits the lowest one holds; a malformed one leaves all of them unknown.
         """
+        leaving = header_value(headers, SERVER_LEAVING) == "1"
         texts = [header.value.strip() for header in headers if header.name == SERVER_LIMIT]
         malformed = [text for text in texts if not DECIMAL_NUMBER.fullmatch(text)]
         if malformed:
-            return ServerStatement(problem=f"the limit {malformed[0][:40]!r} is no decimal number")
-        return ServerStatement(min(map(float, texts), default=None))
+            problem = f"the limit {malformed[0][:40]!r} is no decimal number"
+            return ServerStatement(None, leaving, problem)
+        return ServerStatement(min(map(float, texts), default=None), leaving)
 
     def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         headers = [Header(REQUEST_ID, request_id), *answer.headers]
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -5,7 +5,13 @@
 from attrs import define, field
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
-from basilhill.commands.backends import expire_retained, put_entry, remove_entry, replace_entries
+from basilhill.commands.backends import (
+    expire_retained,
+    mark_leaving,
+    put_entry,
+    remove_entry,
+    replace_entries,
+)
 from basilhill.commands.balancing import remove_target
 from basilhill.commands.levels import set_highest
 from basilhill.queries.configuration import least_urgent_rank
@@ -75,6 +81,11 @@
             self.apply_change(entry, source)
             self.entries_changed({entry.server_id})
 
+    def record_leaving(self, server_id: str) -> None:
+        """Send a server no new calls after it stated in a response that it leaves."""
+        if mark_leaving(self.directory, server_id):
+            self.log.record("servers", "states that it leaves", server=server_id)
+
     def remove(self, server_id: str, source: str) -> None:
         if remove_entry(self.directory, server_id):
             remove_target(self.origin.loads, server_id)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -1,9 +1,9 @@
 """Execution of calls on the local backend server."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-from attrs import define
+from attrs import define, field
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
 from basilhill.commands.levels import adjust_rank_level, count_work
@@ -64,6 +64,8 @@
     dialect: Dialect
     clock: Clock
     log: EventLog
+    # Called with the id of a server that states that it leaves.
+    leaving_stated: Callable[[str], None] = field(default=lambda _id: None)
     # Timer for the next token of a server with a rate limit.
     token_timer: asyncio.TimerHandle | None = None
 
@@ -255,6 +257,8 @@
     def record_statement(self, call: Execute, headers: Sequence[Header], sent_ms: int) -> None:
         """Apply what the server states about itself in a response."""
         statement, slots = self.dialect.decode_statement(headers), self.state.slots
+        if statement.leaving:
+            self.leaving_stated(call.server_id)
         if statement.problem:
             # The last limit that could be decoded still holds.
             self.log.record("limit", "ignored", call.request_id, problem=statement.problem)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -1,6 +1,8 @@
 """Sending of calls to executor nodes and recording of their outcomes."""
 
-from attrs import define
+from collections.abc import Callable
+
+from attrs import define, field
 from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
 from basilhill.commands.balancing import (
@@ -52,6 +54,8 @@
     retries: RetryBudget
     dialect: Dialect
     clock: Clock
+    # Called with the id of a server that states that it leaves.
+    leaving_stated: Callable[[str], None] = field(default=lambda _id: None)
 
     async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
         """Send a request to one server and record the outcome in the load table."""
@@ -119,6 +123,9 @@
         now_ms = self.clock.now_ms()
         if outcome.is_ok():
             self.record_reached(opened, entry, refused=False)
+            if self.dialect.decode_statement(outcome.ok.headers).leaving:
+                # The node beside the server may restart and forget it.
+                self.leaving_stated(entry.server_id)
             status = outcome.ok.status
             failed = SERVER_ERROR <= status != GATEWAY_TIMEOUT
             record_response(target, failed)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -49,6 +49,7 @@
     """
 
     limit_per_s: float | None = None
+    leaving: bool = False
     problem: str = ""
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -1,5 +1,6 @@
 """HTTP messages of clients, backend servers and the store."""
 
+from collections.abc import Sequence
 from functools import lru_cache
 
 from attrs import define, field
@@ -71,7 +72,7 @@
     body: bytes = b""
 
 
-def header_value(headers: list[Header] | tuple[Header, ...], name: str) -> str | None:
+def header_value(headers: Sequence[Header], name: str) -> str | None:
     """Return the value of the first header with a lower-case name, None without one."""
     for header in headers:
         if header.name == name:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -151,7 +151,14 @@
         state.executor.poison_requests, state.executor.pool, clock, log, peer_updates.publish_report
     )
     executor = CallExecutor(
-        state.executor, state.directory, state.lifecycle, poison_filter, dialect, clock, log
+        state.executor,
+        state.directory,
+        state.lifecycle,
+        poison_filter,
+        dialect,
+        clock,
+        log,
+        updater.record_leaving,
     )
     feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
     follower = StoreFollower(
@@ -159,7 +166,16 @@
     )
     peers = PeerStreams(peer_updates, clock, log)
     retries = RetryBudget(settings, state.origin, state.directory, clock)
-    sender = CallSender(settings, state.origin, executor, peers, retries, dialect, clock)
+    sender = CallSender(
+        settings,
+        state.origin,
+        executor,
+        peers,
+        retries,
+        dialect,
+        clock,
+        updater.record_leaving,
+    )
     origin = Origin(
         settings,
         state.origin,
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -290,3 +290,9 @@
     headers = [Header("server-limit", "5"), Header("server-limit", value)]
     statement = PlatformDialect().decode_statement(headers)
     assert statement.limit_per_s is None and statement.problem
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), ("0", False), ("yes", False)])
+def test_leaving_server_is_decoded(value, leaving):
+    statement = PlatformDialect().decode_statement([Header("server-leaving", value)])
+    assert statement == ServerStatement(None, leaving)
