Count a server with a malformed limit as heard

A server whose stated limit is no decimal number got 4 calls at once for good.

Cause: only a well-formed limit, or none, ended the state of a server that has not responded yet.

Change: each response of the server ends it.

--- a/packages/basilhill/src/basilhill/commands/rate_limits.py
+++ b/packages/basilhill/src/basilhill/commands/rate_limits.py
@@ -20,7 +20,6 @@
     A response without a limit ends it unless its request was sent before the limit was last stated:
     responses of concurrent requests arrive in any order.
     """
-    limiter.heard = True
     rate = limiter.rate
     if per_s is None:
         if rate is None or sent_ms < rate.stated_ms:
--- a/packages/basilhill_fakes/tests/test_server_limits.py
+++ b/packages/basilhill_fakes/tests/test_server_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from basilhill.queries.slots import FIRST_CALLS
 from basilhill_fakes.sidecar_fleet import SidecarFleet, SidecarVm, build_configuration, build_route
 
 READS = build_route("r-read", "/read/", "calendar")
@@ -101,6 +102,17 @@
     assert most_in_a_window(limited.server.arrived_s) <= allowed(LIMIT_PER_S)
 
 
+async def test_malformed_limit_does_not_restrict_a_server(fleet):
+    """Guard against a node that treats a server as unheard because its limit is malformed."""
+    server = fleet.vms[0].server
+    server.limits, server.run_ms = ("unlimited",), 100
+    assert (await fleet.send_attempt(fleet.vms[0], "/read/x")).status == 200
+    fleet.stop_node(fleet.vms[1])
+    fleet.store.remove("servers/i-2")
+    await send_for(fleet, fleet.vms[:1], 0.5, 100)
+    assert server.max_running > FIRST_CALLS
+
+
 async def send_until_reached(fleet: SidecarFleet, origin: SidecarVm, reached: SidecarVm) -> int:
     """Send requests until one has reached a server; return how many have reached it."""
     async with asyncio.timeout(5):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -257,6 +257,7 @@
     def record_statement(self, call: Execute, headers: Sequence[Header], sent_ms: int) -> None:
         """Apply what the server states about itself in a response."""
         statement, slots = self.dialect.decode_statement(headers), self.state.slots
+        slots.heard = True
         if statement.leaving:
             self.leaving_stated(call.server_id)
         if statement.problem:
