Wait for the store inside the protected part of the task

A node whose follower of the store met one unexpected error during an outage never followed the store again, without a log line.

Cause: the wait for a lost store ran in an exception handler, so an error there ended the task. It is the class of a task that dies silently.

Change: the loss is handled at the start of the next round, inside the protected part. A full read also makes up for a failed feed, so no second read follows. A probe waits 0.1 s for a watch, which after a pause often returns changes at once.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -41,10 +41,10 @@
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
 FEED_SPREAD_MS = 100
-# Age of the last response of the store at which a node that reads it sends a probe. With the
-# probe's timeout of 0.6 s, a silent store is found within 1.35 s after its last response, since a
-# pause after a watch may take longer than this.
+# Age of the last response of the store at which a node that reads it sends a probe.
 PROBE_AGE_MS = 700
+# Shortest wait for a watch before a probe: after a pause, a watch often returns changes at once.
+PROBE_WAIT_MS = 100
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -92,12 +92,20 @@
         """Keep the state in line with the store until cancelled, through a feed where possible."""
         pause_ms = RETRY_MIN_MS
         read_all = True
+        # Why the store is lost, empty while it responds.
+        loss = ""
         while True:
             try:
+                if loss:
+                    self.record_store_loss(loss)
+                    self.publisher.end("the store is unreachable")
+                    loss = ""
+                    read_all = not await self.wait_for_store(pause_ms)
+                    pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
                 if read_all or self.feeds.store_in_doubt:
                     self.feeds.store_in_doubt = False
                     await self.read()
-                    read_all = False
+                    read_all = self.missed_changes = False
                 if self.missed_changes:
                     await self.read_changes(1)
                     self.missed_changes = False
@@ -112,10 +120,7 @@
                 read_all = True
                 self.log.record("store", "history expired, reading all items", reason=str(error))
             except StoreFailedError as error:
-                self.record_store_loss(str(error))
-                self.publisher.end("the store is unreachable")
-                read_all = not await self.wait_for_store(pause_ms)
-                pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+                loss = str(error)
             except Exception as error:
                 # A node whose state no longer follows the store would serve an old configuration.
                 read_all = True
@@ -242,7 +247,8 @@
         try:
             while True:
                 age_ms = self.clock.now_ms() - self.view.last_contact_ms
-                await asyncio.wait({watching}, timeout=max(0, PROBE_AGE_MS - age_ms) / 1000)
+                probe_in_ms = max(PROBE_WAIT_MS, PROBE_AGE_MS - age_ms)
+                await asyncio.wait({watching}, timeout=probe_in_ms / 1000)
                 if watching.done():
                     return watching.result()
                 if probed_revision > self.view.revision:
