--- a/packages/basilhill_fakes/tests/test_server_limits.py
+++ b/packages/basilhill_fakes/tests/test_server_limits.py
@@ -84,8 +84,7 @@
     await send_for(fleet, fleet.vms[:1], 4.2, 50)
     assert most_in_a_window(server.arrived_s) <= allowed(0)
     server.limits = ()
-    # The next call at a limit of 0 comes within 2 s, and levels rise within another second.
-    await send_for(fleet, fleet.vms[:1], 4.0, 20)
+    await send_for(fleet, fleet.vms[:1], 2.5, 20)
     answers = await send_for(fleet, fleet.vms[:1], 1.0, 50)
     assert all(answer.status == 200 for answer in answers)
 
