--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -129,7 +129,7 @@
     acknowledged: list[tuple[float, int]] = field(factory=list)
     # Ids of all servers that were registered.
     servers: list[str] = field(factory=list)
-    # Draining servers by id, with the time of the acknowledgement, in seconds.
+    # Servers that leave by id, with the time of the acknowledgement, in seconds.
     leaving: dict[str, float] = field(factory=dict)
     version: int = 0
     # Time of the last disturbance of the store, in seconds.
@@ -169,6 +169,11 @@
         self.register(vm, "draining")
         self.leaving[vm.server_id] = self.loop.time()
 
+    def remove_server(self, vm: SimulatedVm) -> None:
+        """Remove the entry of the server of a VM, which leaves without notice."""
+        self.store.remove(f"servers/{vm.server_id}")
+        self.leaving[vm.server_id] = self.loop.time()
+
     def change_configuration(self) -> None:
         """Write the next version to the store, which acknowledges it at once."""
         self.version += 1
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -98,8 +98,11 @@
     return {host for host in hosts if sum(host in pair for pair in pairs) == len(fleet.vms) - 1}
 
 
-async def walk(fleet: SimulatedFleet, seed: int) -> None:
-    """Inject random faults and changes until `RUN_S`, and check all the while."""
+async def walk(fleet: SimulatedFleet, seed: int, removals: bool = False) -> None:
+    """Inject random faults and changes until `RUN_S`, and check all the while.
+
+    With `removals`, half of the servers that leave are removed without notice.
+    """
     random, seen = Random(seed), {}
     while fleet.loop.time() < RUN_S:
         await check_until(fleet, fleet.loop.time() + random.expovariate(1 / 1.2), seen)
@@ -131,6 +134,8 @@
         elif step == "leave":
             if vm.server_id in fleet.leaving:
                 fleet.start_server(vm)
+            elif removals and random.random() < 0.5:
+                fleet.remove_server(vm)
             else:
                 fleet.drain_server(vm)
     fleet.stop()
@@ -161,6 +166,17 @@
     run(loop, scenario())
 
 
+@pytest.mark.parametrize("data_centres", ["a" * VMS, "aaabbc"])
+@pytest.mark.parametrize("seed", SEEDS)
+def test_servers_removed_without_notice_are_not_used_after_the_bound(loop, seed, data_centres):
+    """Guard against calls to servers that left without notice and are still in use."""
+
+    async def scenario() -> None:
+        await walk(await start_fleet(loop, seed, data_centres), seed, removals=True)
+
+    run(loop, scenario())
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_node_whose_feed_ends_in_a_second_outage_has_the_version_in_time(loop, seed):
     """Guard against followers that wait for the store without evidence that it responds.
