--- a/review/harness.py
+++ b/review/harness.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -32,6 +33,7 @@
 LOSS_SLACK_S = 0.2
 RESTART_S = 0.5
 PAGE_ITEMS = 500
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 LOST = (ConnectionError, asyncio.IncompleteReadError, OSError)
 
 
@@ -311,7 +313,7 @@
 
     def memory_mb(self) -> float:
         with suppress(OSError, IndexError, ValueError):
-            return int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]) * 4096 / 2**20
+            return int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]) * PAGE_BYTES / 2**20
         return 0.0
 
     async def supervise(self) -> None:
@@ -524,6 +526,9 @@
             print("the build of the deploy file is missing")
             return 2
         fleet = Fleet(folder)
+        # A run that is ended from outside ends its processes, too.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110):
                 broken = await case(fleet)
