--- a/review/harness.py
+++ b/review/harness.py
@@ -413,6 +413,8 @@
             self.close()
         except LOST as error:
             answer.problem = f"connection ended: {type(error).__name__}"
+            if answer.status:
+                answer.body = getattr(error, "partial", b"")
             self.close()
         if answer.headers.get("connection", "").lower() == "close":
             self.close()
