Keep bodies in one buffer instead of a list of their parts

Cause: ClientConnection and ServerConnection kept each part of a body as an object of its own. A chunk of two bytes takes seven bytes on the wire and over fifty in memory, so the limit of 64 MB on the wire did not bound the memory.

Change: a body is one bytearray, so that a node holds what the limits count. The body of a rejected request is no longer kept either.

test_node_memory.py starts real processes.

--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -9,6 +9,7 @@
 
 ATTEMPT_ID = "Basilhill-Attempt-Id"
 SIGNATURE = "Basilhill-Response-Signature"
+MAX_BODY_BYTES = 64 << 20
 
 
 @define(eq=False)
@@ -93,6 +94,6 @@
 
 
 def build_server(server: PlainServer) -> web.Application:
-    app = web.Application()
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
     app.router.add_route("*", "/{path:.*}", server.handle)
     return app
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -0,0 +1,165 @@
+"""Tests of the memory of real node processes beside servers and clients that send without end."""
+
+import asyncio
+import os
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from random import Random
+
+import aiohttp
+import pytest
+from attrs import define, field
+from basilhill_fakes.plain_server import ATTEMPT_ID, MAX_BODY_BYTES
+from basilhill_fakes.sidecar_fleet import HOST, build_configuration
+from basilhill_fakes.soak_fleet import CLIENT_PORT, READS, SERVER_PORT, WRITES, SoakFleet, SoakVm
+
+# Limit at which the platform kills a process.
+MEMORY_MB = 300
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+SAMPLE_S = 0.01
+SOUND_CLIENTS = 4
+DEADLINE_MS = "20000"
+LIMITS = {
+    "maxHeaderBytes": 16_384,
+    "maxBodyBytes": MAX_BODY_BYTES,
+    "headerTimeoutS": 10,
+    "idleTimeoutS": 15,
+}
+TINY_CHUNKS = b"2\r\nxx\r\n" * 8_192
+
+
+def memory_mb(vm: SoakVm) -> float:
+    """Return the resident memory of a node."""
+    pages = int(Path(f"/proc/{vm.process.pid}/statm").read_text().split()[1])
+    return pages * PAGE_BYTES / 2**20
+
+
+@define(eq=False)
+class Pressure:
+    """Peak memory of a node, and the sound calls that clients make through it meanwhile."""
+
+    fleet: SoakFleet
+    vm: SoakVm
+    peak_mb: float = 0.0
+    statuses: list[int] = field(factory=list)
+
+    async def sample(self) -> None:
+        """Record the peak memory until cancelled."""
+        while True:
+            self.peak_mb = max(self.peak_mb, memory_mb(self.vm))
+            await asyncio.sleep(SAMPLE_S)
+
+    async def call(self) -> None:
+        """Send calls that another VM serves, one after the other, until cancelled."""
+        async with aiohttp.ClientSession() as session:
+            while True:
+                attempt = await self.fleet.send_attempt(session, self.vm, "POST", "/write/")
+                self.statuses.append(attempt.status)
+
+
+@asynccontextmanager
+async def pressure(directory: Path, limits: dict | None = None):
+    """Start two nodes; sample the first one while its clients call the server of the second."""
+    fleet = SoakFleet(directory, Random(1))
+    try:
+        await fleet.start(("calendar", "deposits"))
+        configuration = build_configuration(2, READS, WRITES)
+        fleet.store.put("op/config", configuration | {"limits": limits or LIMITS})
+        await asyncio.sleep(1.5)
+        running = Pressure(fleet, fleet.vms[0])
+        tasks = [asyncio.create_task(running.sample())]
+        tasks += [asyncio.create_task(running.call()) for _ in range(SOUND_CLIENTS)]
+        try:
+            yield running
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        assert running.vm.process.returncode is None
+    finally:
+        await fleet.stop()
+
+
+@asynccontextmanager
+async def raw_server(vm: SoakVm, handle):
+    """Replace the backend server of a VM by a handler of connections."""
+    vm.server_link.close()
+
+    async def run(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
+            await handle(reader, writer)
+        writer.close()
+
+    server = await asyncio.start_server(run, vm.outer_address, SERVER_PORT)
+    try:
+        yield
+    finally:
+        server.close()
+
+
+async def request(
+    vm: SoakVm, head: bytes, *parts: bytes, number: int = 0, path: str = "/read/a"
+) -> bytes:
+    """Send a request in parts on a connection of its own; return the bytes of the response."""
+    reader, writer = await asyncio.open_connection(vm.address, CLIENT_PORT)
+    fixed = f"Host: {HOST}\r\n{ATTEMPT_ID}: raw{number}\r\nBasilhill-Deadline-Ms: {DEADLINE_MS}\r\n"
+    writer.write(head + f" {path} HTTP/1.1\r\nConnection: close\r\n{fixed}".encode())
+    with suppress(ConnectionError):
+        for part in parts or (b"\r\n",):
+            writer.write(part)
+            await writer.drain()
+    response = await reader.read()
+    writer.close()
+    return response
+
+
+def build_endless_server(head: bytes, part: bytes):
+    """Return a handler whose responses never end."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request_head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        attempt = request_head.lower().partition("basilhill-attempt-id: ")[2].split("\r\n")[0]
+        writer.write(b"HTTP/1.1 200 OK\r\n" + f"{ATTEMPT_ID}: {attempt}\r\n".encode() + head)
+        while True:
+            writer.write(part)
+            await writer.drain()
+
+    return handle
+
+
+ENDLESS_RESPONSES = {
+    "tiny chunks": (b"Transfer-Encoding: chunked\r\n\r\n", TINY_CHUNKS),
+    "large chunks": (
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+    ),
+    "no length": (b"\r\n", b"x" * 65_536),
+}
+
+
+@pytest.mark.parametrize("form", ENDLESS_RESPONSES)
+async def test_endless_responses_do_not_take_the_memory_of_a_node(tmp_path, form):
+    """Guard against a server whose endless response ends a node and with it the calls of others.
+
+    A body in chunks of two bytes took 50 times its bytes in memory.
+    """
+    async with pressure(tmp_path) as running:
+        async with raw_server(running.vm, build_endless_server(*ENDLESS_RESPONSES[form])):
+            responses = await asyncio.gather(
+                *(request(running.vm, b"GET", number=number) for number in range(4))
+            )
+        assert all(response.startswith(b"HTTP/1.1 50") for response in responses)
+    assert running.peak_mb < MEMORY_MB
+
+
+@pytest.mark.parametrize("size", [2, 4])
+async def test_uploads_in_tiny_chunks_do_not_take_the_memory_of_a_node(tmp_path, size):
+    """Guard against a request within the operator's limits that ends the node by its framing."""
+    chunk = b"%x\r\n" % size + b"x" * size + b"\r\n"
+    parts = [b"Transfer-Encoding: chunked\r\n\r\n"]
+    parts += [chunk * 4_096] * ((8 << 20) // size // 4_096) + [b"0\r\n\r\n"]
+    async with pressure(tmp_path) as running:
+        response = await request(running.vm, b"POST", *parts, path="/write/upload")
+        assert response.startswith(b"HTTP/1.1 200")
+    assert running.peak_mb < MEMORY_MB
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -101,7 +101,7 @@
     def reset_message(self) -> None:
         """Reset the parse state for the next response."""
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
+        self.body = bytearray()
         self.in_message = False
         self.head_complete = False
 
@@ -188,7 +188,8 @@
             self.on_message_complete()
 
     def on_body(self, part: bytes) -> None:
-        self.body.append(part)
+        # An object for each part would take many times the memory of a part of a few bytes.
+        self.body += part
 
     def on_message_complete(self) -> None:
         """Deliver a complete response; skip one that belongs to an earlier request."""
@@ -211,7 +212,7 @@
             self.usable = False
         self.idle_ms = keep_alive_ms(self.headers)
         waiter, self.waiter = self.waiter, None
-        waiter.set_result(HttpResponse(status, self.headers, b"".join(self.body)))
+        waiter.set_result(HttpResponse(status, self.headers, bytes(self.body)))
 
     def fail(self, text: str) -> None:
         """Fail the request in flight and close."""
@@ -242,7 +243,7 @@
             self.held.total -= self.received_body_bytes
             self.received_body_bytes = 0
             # The response owns its headers; an idle connection holds no part of it.
-            self.headers, self.body = [], []
+            self.headers, self.body = [], bytearray()
             self.idle_since_ms = self.clock.now_ms()
 
     @property
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -113,8 +113,7 @@
         """Reset the parse state for the next request."""
         self.target = b""
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.header_bytes = 0
         self.head_complete = False
         self.header_limit = self.server.limits().header_bytes
@@ -205,12 +204,11 @@
         """Add a part of the body; reject the request if the body is too large."""
         self.pending_bytes = 0
         self.last_activity_ms = self.server.clock.now_ms()
-        self.body_bytes += len(part)
-        if self.body_bytes > self.server.limits().body_bytes:
+        if len(self.body) + len(part) > self.server.limits().body_bytes:
             self.reject(413, "the body is too large")
-            return
         if not self.reading_done:
-            self.body.append(part)
+            # An object for each part would take many times the memory of a part of a few bytes.
+            self.body += part
 
     def on_message_complete(self) -> None:
         """Validate and enqueue a complete request."""
@@ -220,7 +218,7 @@
         self.reading = False
         method = self.parser.get_method().decode("latin-1")
         request = HttpRequest(
-            method, self.target.decode("latin-1"), self.headers, b"".join(self.body)
+            method, self.target.decode("latin-1"), self.headers, bytes(self.body)
         )
         hosts = sum(header.name == "host" for header in self.headers)
         if hosts != 1 or not request.target.startswith("/"):
@@ -243,6 +241,7 @@
         if self.reading_done:
             return
         self.reading_done = True
+        self.body = bytearray()
         self.server.log.record("front", "rejected", status=status, problem=text)
         response = HttpResponse(status, body=text.encode())
         self.enqueue(Exchange(False, False, response=response))
