--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -151,6 +151,7 @@
             )
         assert all(response.startswith(b"HTTP/1.1 50") for response in responses)
     assert running.peak_mb < MEMORY_MB
+    assert set(running.statuses) == {200}
 
 
 @pytest.mark.parametrize("size", [2, 4])
@@ -163,3 +164,4 @@
         response = await request(running.vm, b"POST", *parts, path="/write/upload")
         assert response.startswith(b"HTTP/1.1 200")
     assert running.peak_mb < MEMORY_MB
+    assert set(running.statuses) == {200}
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -15,6 +15,8 @@
 from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal
 from expression import Error, Ok
 
+from basilhill_node.sidecar.segments import Buffer
+
 LENGTH_PREFIX = struct.Struct(">I")
 # The operators' limits allow bodies of up to 64 MB; the rest of a frame is small.
 MAX_FRAME_BYTES = 80 << 20
@@ -264,7 +266,7 @@
 
     buffer: bytearray = field(factory=bytearray)
 
-    def feed(self, data: bytes) -> Iterator[tuple[FrameKind, list[Any]]]:
+    def feed(self, data: Buffer) -> Iterator[tuple[FrameKind, list[Any]]]:
         """Yield the complete frames; raise MalformedFrameError for invalid ones."""
         self.buffer += data
         start = 0
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -10,6 +10,7 @@
 from basilhill.outcomes import Header
 
 from basilhill_node.sidecar.messages import HttpResponse, header_value, parsed_header
+from basilhill_node.sidecar.segments import Buffer, SegmentProtocol
 
 CONNECT_TIMEOUT_S = 1.0
 # TCP keepalive closes a connection whose remote end has not responded for 3 s: the idle time plus
@@ -72,7 +73,7 @@
         connection.setsockopt(level, option, value)
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(SegmentProtocol):
     """Connection for one request at a time, unusable after any unexpected event."""
 
     def __init__(self, clock: Clock, limits: ResponseLimits, held: HeldBytes) -> None:
@@ -109,7 +110,7 @@
         self.transport = transport
         set_socket_options(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: Buffer) -> None:
         """Parse received bytes; close the connection if no request is in flight."""
         if self.waiter is None:
             self.close()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -18,6 +18,7 @@
     parsed_header,
 )
 from basilhill_node.sidecar.periodic import repeat
+from basilhill_node.sidecar.segments import Buffer, SegmentProtocol
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -87,7 +88,7 @@
             self.timeout_task.cancel()
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(SegmentProtocol):
     """Connection of one client, whose responses are sent in the order of the requests."""
 
     def __init__(self, server: HttpServer) -> None:
@@ -116,7 +117,9 @@
         self.body = bytearray()
         self.header_bytes = 0
         self.head_complete = False
-        self.header_limit = self.server.limits().header_bytes
+        limits = self.server.limits()
+        self.header_limit = limits.header_bytes
+        self.body_limit = limits.body_bytes
 
     # Callbacks of the event loop.
 
@@ -126,11 +129,12 @@
         self.server.connections.add(self)
         self.task = asyncio.get_running_loop().create_task(self.run())
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: Buffer) -> None:
         """Parse received bytes; respond to a malformed request with 400 and close."""
         if self.reading_done:
             return
         self.pending_bytes += len(data)
+        body_bytes = len(self.body)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -138,6 +142,8 @@
             self.reading_done = True
         except httptools.HttpParserError as error:
             self.reject(400, f"malformed request: {error}")
+        if len(self.body) > body_bytes:
+            self.last_activity_ms = self.server.clock.now_ms()
         if self.pending_bytes > self.header_limit + len(data):
             self.reject(431, "a line of the head, a chunk or the trailers is too long")
         if not self.reading_done and len(self.exchanges) >= PIPELINE_LIMIT:
@@ -203,8 +209,7 @@
     def on_body(self, part: bytes) -> None:
         """Add a part of the body; reject the request if the body is too large."""
         self.pending_bytes = 0
-        self.last_activity_ms = self.server.clock.now_ms()
-        if len(self.body) + len(part) > self.server.limits().body_bytes:
+        if len(self.body) + len(part) > self.body_limit:
             self.reject(413, "the body is too large")
         if not self.reading_done:
             # An object for each part would take many times the memory of a part of a few bytes.
@@ -217,9 +222,7 @@
         self.pending_bytes = 0
         self.reading = False
         method = self.parser.get_method().decode("latin-1")
-        request = HttpRequest(
-            method, self.target.decode("latin-1"), self.headers, bytes(self.body)
-        )
+        request = HttpRequest(method, self.target.decode("latin-1"), self.headers, bytes(self.body))
         hosts = sum(header.name == "host" for header in self.headers)
         if hosts != 1 or not request.target.startswith("/"):
             self.reject(400, "a request needs one host and a path")
--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -12,6 +12,7 @@
     HeaderTable,
 )
 from basilhill_node.sidecar.http_client import set_socket_options
+from basilhill_node.sidecar.segments import Buffer, SegmentProtocol
 
 FrameHandler = Callable[["StreamConnection", FrameKind, list[Any]], None]
 
@@ -19,7 +20,7 @@
 MAX_OUTBOX_BYTES = 4 << 20
 
 
-class StreamConnection(asyncio.Protocol):
+class StreamConnection(SegmentProtocol):
     """Connection that sends frames and passes received frames to a handler."""
 
     def __init__(
@@ -46,7 +47,7 @@
         set_socket_options(transport)
         self.opened(self)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: Buffer) -> None:
         """Handle the complete frames; close the stream if one is malformed."""
         self.received_ms = self.clock.now_ms()
         try:
