Remember only short headers

Cause: the cache of parsed headers keeps 2,048 headers of up to 64 KB, as bytes and as text, and each stream between nodes remembers 256 headers of any length. Servers and clients choose both.

Change: headers of more than 256 bytes are decoded each time and get no number on streams; receivers follow the sender, so nodes of both versions work together.

--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -15,6 +15,8 @@
 
 # Limit at which the platform kills a process.
 MEMORY_MB = 300
+# Memory that a node may hold above its memory at rest once all messages have ended.
+AT_REST_MB = 15
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 SAMPLE_S = 0.01
@@ -165,3 +167,38 @@
         assert response.startswith(b"HTTP/1.1 200")
     assert running.peak_mb < MEMORY_MB
     assert set(running.statuses) == {200}
+
+
+def build_header_server(header_bytes: int):
+    """Return a handler whose responses each have one long header that does not repeat."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            attempt = head.partition("basilhill-attempt-id: ")[2].split("\r\n")[0]
+            value = attempt.rjust(header_bytes, "x")
+            lines = ("HTTP/1.1 200 OK", f"{ATTEMPT_ID}: {attempt}", f"X: {value}")
+            writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+
+    return handle
+
+
+async def test_long_headers_are_not_kept(tmp_path):
+    """Guard against a node that remembers headers which servers choose, up to 64 KB each."""
+    async with pressure(tmp_path) as running, raw_server(running.vm, build_header_server(48_000)):
+        await request_all(running.vm, range(100))
+        rest_mb = memory_mb(running.vm)
+        await request_all(running.vm, range(100, 2_500))
+        assert memory_mb(running.vm) < rest_mb + AT_REST_MB
+
+
+async def request_all(vm: SoakVm, numbers: range) -> None:
+    """Send requests one after the other on a connection, and read their responses."""
+    reader, writer = await asyncio.open_connection(vm.address, CLIENT_PORT, limit=1 << 20)
+    for number in numbers:
+        writer.write(
+            f"GET /read/{number} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: raw{number}\r\n"
+            f"Basilhill-Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode()
+        )
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+    writer.close()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -15,6 +15,7 @@
 from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal
 from expression import Error, Ok
 
+from basilhill_node.sidecar.messages import REPEATED_HEADER_BYTES
 from basilhill_node.sidecar.segments import Buffer
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -228,16 +229,23 @@
             if number is not None:
                 encoded.append(number)
                 continue
-            if header in self.seen and len(self.headers) < MAX_NUMBERED_HEADERS:
-                self.number(header)
+            if self.assign_number(header):
                 encoded.append(None)
-            elif len(self.seen) < MAX_SEEN_HEADERS:
-                self.seen.add(header)
-            else:
-                self.seen = {header}
             encoded += (header.name, header.value)
         return encoded
 
+    def assign_number(self, header: Header) -> bool:
+        """Record that a header occurs; return whether it gets a number now."""
+        if len(header.name) + len(header.value) > REPEATED_HEADER_BYTES:
+            return False
+        if header in self.seen and len(self.headers) < MAX_NUMBERED_HEADERS:
+            self.number(header)
+            return True
+        if len(self.seen) >= MAX_SEEN_HEADERS:
+            self.seen.clear()
+        self.seen.add(header)
+        return False
+
     def decode(self, encoded: list[Any]) -> list[Header]:
         """Decode headers; raise ValueError or IndexError for an invalid encoding."""
         headers: list[Header] = []
--- a/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -40,13 +40,26 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
-# Clients and servers repeat most headers in each message.
-@lru_cache(maxsize=2048)
+# Headers that may be remembered because messages repeat them. Longer ones are rare, and a table of
+# them would take what their sender decides.
+REPEATED_HEADER_BYTES = 256
+
+
 def parsed_header(name: bytes, value: bytes) -> Header:
     """Return a header from the bytes of a parser, with the name in lower case."""
+    if len(name) + len(value) > REPEATED_HEADER_BYTES:
+        return decoded_header(name, value)
+    return repeated_header(name, value)
+
+
+def decoded_header(name: bytes, value: bytes) -> Header:
     return Header(name.decode("latin-1").lower(), value.decode("latin-1"))
 
 
+# Clients and servers repeat most headers in each message.
+repeated_header = lru_cache(maxsize=2048)(decoded_header)
+
+
 @define(eq=False)
 class HttpRequest:
     """Complete HTTP request; header names are in lower case."""
