Read the store page by page, and refuse entries above 64 KB

Cause: a complete read kept the values of all pages until the last one, and a watch accepted a response of 64 MB, which takes three times that while it is decoded. Other writers decide how many values the store holds and how long they are, up to 1 MB each.

Change: Store.read yields pages, and the reader keeps decoded entries only. Responses of the store have at most 16 MB; changes beyond that are read again as a whole, in pages. An entry of more than 64 KB is unreadable, since JSON takes up to fifty times its size once decoded. The test double pages by size, as the interface says.

--- a/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
@@ -8,6 +8,8 @@
 from attrs import define, field
 
 PAGE_ITEMS = 50
+# A page ends with the item that reaches this size.
+PAGE_BYTES = 1 << 20
 
 
 @define(eq=False)
@@ -62,8 +64,11 @@
             return web.Response(status=503)
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in state.items if key.startswith(prefix) and key > after)
-        page = [state.items[key] for key in keys[:PAGE_ITEMS]]
-        more = len(keys) > PAGE_ITEMS
+        page, size = [], 0
+        while len(page) < min(len(keys), PAGE_ITEMS) and size < PAGE_BYTES:
+            page.append(state.items[keys[len(page)]])
+            size += len(page[-1]["value"])
+        more = len(keys) > len(page)
         return web.json_response({"items": page, "hasMore": more, "asOf": state.revision})
 
     async def kv_watch(request: web.Request) -> web.Response:
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -1,6 +1,7 @@
 """Fleet of real nodes on simulated time, network and store."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from contextvars import copy_context
 from random import Random
 
@@ -55,11 +56,11 @@
     state: PlatformStoreState
     paths: tuple[StoreAccess, ...]
 
-    async def read(self) -> StoreItems:
-        """Return all items; raise StoreFailedError if the store is out of reach."""
+    async def read(self) -> AsyncIterator[StoreItems]:
+        """Yield all items; raise StoreFailedError if the store is out of reach."""
         await self.respond(READ_TIMEOUT_S)
         items = tuple(decode_item(item) for item in self.state.items.values())
-        return StoreItems(items, self.state.revision)
+        yield StoreItems(items, self.state.revision)
 
     async def probe(self) -> int:
         """Return the revision; raise StoreFailedError if the store is out of reach."""
--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -17,6 +17,11 @@
 MEMORY_MB = 300
 # Memory that a node may hold above its memory at rest once all messages have ended.
 AT_REST_MB = 15
+# Longest value that the platform stores.
+STORED_BYTES = 1 << 20
+CONFIG_APPLY_S = 2.0
+METRICS_PORT = 9464
+LINE_BYTES = 10_000
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 SAMPLE_S = 0.01
@@ -169,6 +174,40 @@
     assert set(running.statuses) == {200}
 
 
+async def test_large_items_of_other_writers_do_not_take_the_memory_of_a_node(tmp_path):
+    """Guard against a node that holds all values of the store, or all changes, at the same time.
+
+    The store and the proxies between the nodes share a process, so the calls are not checked.
+    """
+    async with pressure(tmp_path) as running:
+        store = running.fleet.store
+        for number in range(300):
+            store.put(f"servers/x-{number}", b"[" * STORED_BYTES)
+        store.compact_history()
+        await asyncio.sleep(5)
+        for number in range(40):
+            store.put(f"servers/y-{number}", b"[" * STORED_BYTES)
+        await asyncio.sleep(3)
+        running.fleet.move_route("deposits")
+        async with asyncio.timeout(CONFIG_APPLY_S):
+            while (  # noqa: ASYNC110 - a process has no event to wait for
+                await metric(running.vm, "configuration_version") < running.fleet.version
+            ):
+                await asyncio.sleep(SAMPLE_S)
+    assert running.peak_mb < MEMORY_MB
+    for log in tmp_path.glob("*.log"):
+        assert max(map(len, log.read_bytes().splitlines())) < LINE_BYTES
+
+
+async def metric(vm: SoakVm, name: str) -> float:
+    """Return a gauge of a node."""
+    url = f"http://{vm.address}:{METRICS_PORT}/metrics"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    (line,) = (line for line in text.splitlines() if line.startswith(f"basilhill_{name} "))
+    return float(line.split()[1])
+
+
 def build_header_server(header_bytes: int):
     """Return a handler whose responses each have one long header that does not repeat."""
 
--- a/packages/basilhill_fakes/tests/test_store_feeds.py
+++ b/packages/basilhill_fakes/tests/test_store_feeds.py
@@ -133,6 +133,7 @@
     async def read(self):
         await asyncio.sleep(1.5)
         raise StoreFailedError("no response")
+        yield
 
     async def watch(self, _after: int, wait_ms: int):
         await asyncio.sleep(wait_ms / 1000 + 1.5)
@@ -148,6 +149,7 @@
 
     async def read(self):
         raise StoreFailedError("status 503")
+        yield
 
     async def watch(self, _after: int, _wait_ms: int):
         raise StoreFailedError("status 503")
--- a/packages/basilhill_node/src/basilhill_node/platform/entries.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/entries.py
@@ -10,10 +10,14 @@
 READY = "ready"
 DRAINING = "draining"
 STATES = (READY, DRAINING)
+# Entries of servers take about 200 bytes. Decoded values take up to fifty times their encoded size.
+MAX_ENTRY_BYTES = 64 << 10
 
 
 def decode_entry(server_id: str, data: bytes, now_ms: int) -> Result[BackendEntry, str]:
     """Return the entry of a server, or why it is invalid; any client of the store can write it."""
+    if len(data) > MAX_ENTRY_BYTES:
+        return Error(f"the entry of {server_id} has {len(data)} bytes")
     try:
         return Ok(read_entry(server_id, msgspec.json.decode(data), now_ms))
     except (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError) as error:
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import binascii
 from base64 import b64decode
+from collections.abc import AsyncIterator
 from typing import Any
 from urllib.parse import urlencode
 
@@ -12,7 +13,12 @@
 from basilhill.outcomes import Header
 from expression import Error, Ok, Result
 
-from basilhill_node.sidecar.http_client import ConnectionFailedError, ConnectionPool
+from basilhill_node.sidecar.http_client import (
+    ConnectionFailedError,
+    ConnectionPool,
+    ResponseLimits,
+    ResponseTooLargeError,
+)
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
 from basilhill_node.sidecar.store import (
     HistoryExpiredError,
@@ -20,6 +26,7 @@
     StoreEvents,
     StoreFailedError,
     StoreItems,
+    StoreResponseTooLargeError,
 )
 
 RANGE = "/basilhill/kv-range"
@@ -28,6 +35,9 @@
 OK = 200
 # The store usually responds within 4 ms, and takes 60 times as long when it is slow.
 READ_TIMEOUT_S = 1.5
+# A page of items takes about 1 MB, and one item of the largest value may follow. The changes that a
+# watch returns have no such bound.
+RESPONSE_LIMITS = ResponseLimits(body_bytes=16 << 20)
 # No key has this prefix, so a probe returns no items.
 PROBE_PREFIX = "basilhill-probe/"
 PROBE_TIMEOUT_S = 0.6
@@ -45,30 +55,30 @@
 
     @classmethod
     def at(cls, address: str, clock: Clock) -> "PlatformStore":
-        return cls(ConnectionPool(address, clock), address)
+        return cls(ConnectionPool(address, clock, RESPONSE_LIMITS), address)
 
-    async def read(self) -> StoreItems:
-        """Return all items; raise StoreFailedError if the store does not return them."""
-        items: list[StoredItem] = []
-        after, revision = "", 0
+    async def read(self) -> AsyncIterator[StoreItems]:
+        """Yield all items in pages; raise StoreFailedError if the store does not return them."""
+        after = ""
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             page = await self.fetch(RANGE, query, READ_TIMEOUT_S)
-            # Pages are read at different revisions, so watching starts at that of the first page.
-            revision = revision or page.revision
-            items.extend(page.items)
+            yield StoreItems(page.items, page.revision)
             if not page.has_more or not page.items:
-                return StoreItems(tuple(items), revision)
+                return
             after = page.items[-1].key
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`.
 
-        Raise HistoryExpiredError if the store no longer has all changes, StoreFailedError if it
-        returns no valid response.
+        Raise HistoryExpiredError if the store no longer has all changes or if they are too large,
+        StoreFailedError if it returns no valid response.
         """
         query = {"prefix": "", "after": str(after), "waitMs": str(wait_ms)}
-        page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
+        try:
+            page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
+        except StoreResponseTooLargeError as error:
+            raise HistoryExpiredError(f"the changes are too large: {error}") from error
         return StoreEvents(page.items, page.revision)
 
     async def probe(self) -> int:
@@ -87,6 +97,8 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self.pool.acquire()
                 response = await connection.exchange(encode_request(request), None)
+        except ResponseTooLargeError as error:
+            raise StoreResponseTooLargeError(str(error)) from error
         except TimeoutError as error:
             raise StoreFailedError(f"store did not respond within {timeout_s} s") from error
         except ConnectionFailedError as error:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -1,6 +1,7 @@
 """Reading and watching of the configuration and server entries in the platform's store."""
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import suppress
 from random import Random
 
@@ -178,26 +179,34 @@
 
     async def read(self) -> None:
         """Read all items of the store and apply them."""
-        read = await self.store.read()
+        revision = 0
+        entries = []
+        async for page in self.store.read():
+            if page.revision < self.view.revision:
+                raise StoreFailedError(
+                    f"store returned revision {page.revision}, {self.view.revision} is known"
+                )
+            revision = revision or page.revision
+            entries += self.apply_items(page.items)
         now_ms = self.clock.now_ms()
         # Entries that expired during an outage of the store may be registered again shortly.
         retained_until_ms = now_ms + REGISTRATION_GRACE_MS if self.view.unreachable_since_ms else 0
-        if read.revision < self.view.revision:
-            raise StoreFailedError(
-                f"store returned revision {read.revision}, {self.view.revision} is known"
-            )
         self.view.source = STORE
-        self.record_store_contact(now_ms, read.revision)
+        self.record_store_contact(now_ms, revision)
+        self.updater.replace(entries, retained_until_ms)
+        self.publisher.publish()
+
+    def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
+        """Apply the configuration among items of the store; return their server entries."""
         entries = []
-        for item in read.items:
+        for item in items:
             if item.key == self.decoder.configuration_key:
                 self.updater.apply_configuration(item.value or b"", STORE)
             elif item.key.startswith(self.decoder.entry_prefix):
                 entry = self.decode_entry(item)
                 if entry is not None:
                     entries.append(entry)
-        self.updater.replace(entries, retained_until_ms)
-        self.publisher.publish()
+        return entries
 
     async def watch(self) -> None:
         """Apply changes as they arrive, until the store fails or another node reads it."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -58,6 +58,10 @@
         self.sent = sent
 
 
+class ResponseTooLargeError(ConnectionFailedError):
+    """Request whose response exceeds a limit of this node."""
+
+
 def set_socket_options(transport: asyncio.BaseTransport) -> None:
     """Set keepalive and a send timeout to detect unresponsive peers, and TCP_NODELAY."""
     connection = transport.get_extra_info("socket")
@@ -134,25 +138,32 @@
 
         The route's timeout ends a response that stays within the limits and never ends.
         """
+        problem = self.exceeded_limit()
+        if problem:
+            self.fail(problem, ResponseTooLargeError)
+
+    def exceeded_limit(self) -> str:
+        """Return which limit the response in progress exceeds, empty if none."""
         limits = self.limits
         if not self.head_complete and self.unparsed_head_bytes > limits.head_bytes:
-            self.fail(
+            return (
                 f"{self.unparsed_head_bytes} bytes without a complete head exceed"
                 f" {limits.head_bytes} bytes"
             )
-        elif len(self.headers) > limits.header_count:
-            self.fail(f"the response has more than {limits.header_count} headers")
-        elif self.received_body_bytes > limits.body_bytes:
-            self.fail(
+        if len(self.headers) > limits.header_count:
+            return f"the response has more than {limits.header_count} headers"
+        if self.received_body_bytes > limits.body_bytes:
+            return (
                 f"{self.received_body_bytes} bytes after the head exceed {limits.body_bytes} bytes"
             )
-        elif (
+        if (
             self.held.total > limits.body_bytes
             and self.received_body_bytes > limits.small_body_bytes
         ):
-            self.fail(
+            return (
                 f"{self.held.total} bytes of incomplete responses exceed {limits.body_bytes} bytes"
             )
+        return ""
 
     def eof_received(self) -> bool:
         """Complete a response without a length, which ends when the connection is closed."""
@@ -215,11 +226,11 @@
         waiter, self.waiter = self.waiter, None
         waiter.set_result(HttpResponse(status, self.headers, bytes(self.body)))
 
-    def fail(self, text: str) -> None:
-        """Fail the request in flight and close."""
+    def fail(self, text: str, kind: type[ConnectionFailedError] = ConnectionFailedError) -> None:
+        """Fail the request in flight with an error of a kind, and close."""
         waiter, self.waiter = self.waiter, None
         if waiter is not None and not waiter.done():
-            waiter.set_exception(ConnectionFailedError(text, sent=True))
+            waiter.set_exception(kind(text, sent=True))
         self.close()
 
     async def exchange(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/store.py
@@ -1,5 +1,6 @@
 """Interface of the store that publishes the configuration and the backend servers."""
 
+from collections.abc import AsyncIterator
 from typing import Protocol
 
 from attrs import frozen
@@ -9,6 +10,10 @@
     """Missing or invalid response of the store."""
 
 
+class StoreResponseTooLargeError(StoreFailedError):
+    """Response of the store that exceeds the limits of this node."""
+
+
 class HistoryExpiredError(Exception):
     """Watch from a revision whose later changes the store has discarded; read all items again."""
 
@@ -24,7 +29,7 @@
 
 @frozen
 class StoreItems:
-    """All items of the store and the revision from which to watch."""
+    """Some items of the store and its revision when they were read."""
 
     items: tuple[StoredItem, ...]
     revision: int
@@ -41,8 +46,11 @@
 class Store(Protocol):
     """Reader of the items that the platform publishes."""
 
-    async def read(self) -> StoreItems:
-        """Return all items; raise StoreFailedError if the store does not return them."""
+    def read(self) -> AsyncIterator[StoreItems]:
+        """Yield all items in pages; raise StoreFailedError if the store does not return them.
+
+        Pages are read at different revisions, so watching starts at that of the first page.
+        """
         ...
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
--- a/packages/basilhill_node/tests/test_endless_messages.py
+++ b/packages/basilhill_node/tests/test_endless_messages.py
@@ -127,7 +127,7 @@
     async with endless_server(begin, part) as (address, sent):
         store = PlatformStore.at(address, SystemClock())
         with pytest.raises(StoreFailedError):
-            await store.read()
+            await anext(store.read())
         await asyncio.sleep(0.05)
         assert sent[0] < BUFFERED_BYTES
 
