Cut long input in log lines

Cause: lines quote what others write, such as the state in an entry, at any length: an entry of 1 MB gave lines of 1 MB at each read of the store, 30 a second. Now a text has at most 1,000 characters and a list 50 items, and the line says what was cut. test_long_input_is_cut fails without the change.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/event_log.py
@@ -13,6 +13,9 @@
 LINES_PER_S = 200
 # Limit for one event and reason, so that a flood of refusals does not displace rare failures.
 LINES_PER_KIND_S = 30
+# Longest text and list in a line; problems quote input of others.
+MAX_TEXT_CHARS = 1_000
+MAX_LIST_ITEMS = 50
 ENCODER = msgspec.json.Encoder()
 
 
@@ -68,10 +71,19 @@
         }
         if request_id:
             message["request"] = request_id
-        message.update(inputs)
+        message.update((name, shortened(value)) for name, value in inputs.items())
         self.logger.write(message)
 
 
+def shortened(value: Any) -> Any:
+    """Return a value of a line, cut to `MAX_TEXT_CHARS` or `MAX_LIST_ITEMS`."""
+    if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+        return f"{value[:MAX_TEXT_CHARS]}... ({len(value)} characters)"
+    if isinstance(value, list) and len(value) > MAX_LIST_ITEMS:
+        return [shortened(item) for item in value[:MAX_LIST_ITEMS]] + [f"... ({len(value)} items)"]
+    return value
+
+
 def encode_json_line(message: dict[str, Any]) -> str:
     """Return a message as one line of JSON, without eliot's task id and level.
 
--- a/packages/basilhill_node/tests/test_event_log.py
+++ b/packages/basilhill_node/tests/test_event_log.py
@@ -50,3 +50,10 @@
     line = json.loads(encode_json_line(written[0]))
     assert (line["request"], line["version"], line["age_ms"]) == ("id-1", 7, 12)
     assert "task_uuid" not in line
+
+
+def test_long_input_is_cut(written):
+    """Guard against a line of the size of the input that it quotes."""
+    text = "x" * 1_000_000
+    EventLog(ManualClock()).record("servers", "ignored", problem=text, servers=[text] * 1_000)
+    assert len(encode_json_line(written[0])) < 60_000
