Replace a connection after 256 refusals

Cause: a connection to a server remembers the id of each request that the server refused on it, so that a late copy of a refusal is not taken for the response to a retry. Nothing removed the ids of a connection in use.

Change: a connection is not used again after 256 refusals. The test fails without the change (no connection replaced in 768 refusals).

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -248,7 +248,7 @@
         if outcome.is_ok() or outcome.error.reason is not Reason.MISDIRECTED:
             self.record_statement(call, response.headers, sent_ms)
         if outcome.is_error():
-            connection.refused_ids.add(call.request_id)
+            connection.record_refusal(call.request_id)
             if outcome.error.reason is Reason.MISDIRECTED:
                 self.state.misdirected_ids.add(call.server_id)
         self.state.pool.release(connection)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -21,6 +21,8 @@
 USER_TIMEOUT_MS = 3_000
 # Idle connections are closed before the shortest usual idle timeout of servers, 10 s.
 IDLE_MS = 8_000
+# Refusals by a server after which a connection is replaced, so that their ids do not accumulate.
+MAX_REFUSED_IDS = 256
 # Margin below the idle timeout that a server states: the timeout starts when the server sends its
 # last byte, which is before the byte arrives at this node.
 IDLE_MARGIN_MS = 500
@@ -258,6 +260,12 @@
             self.headers, self.body = [], bytearray()
             self.idle_since_ms = self.clock.now_ms()
 
+    def record_refusal(self, request_id: str) -> None:
+        """Record that the server refused a request on this connection."""
+        self.refused_ids.add(request_id)
+        if len(self.refused_ids) >= MAX_REFUSED_IDS:
+            self.usable = False
+
     @property
     def reused(self) -> bool:
         """Return whether the connection has carried more than one request."""
--- a/packages/basilhill_node/tests/test_call_executor.py
+++ b/packages/basilhill_node/tests/test_call_executor.py
@@ -13,7 +13,7 @@
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import Execute
-from basilhill_node.sidecar.http_client import ConnectionPool
+from basilhill_node.sidecar.http_client import MAX_REFUSED_IDS, ConnectionPool
 from basilhill_node.sidecar.state import ExecutorState, NodeLifecycle
 
 SERVICE_MS = 20
@@ -106,3 +106,25 @@
         assert retried.is_ok() and retried.ok.body == b"ok"
         assert arrivals == [0, 0]
         executor.state.pool.close()
+
+
+async def test_ids_of_refused_requests_do_not_accumulate():
+    """Guard against a connection that holds the id of each request that its server ever refused."""
+
+    async def handle(reader, writer):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            attempt = head.partition(b"basilhill-attempt-id: ")[2].partition(b"\r\n")[0]
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nBasilhill-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                b"Basilhill-Attempt-Id: " + attempt + b"\r\n\r\n"
+            )
+
+    executor = new_executor(1)
+    pool = executor.state.pool
+    async with serve_streams(handle) as pool.address:
+        for number in range(3 * MAX_REFUSED_IDS):
+            refused = await executor.execute(call(number))
+            assert refused.error.reason is Reason.SERVER_REFUSED
+            assert all(len(one.refused_ids) < MAX_REFUSED_IDS for one in pool.idle)
+        assert pool.opened == 3
+        pool.close()
