Ignore a Keep-Alive timeout that is no number of seconds

Callers would see 502 for a request that ran: a superscript digit, or a timeout of 5,000 digits, in the Keep-Alive header of a server raised ValueError inside the parser, and the response counted as malformed. The test fails without the change.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client for backend servers and the store, without pipelining."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Callable
 
@@ -26,6 +27,7 @@
 # Margin below the idle timeout that a server states: the timeout starts when the server sends its
 # last byte, which is before the byte arrives at this node.
 IDLE_MARGIN_MS = 500
+WHOLE_SECONDS = re.compile(r"[0-9]{1,9}")
 
 
 @frozen
@@ -295,7 +297,7 @@
     """Return how long an idle connection may be reused, by the server's `Keep-Alive` header."""
     for part in (header_value(headers, "keep-alive") or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and WHOLE_SECONDS.fullmatch(value):
             return min(IDLE_MS, int(value) * 1000 - IDLE_MARGIN_MS)
     return IDLE_MS
 
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import decode_item, decode_page
 from basilhill_node.sidecar.dialect import ServerMetadata, ServerStatement
+from basilhill_node.sidecar.http_client import IDLE_MS, keep_alive_ms
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, header_value
 from basilhill_node.sidecar.store import StoreFailedError
 
@@ -296,3 +297,10 @@
 def test_leaving_server_is_decoded(value, leaving):
     statement = PlatformDialect().decode_statement([Header("server-leaving", value)])
     assert statement == ServerStatement(None, leaving)
+
+
+def test_unreadable_keep_alive_header_is_ignored():
+    """Guard against a response that is lost because of a header about its connection."""
+    for value in ("timeout=\xb2", "timeout=" + "9" * 5_000, "timeout=", "timeout=-1"):
+        assert keep_alive_ms([Header("keep-alive", value)]) == IDLE_MS
+    assert keep_alive_ms([Header("keep-alive", "max=5, timeout=3")]) == 2_500
