Decode input of others behind one boundary, and check numbers there

Cause: the decoder of entries listed the errors that it expected. Deep nesting raises RecursionError, and a `coldRemainingS` of 1e308 raises OverflowError where it is first added up. Either ended the reading of the whole store, at each read. Numbers beyond 64 bits passed the decoder and failed later, in frames to other nodes.

Change: decode_input turns any error of a decoder into "cannot be read"; entries, configurations, settings and pages of the store use it. Numbers have a range that all later steps can add, multiply and encode; addresses and versions have a form. An unreadable entry names no server, an unreadable configuration leaves the active one in force, and both are logged.

--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -18,6 +18,18 @@
 RUN_S = 60.0
 VMS = 6
 SEEDS = range(24)
+# Entries of other writers, which name no server.
+UNREADABLE = (
+    b"not an entry",
+    b"[" * 2_000,
+    b'{"service":"calendar","address":"10.0.0.1:8301","zone":"a","slots":4,"state":"ready",'
+    b'"coldRemainingS":1e308}',
+    b'{"service":"calendar","address":"10.0.0.1:8301","zone":"a","slots":4,"state":"ready",'
+    b'"coldRemainingS":0,"born":%d}' % 2**70,
+    b'{"service":"calendar","address":"10.0.0.1:8301","zone":"a","slots":%d,"state":"ready",'
+    b'"coldRemainingS":0}' % 2**70,
+    b"\xff",
+)
 
 
 @pytest.fixture
@@ -130,7 +142,8 @@
                 fleet.cut(vm)
         elif step == "entry":
             # Changes that come in groups lengthen the pause after a watch.
-            fleet.store.put(f"servers/x-{random.randrange(9)}", b"not an entry")
+            number = random.randrange(9)
+            fleet.store.put(f"servers/x-{number}", UNREADABLE[number % len(UNREADABLE)])
         elif step == "leave":
             if vm.server_id in fleet.leaving:
                 fleet.start_server(vm)
@@ -177,6 +190,33 @@
     run(loop, scenario())
 
 
+@pytest.mark.parametrize("value", UNREADABLE)
+def test_unreadable_entry_holds_back_no_change(loop, value):
+    """Guard against nodes that keep an old configuration beside an entry that cannot be read.
+
+    The reader of the store failed at the entry, but told its followers that they were up to date.
+    A node that started read neither the configuration nor any server.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, 1, "a" * VMS), {}
+        await check_until(fleet, 20.0, seen)
+        fleet.store.put("servers/x-other-writer", value)
+        await check_until(fleet, 23.0, seen)
+        fleet.change_configuration()
+        fleet.drain_server(fleet.vms[2])
+        await check_until(fleet, 26.0, seen)
+        for vm in fleet.vms[:2]:
+            fleet.kill(vm)
+            await fleet.start(vm)
+        await check_until(fleet, 32.0, seen)
+        for vm in fleet.vms:
+            assert len(ready_entries(vm.node.state.directory, "calendar")) == VMS - 1
+        fleet.stop()
+
+    run(loop, scenario())
+
+
 @pytest.mark.parametrize("seed", range(8))
 def test_node_whose_feed_ends_in_a_second_outage_has_the_version_in_time(loop, seed):
     """Guard against followers that wait for the store without evidence that it responds.
--- a/packages/basilhill_node/src/basilhill_node/platform/configuration.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decoding of the operators' configuration in the platform's store."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -10,35 +11,43 @@
     WeightedService,
 )
 from basilhill.queries.configuration import order_routes
-from expression import Error, Ok, Result
+from expression import Result
+
+from basilhill_node.platform.input import (
+    decode_input,
+    required_integer,
+    required_number,
+    required_text,
+)
 
 MS_PER_S = 1000
 IDEMPOTENT = "idempotent"
-DECODE_ERRORS = (msgspec.DecodeError, AttributeError, KeyError, TypeError, ValueError)
+VERSION = re.compile(r"[0-9a-fA-F]{1,8}")
 
 
 def decode_configuration(data: bytes) -> Result[Configuration, str]:
     """Return a configuration from the platform's JSON, or why it is invalid."""
-    try:
-        return Ok(read_configuration(msgspec.json.decode(data)))
-    except DECODE_ERRORS as error:
-        return Error(f"the configuration cannot be read: {error!r}")
+    return decode_input("the configuration", lambda: read_configuration(msgspec.json.decode(data)))
 
 
 def read_configuration(table: dict[str, Any]) -> Configuration:
     routes = [
-        read_route(host["host"], path) for host in table["virtualHosts"] for path in host["paths"]
+        read_route(required_text(host, "host"), path)
+        for host in table["virtualHosts"]
+        for path in host["paths"]
     ]
     limits = table["limits"]
+    version = required_text(table, "version")
+    if not VERSION.fullmatch(version):
+        raise ValueError(f"version is {version!r}, expected hexadecimal digits")
     return Configuration(
-        # The version is a string of eight hexadecimal digits.
-        version=int(table["version"], 16),
+        version=int(version, 16),
         routes=order_routes(routes),
         limits=RequestLimits(
-            header_bytes=int(limits["maxHeaderBytes"]),
-            body_bytes=int(limits["maxBodyBytes"]),
-            header_ms=int(limits["headerTimeoutS"] * MS_PER_S),
-            idle_ms=int(limits["idleTimeoutS"] * MS_PER_S),
+            header_bytes=int(required_number(limits, "maxHeaderBytes")),
+            body_bytes=int(required_number(limits, "maxBodyBytes")),
+            header_ms=int(required_number(limits, "headerTimeoutS") * MS_PER_S),
+            idle_ms=int(required_number(limits, "idleTimeoutS") * MS_PER_S),
         ),
     )
 
@@ -47,18 +56,18 @@
     """Return a route from an entry of `paths`, which is a path prefix with its policy."""
     split = path.get("trafficSplit") or [{"service": path["service"], "weight": 1}]
     return Route(
-        name=path["name"],
+        name=required_text(path, "name"),
         host=host,
-        prefix=path["prefix"],
+        prefix=required_text(path, "prefix"),
         idempotent=path["kind"] == IDEMPOTENT,
         # `attempts` counts the servers that one request may reach, including the first one.
-        attempts=int(path.get("attempts", 1)),
-        timeout_ms=int(path["timeoutS"] * MS_PER_S),
-        target_ms=int(path["targetLatencyS"] * MS_PER_S),
+        attempts=required_integer(path, "attempts") if "attempts" in path else 1,
+        timeout_ms=int(required_number(path, "timeoutS") * MS_PER_S),
+        target_ms=int(required_number(path, "targetLatencyS") * MS_PER_S),
         # Priority 0 is the highest.
-        priority=int(path["priority"]),
+        priority=int(required_number(path, "priority")),
         services=tuple(
-            WeightedService(part["service"], float(part["weight"]))
+            WeightedService(required_text(part, "service"), float(required_number(part, "weight")))
             for part in split
             if part["weight"] > 0
         ),
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -1,25 +1,31 @@
 """Decoding of the platform's settings file."""
 
+import re
 from typing import Any
 
 import msgspec
 from attrs import define, field
 from expression import Error, Ok, Result
 
+from basilhill_node.platform.input import MAX_NUMBER, decode_input
 from basilhill_node.sidecar.state import SidecarSettings
 
 MS_PER_S = 1000
 # Fixed, since `deploy/system.toml` declares it. The ports that the platform assigns change daily.
 METRICS_PORT = 9464
 HIGHEST_PORT = 65_535
+PORT = re.compile(r"[0-9]{1,5}")
 
 
 def decode_settings(data: bytes) -> Result[SidecarSettings, str]:
     """Return the settings of a node from the platform's JSON, or all problems in one string."""
-    try:
-        tables = msgspec.json.decode(data, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
-        return Error(f"the settings cannot be read: {error}")
+    return decode_input(
+        "the settings", lambda: msgspec.json.decode(data, type=dict[str, Any])
+    ).bind(check_settings)
+
+
+def check_settings(tables: dict[str, Any]) -> Result[SidecarSettings, str]:
+    """Return the settings in decoded tables, or all problems in one string."""
     reader = SettingsReader(tables)
     settings = read_settings(reader)
     if reader.problems:
@@ -55,12 +61,12 @@
         return str(found)
 
     def number(self, path: str) -> float:
-        """Return a non-negative number, 0 with a problem for any other value."""
+        """Return a number from 0 to `MAX_NUMBER`, 0 with a problem for any other value."""
         found = self.required(path)
-        if type(found) in (int, float) and found >= 0:
+        if type(found) in (int, float) and 0 <= found <= MAX_NUMBER:
             return found
         if found is not None:
-            self.problems.append(f"{path} is {found!r}, not a number of at least 0")
+            self.problems.append(f"{path} is {found!r}, not a number from 0 to {MAX_NUMBER:g}")
         return 0
 
     def address(self, path: str) -> str:
@@ -72,13 +78,13 @@
     def port(self, path: str) -> int:
         """Return the port of an address, 0 with a problem for an invalid one."""
         port = self.address(path).rpartition(":")[2]
-        return int(port) if port.isdigit() else 0
+        return int(port) if PORT.fullmatch(port) else 0
 
 
 def is_address(value: Any) -> bool:
     """Return whether a value is a string of the form HOST:PORT."""
     host, _, port = value.rpartition(":") if type(value) is str else ("", "", "")
-    return bool(host) and port.isdigit() and int(port) <= HIGHEST_PORT
+    return bool(host) and PORT.fullmatch(port) is not None and int(port) <= HIGHEST_PORT
 
 
 def read_settings(reader: SettingsReader) -> SidecarSettings:
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -13,6 +13,7 @@
 from basilhill.outcomes import Header
 from expression import Error, Ok, Result
 
+from basilhill_node.platform.input import decode_input
 from basilhill_node.sidecar.http_client import (
     ConnectionFailedError,
     ConnectionPool,
@@ -122,13 +123,17 @@
 
 def decode_page(body: bytes) -> Page:
     """Return the content of a response; raise StoreFailedError if it is malformed."""
-    try:
-        table = msgspec.json.decode(body, type=dict[str, Any])
-        rows = table["items"] if "items" in table else table["events"]
-        items = tuple(decode_item(row) for row in rows)
-        return Page(items, int(table["asOf"]), bool(table.get("hasMore")))
-    except (msgspec.MsgspecError, AttributeError, KeyError, TypeError, ValueError) as error:
-        raise StoreFailedError(f"malformed response of the store: {error!r}") from error
+    result = decode_input("the response of the store", lambda: read_page(body))
+    if result.is_error():
+        raise StoreFailedError(result.error)
+    return result.ok
+
+
+def read_page(body: bytes) -> Page:
+    table = msgspec.json.decode(body, type=dict[str, Any])
+    rows = table["items"] if "items" in table else table["events"]
+    items = tuple(decode_item(row) for row in rows)
+    return Page(items, int(table["asOf"]), bool(table.get("hasMore")))
 
 
 def decode_item(item: dict[str, Any]) -> StoredItem:
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -1,5 +1,7 @@
 """Tests of the decoding and encoding of platform messages, including malformed ones."""
 
+import json
+
 import msgspec
 import pytest
 from basilhill.outcomes import ExecutionStatus, Header, Reason, may_have_run, not_run
@@ -9,9 +11,18 @@
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import decode_item, decode_page
 from basilhill_node.sidecar.dialect import ServerMetadata, ServerStatement
+from basilhill_node.sidecar.frames import (
+    FrameKind,
+    FrameReader,
+    decode_entry_row,
+    encode_entry,
+    encode_frame,
+)
 from basilhill_node.sidecar.http_client import IDLE_MS, keep_alive_ms
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse, header_value
 from basilhill_node.sidecar.store import StoreFailedError
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 SETTINGS = {
     "self": {
@@ -299,6 +310,93 @@
     assert statement == ServerStatement(None, leaving)
 
 
+# Input that makes a decoder, or the first sum of its numbers, fail with different errors.
+FOREIGN_JSON = (
+    b"[" * 2_000,
+    b'{"a":' * 2_000,
+    b"1" * 5_000,
+    b"1e308",
+    b"-1e308",
+    b"1e400",
+    b"NaN",
+    b"1" * 40,
+    b"-5",
+    b"0.5",
+    b"true",
+    b"null",
+    b'""',
+    b'"\\ud800"',
+    b'"a\\u0000b"',
+    b'"' + b"x" * 60_000 + b'"',
+    b"[]",
+    b"{}",
+    b"\xff\xfe",
+)
+FOREIGN_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(st.characters(codec=None), max_size=20),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=5), inner),
+    max_leaves=5,
+)
+
+
+def replaced(table: dict, name: str, value: bytes) -> bytes:
+    """Return a table as JSON with a field replaced by bytes."""
+    return json.dumps({**table, name: "VALUE"}).encode().replace(b'"VALUE"', value)
+
+
+def assert_entry_is_usable_or_refused(data: bytes) -> None:
+    """Fail if an entry is neither refused nor usable by the node and by the peers that get it."""
+    result = decode_entry("i-1", data, 1_000)
+    if result.is_ok():
+        frame = encode_frame(FrameKind.FEED, 1, 0, False, b"", [encode_entry(result.ok, 1_000)], [])
+        ((_, fields),) = FrameReader().feed(frame)
+        assert decode_entry_row(fields[4][0], 1_000) == result.ok
+        json.dumps(result.ok.service).encode()
+
+
+@pytest.mark.parametrize("value", FOREIGN_JSON)
+def test_foreign_values_do_not_end_the_reading_of_the_store(value):
+    """Guard against an entry or configuration whose error leaves its decoder.
+
+    The RecursionError of a nested entry once stopped all changes: nodes kept an old configuration.
+    """
+    assert decode_entry("i-1", value, 0).is_error()
+    assert decode_configuration(value).is_error()
+    assert decode_settings(value).is_error()
+    for name in ENTRY:
+        assert_entry_is_usable_or_refused(replaced(ENTRY, name, value))
+    for table, name in ((CONFIGURATION, "version"), (CONFIGURATION, "limits")):
+        assert decode_configuration(replaced(table, name, value)).is_error()
+    for name in PATHS[1]:
+        path = replaced(PATHS[1], name, value)
+        decode_configuration(replaced(CONFIGURATION, "virtualHosts", b"[%s]" % path))
+        host = b'{"host": "shop.example", "paths": [%s]}' % path
+        decode_configuration(replaced(CONFIGURATION, "virtualHosts", b"[%s]" % host))
+    with pytest.raises(StoreFailedError):
+        decode_page(value)
+    with pytest.raises(StoreFailedError):
+        decode_page(replaced({"items": [], "hasMore": False}, "items", value))
+
+
+@settings(max_examples=500, deadline=None, derandomize=True)
+@given(st.dictionaries(st.sampled_from(sorted(ENTRY)), FOREIGN_VALUES))
+def test_any_field_of_an_entry_may_have_any_value(changes):
+    """Guard against a value that only a later step cannot use, such as a frame to a peer."""
+    assert_entry_is_usable_or_refused(json.dumps({**ENTRY, **changes}).encode())
+
+
+@pytest.mark.parametrize("value", [b"1e308", b"1" * 5_000, b"-1", b"NaN", b'"6"', b"[" * 2_000])
+def test_settings_out_of_range_are_refused(value):
+    """Guard against a settings file that ends the task which reloads it."""
+    bounds = replaced(SETTINGS["terms"]["bounds"], "graceS", value)
+    terms = b'{"bounds": %s}' % bounds
+    assert decode_settings(replaced(SETTINGS, "terms", terms)).is_error()
+
+
 def test_unreadable_keep_alive_header_is_ignored():
     """Guard against a response that is lost because of a header about its connection."""
     for value in ("timeout=\xb2", "timeout=" + "9" * 5_000, "timeout=", "timeout=-1"):
