Apply changed slots of a listed server

Callers saw 503 "8 of 8 slots are in use" at a server that had registered 20 slots: a change of an entry counted only if its address, state or start time changed, so the node kept the slots that its server had first. The new test of test_backends.py fails without the change.

--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -27,11 +27,7 @@
     if before is not None and before.address != entry.address:
         update_newest(directory, before.address)
     update_newest(directory, entry.address, entry)
-    return before is None or (before.address, before.draining, before.started_ms) != (
-        entry.address,
-        entry.draining,
-        entry.started_ms,
-    )
+    return before is None or evolve(before, warm_until_ms=entry.warm_until_ms) != entry
 
 
 def update_newest(
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -190,3 +190,11 @@
 def test_statement_of_an_unknown_server_changes_nothing():
     listed = directory(FIRST)
     assert not mark_leaving(listed, "i-9") and not listed.leaving
+
+
+def test_changed_slots_of_a_server_are_a_change():
+    """Guard against a node that goes on with the slots that its server had at its start."""
+    directory = BackendDirectory()
+    put_entry(directory, BackendEntry("i-1", "s", "10.0.0.1:1", "a", 8))
+    assert not put_entry(directory, BackendEntry("i-1", "s", "10.0.0.1:1", "a", 8, False, 500))
+    assert put_entry(directory, BackendEntry("i-1", "s", "10.0.0.1:1", "a", 20))
