Soak servers that leave, in the shape of the deployments

Servers leave by statement in responses of two statuses, by `draining`, by removal without notice, or without any entry; stops, kills, pauses, outages and unreadable entries overlap. `--nodes PATH...` runs other revisions, also side by side.

Two checks are added, none is changed: a node that passed on `Server-Leaving` sends no later request after the bound, whatever the store does; and after the store accepted that a server leaves, only disruptions of the store and of the nodes on the path excuse a request (the existing check accepts any disruption as an excuse).

--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -40,6 +40,8 @@
     runs: Counter[str] = field(factory=Counter)
     headers: list[dict[str, str]] = field(factory=list)
     cancelled: int = 0
+    # Callback for the arrival of each request for this server, with the attempt id and path.
+    reached: Callable[[str, str], None] = field(default=lambda *_request: None)
     # Callback for the start of each run, with the attempt id, path and body of the request.
     started: Callable[[str, str, bytes], None] = field(default=lambda *_request: None)
 
@@ -56,11 +58,14 @@
         """Run one request; reject it if addressed to another server or by an injected fault."""
         attempt = request.headers[ATTEMPT_ID]
         echo = {ATTEMPT_ID: attempt}
+        # A new incarnation may begin while the request runs.
+        server_id = self.server_id
         self.arrivals[attempt] += 1
         self.arrived_s.append(asyncio.get_running_loop().time())
         self.headers.append(dict(request.headers))
         if request.headers.get("Basilhill-Target-Instance") != self.server_id:
             return web.Response(status=421, headers=echo | {"Basilhill-Instance-Id": "i-other"})
+        self.reached(attempt, request.path_qs)
         if self.rejects or self.arrivals[attempt] <= self.rejections_before_run:
             return web.Response(status=503, headers=echo | {"Basilhill-Not-Executed": "1"})
         self.runs[attempt] += 1
@@ -71,7 +76,7 @@
             self.started(attempt, request.path_qs, body)
             await asyncio.sleep(self.run_ms / 1000)
             if not await self.make_call(attempt):
-                return web.Response(status=500, headers=echo | {SIGNATURE: self.server_id})
+                return web.Response(status=500, headers=echo | {SIGNATURE: server_id})
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
@@ -79,7 +84,7 @@
             self.running -= 1
         if self.resets:
             request.transport.abort()
-        headers = echo | {SIGNATURE: f"{self.server_id}.{attempt}"}
+        headers = echo | {SIGNATURE: f"{server_id}.{attempt}"}
         text = f"{request.method} {request.path_qs} ".encode() + body
         return web.Response(status=self.status, body=text, headers=headers)
 
--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
@@ -14,6 +14,9 @@
 # HTTP statuses that guarantee that a request has not run and will not run.
 NOT_RUN = (408, 421, 429, 503)
 MOVED_PATH = "/move/"
+RESTARTS = ("kill", "term")
+# Planned work that puts no node out of touch.
+HARMLESS_KINDS = ("configuration", "entry", "leave", "replace", "reload", "server rejects")
 
 
 def find_soak_violations(history: SoakHistory) -> list[str]:
@@ -29,6 +32,8 @@
         *mismatched_responses(history, runs),
         *lost_responses(history, runs),
         *runs_after_drain(history),
+        *arrivals_after_statement(history, attempts),
+        *arrivals_after_leaving(history, attempts),
         *late_configurations(history, attempts),
         *version_regressions(history, attempts),
         *missing_recovery(history),
@@ -92,6 +97,51 @@
             yield f"DRAIN: {run}, drained at {at_ms}"
 
 
+def arrivals_after_statement(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
+    """Yield requests that a node sent to a server after it had passed on that the server leaves.
+
+    This holds for each node that was neither restarted nor suspended since.
+    """
+    stated_ms: dict[tuple[int, str], int] = {}
+    for attempt in history.attempts:
+        if attempt.leaving_server:
+            key = attempt.vm, attempt.leaving_server
+            stated_ms[key] = min(attempt.ended_ms, stated_ms.get(key, attempt.ended_ms))
+    for arrival in history.arrivals:
+        attempt = attempts[arrival.attempt_id]
+        at_ms = stated_ms.get((attempt.vm, arrival.server_id))
+        if (
+            at_ms is not None
+            and attempt.sent_ms > at_ms + DRAIN_BOUND_MS
+            and not was_interrupted(history, attempt.vm, at_ms, arrival.at_ms)
+        ):
+            yield f"DRAIN: {arrival} from {attempt.vm}, which passed on the statement at {at_ms}"
+
+
+def arrivals_after_leaving(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
+    """Yield requests that reached a server after the store accepted that it leaves.
+
+    Disruptions of the store and of the nodes on the path excuse them, those of other nodes do not.
+    """
+    left_ms = {
+        change.name: change.at_ms
+        for change in history.acknowledged_changes
+        if change.kind in ("drain", "removal")
+    }
+    for arrival in history.arrivals:
+        at_ms = left_ms.get(arrival.server_id)
+        if at_ms is None or arrival.at_ms <= at_ms + DRAIN_BOUND_MS:
+            continue
+        path = (None, attempts[arrival.attempt_id].vm, arrival.vm)
+        if not any(
+            disruption.vm in path
+            and disruption.kind not in HARMLESS_KINDS
+            and overlaps(disruption, at_ms - CONTACT_BOUND_MS, arrival.at_ms)
+            for disruption in history.disruptions
+        ):
+            yield f"DRAIN: {arrival} from {path[1]}, left at {at_ms}"
+
+
 def late_configurations(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
     """Yield runs under an older version than the bound allows while no disruption overlapped."""
     changes = [change for change in history.acknowledged_changes if change.kind == "service"]
@@ -161,10 +211,19 @@
 
 def was_restarted(history: SoakHistory, vm: int, start_ms: int, end_ms: int) -> bool:
     """Return whether the node of a VM was stopped or killed within a span."""
+    return was_disrupted(history, vm, RESTARTS, start_ms, end_ms)
+
+
+def was_interrupted(history: SoakHistory, vm: int, start_ms: int, end_ms: int) -> bool:
+    """Return whether the node of a VM was stopped, killed or suspended within a span."""
+    return was_disrupted(history, vm, (*RESTARTS, "pause"), start_ms, end_ms)
+
+
+def was_disrupted(
+    history: SoakHistory, vm: int, kinds: tuple[str, ...], start_ms: int, end_ms: int
+) -> bool:
     return any(
-        disruption.vm == vm
-        and disruption.kind in ("kill", "term")
-        and overlaps(disruption, start_ms, end_ms)
+        disruption.vm == vm and disruption.kind in kinds and overlaps(disruption, start_ms, end_ms)
         for disruption in history.disruptions
     )
 
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -18,12 +18,13 @@
 from basilhill_fakes.plain_server import ATTEMPT_ID, SIGNATURE, PlainServer, build_server
 from basilhill_fakes.platform_store import PlatformStoreState, build_store
 from basilhill_fakes.sidecar_fleet import HOST, build_configuration, build_route
-from basilhill_fakes.soak_records import Attempt, Run, SoakHistory
+from basilhill_fakes.soak_records import Arrival, Attempt, Run, SoakHistory
 
 PEER_PORT, SERVER_PORT, READY_PORT, CLIENT_PORT, STORE_PORT = 8300, 8301, 8302, 8304, 8309
 # Port of the backend server itself; its proxy listens on SERVER_PORT.
 DIRECT_SERVER_PORT = 8311
 GRACE_S = 4
+SLOTS = 8
 READS = build_route("r-read", "/read/", "calendar", attempts=3)
 WRITES = build_route("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
 DEADLINE_MS = 2_000
@@ -43,8 +44,12 @@
     peer_link: FaultProxy
     server_link: FaultProxy
     process: asyncio.subprocess.Process | None = None
+    # Number of the server's incarnation.
+    born: int = 1
     # Serializes the faults that stop, suspend or restart the process or replace its server.
     restart_lock: asyncio.Lock = field(factory=asyncio.Lock)
+    # Serializes the ways in which its server leaves, which overlap with the faults of the node.
+    server_lock: asyncio.Lock = field(factory=asyncio.Lock)
 
 
 @define(eq=False)
@@ -62,6 +67,9 @@
     ids: count = field(factory=lambda: count(1))
     version: int = 0
     moved_to: str = "calendar"
+    routes: tuple[dict, ...] = (READS, WRITES)
+    # Directories of the node program, for each VM in turn; empty for that of this checkout.
+    node_paths: tuple[str, ...] = ()
 
     async def start(self, services: tuple[str, ...]) -> None:
         """Start the store and a VM for each service; return once all nodes are ready."""
@@ -86,7 +94,7 @@
         self.version += 1
         self.moved_to = service
         moved = build_route("r-move", "/move/", service, attempts=3)
-        self.store.put("op/config", build_configuration(self.version, READS, WRITES, moved))
+        self.store.put("op/config", build_configuration(self.version, *self.routes, moved))
 
     async def add_vm(self, service: str) -> None:
         """Start the server and the proxies of a new VM, and register the server."""
@@ -94,6 +102,7 @@
         address, outer = f"{self.prefix}.{number}", f"{self.prefix}.{number + 100}"
         server = PlainServer(f"i-{number}", service)
         server.started = self.build_run_recorder(server)
+        server.reached = self.build_arrival_recorder(server, number)
         vm = SoakVm(
             number,
             address,
@@ -120,18 +129,27 @@
 
         return record
 
-    def register(self, vm: SoakVm, state: str) -> None:
+    def build_arrival_recorder(self, server: PlainServer, vm: int):
+        """Return a callback that records the arrivals at a server."""
+
+        def record(attempt_id: str, _path: str) -> None:
+            now_ms = self.clock.now_ms()
+            self.history.arrivals.append(Arrival(attempt_id, server.server_id, vm, now_ms))
+
+        return record
+
+    def register(self, vm: SoakVm, state: str, slots: int = SLOTS) -> None:
         """Write the entry of a server into the store."""
         entry = {
             "service": vm.server.service,
             "address": f"{vm.outer_address}:{SERVER_PORT}",
             "zone": "abc"[vm.number % 3],
             "version": "v1",
-            "slots": 8,
+            "slots": slots,
             "state": state,
             "coldRemainingS": 0,
             "sequence": 1,
-            "born": 1,
+            "born": vm.born,
         }
         self.store.put(f"servers/{vm.server.server_id}", entry)
 
@@ -159,12 +177,15 @@
 
     async def start_node(self, vm: SoakVm) -> None:
         """Start the node of a VM and append its output to a log file."""
+        environment = os.environ | {"BASILHILL_CONFIG": str(vm.settings_file)}
+        if self.node_paths:
+            environment["PYTHONPATH"] = self.node_paths[vm.number % len(self.node_paths)]
         with (self.directory / f"node-{vm.number}.log").open("ab") as log:
             vm.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 "basilhill_node.platform",
-                env=os.environ | {"BASILHILL_CONFIG": str(vm.settings_file)},
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
@@ -208,6 +229,8 @@
             ):
                 attempt.answer = await response.read()
                 attempt.signature = response.headers.get(SIGNATURE, "")
+                if "Server-Leaving" in response.headers:
+                    attempt.leaving_server = attempt.signature.partition(".")[0]
                 attempt.status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Without a response, the node guarantees nothing about the execution of the request.
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
@@ -18,6 +18,8 @@
     status: int = 0
     answer: bytes = field(default=b"", repr=False)
     signature: str = ""
+    # Server that states in the response that it leaves, empty without the statement.
+    leaving_server: str = ""
 
 
 @frozen
@@ -32,6 +34,16 @@
     started_ms: int
 
 
+@frozen
+class Arrival:
+    """Request that reached the server that it was addressed to, whether it ran or not."""
+
+    attempt_id: str
+    server_id: str
+    vm: int
+    at_ms: int
+
+
 @define(eq=False)
 class Disruption:
     """Fault or planned work; `ended_ms` is None while it lasts."""
@@ -46,7 +58,7 @@
 
 @frozen
 class AcknowledgedChange:
-    """Change that the store accepted: a new service for a route, or a draining server."""
+    """Change that the store accepted: a new service for a route, or a server that leaves."""
 
     kind: str
     name: str
@@ -55,10 +67,11 @@
 
 @define(eq=False)
 class SoakHistory:
-    """Attempts, runs, disruptions and accepted changes of a soak."""
+    """Attempts, runs, arrivals, disruptions and accepted changes of a soak."""
 
     attempts: list[Attempt] = field(factory=list)
     runs: list[Run] = field(factory=list)
+    arrivals: list[Arrival] = field(factory=list)
     disruptions: list[Disruption] = field(factory=list)
     acknowledged_changes: list[AcknowledgedChange] = field(factory=list)
     recovered_ms: int | None = None
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -11,7 +11,9 @@
 from pathlib import Path
 from random import SystemRandom
 
+from attrs import evolve
 from basilhill_fakes.soak import run_soak
+from basilhill_fakes.soak_plans import PLANS
 
 ROOT = Path(__file__).parent.parent
 RANDOM_SEED_LIMIT = 1_000_000
@@ -25,7 +27,16 @@
     parser.add_argument(
         "--seconds", type=float, default=12.0, help="fault phase of each soak, in s"
     )
+    parser.add_argument("--plan", choices=PLANS, default="default", help="deployment and faults")
+    parser.add_argument(
+        "--nodes",
+        nargs="*",
+        default=(),
+        metavar="PATH",
+        help="search paths of the node program for each VM in turn, to run other revisions",
+    )
     arguments = parser.parse_args()
+    plan = evolve(PLANS[arguments.plan], node_paths=tuple(arguments.nodes))
     first = arguments.seed
     if first is None:
         first = SystemRandom().randrange(RANDOM_SEED_LIMIT)
@@ -33,9 +44,9 @@
     signal.signal(signal.SIGTERM, lambda *_signal: sys.exit(1))
     failed = 0
     for seed in range(first, first + arguments.count):
-        directory = ROOT / "run" / f"soak-{seed}-{int(time.time())}"
+        directory = ROOT / "run" / f"soak-{arguments.plan}-{seed}-{int(time.time())}"
         directory.mkdir(parents=True)
-        result = asyncio.run(run_soak(seed, arguments.seconds, directory))
+        result = asyncio.run(run_soak(seed, arguments.seconds, directory, plan))
         print(result.summary(), flush=True)
         for line in result.violations:
             print(f"  {line}", flush=True)
