Bound the memory of all large messages of a node by one account

Callers saw 502 for requests that had run: 20 answers of 8 MB at once from a sound server exceeded the sum of 64 MB, and some failed. Three uploads of 64 MB at once, which the operator's limit allows, took a node above 300 MB.

Change: one account a node, a quarter of `memoryMb` of the settings. Messages above 64 KB are counted while they are read, served and sent. Beyond the limit only the first incomplete message is read further, responses before requests, and the reading of the others waits; nobody is refused before the header timeout of a client has passed, and then with 503 and Retry-After, since the request has not run. Large bodies are passed on and written without a copy. The account is on the metrics address.

The test of the sum over responses is replaced by stricter ones: the bound holds, nobody fails, all complete.

--- /dev/null
+++ b/packages/basilhill/src/basilhill/memory.py
@@ -0,0 +1,40 @@
+"""Memory of a node that the messages of clients and servers take."""
+
+from enum import IntEnum
+
+from attrs import define, field
+
+# Shorter messages are not counted: their number is bounded by that of the connections.
+SMALL_MESSAGE_BYTES = 64 << 10
+
+
+class MessageKind(IntEnum):
+    """Kind of a message, in the order in which messages are read while memory is short."""
+
+    # A response shows the outcome of work that has run.
+    RESPONSE = 0
+    REQUEST = 1
+
+
+@define(eq=False)
+class HeldMessage:
+    """Message of which a node holds `size` bytes; `paused` is whether its reading waits."""
+
+    kind: MessageKind
+    sequence: int = 0
+    size: int = 0
+    paused: bool = False
+
+
+@define(eq=False)
+class MemoryAccount:
+    """Bytes of all large messages that a node holds, and the incomplete ones.
+
+    Beyond `limit_bytes` only the first incomplete message is read further. The node then holds at
+    most the limit and one message of the largest size that it accepts.
+    """
+
+    limit_bytes: int
+    held_bytes: int = 0
+    sequence: int = 0
+    reading: set[HeldMessage] = field(factory=set)
--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -174,6 +174,57 @@
     assert set(running.statuses) == {200}
 
 
+def build_large_server(body_bytes: int):
+    """Return a handler that reads bodies and answers each request with a large body."""
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+            attempt = head.partition("basilhill-attempt-id: ")[2].split("\r\n")[0]
+            left = int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
+            while left:
+                left -= len(await reader.read(min(left, 1 << 20)))
+            lines = ("HTTP/1.1 200 OK", f"{ATTEMPT_ID}: {attempt}", f"Content-Length: {body_bytes}")
+            writer.write("\r\n".join([*lines, "", ""]).encode() + bytes(body_bytes))
+            await writer.drain()
+
+    return handle
+
+
+async def test_many_large_answers_at_the_same_time_are_all_delivered(tmp_path):
+    """Guard against answers that fail for lack of memory although their requests have run."""
+    async with (
+        pressure(tmp_path) as running,
+        raw_server(running.vm, build_large_server(8 << 20)),
+    ):
+        running.fleet.register(running.vm, "ready", slots=20)
+        await asyncio.sleep(1.5)
+        answers = await asyncio.gather(
+            *(request(running.vm, b"GET", number=number) for number in range(20))
+        )
+        sizes = {(answer[:12], len(answer) >> 20) for answer in answers}
+        assert sizes == {(b"HTTP/1.1 200", 8)}
+        assert await metric(running.vm, "message_bytes") == 0
+    assert running.peak_mb < MEMORY_MB
+    assert set(running.statuses) == {200}
+
+
+async def test_largest_uploads_at_the_same_time_are_all_delivered(tmp_path):
+    """Guard against a node that two uploads within the operator's limit take out of memory."""
+    parts = [b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES] + [bytes(1 << 20)] * 64
+    async with (
+        pressure(tmp_path) as running,
+        raw_server(running.vm, build_large_server(2)),
+    ):
+        answers = await asyncio.gather(
+            *(request(running.vm, b"POST", *parts, number=number) for number in range(3))
+        )
+        assert [answer[:12] for answer in answers] == [b"HTTP/1.1 200"] * 3
+        assert await metric(running.vm, "message_bytes") == 0
+    assert running.peak_mb < MEMORY_MB
+    assert set(running.statuses) == {200}
+
+
 async def test_large_items_of_other_writers_do_not_take_the_memory_of_a_node(tmp_path):
     """Guard against a node that holds all values of the store, or all changes, at the same time.
 
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -8,6 +8,7 @@
 from expression import Error, Ok, Result
 
 from basilhill_node.platform.input import MAX_NUMBER, decode_input
+from basilhill_node.sidecar.memory import DEFAULT_MEMORY_MB
 from basilhill_node.sidecar.state import SidecarSettings
 
 MS_PER_S = 1000
@@ -60,9 +61,14 @@
             self.problems.append(f"{path} is {found!r}, not a string")
         return str(found)
 
-    def number(self, path: str) -> float:
-        """Return a number from 0 to `MAX_NUMBER`, 0 with a problem for any other value."""
-        found = self.required(path)
+    def number(self, path: str, default: float | None = None) -> float:
+        """Return a number from 0 to `MAX_NUMBER`, 0 with a problem for any other value.
+
+        Without a default, a missing number is a problem.
+        """
+        found = self.required(path) if default is None else self.value(path)
+        if found is None and default is not None:
+            return default
         if type(found) in (int, float) and 0 <= found <= MAX_NUMBER:
             return found
         if found is not None:
@@ -108,4 +114,5 @@
         retry_ratio=float(reader.number("terms.bounds.retryBudgetRatio")),
         retry_window_ms=int(reader.number("terms.bounds.budgetWindowS") * MS_PER_S),
         retry_minimum=int(reader.number("terms.bounds.budgetMinRetries")),
+        memory_mb=int(reader.number("self.limits.memoryMb", DEFAULT_MEMORY_MB)),
     )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -213,7 +213,7 @@
         # server stops at the deadline.
         return await self.exchange(call, data)
 
-    async def exchange(self, call: Execute, data: bytes) -> Outcome:
+    async def exchange(self, call: Execute, data: Sequence[bytes]) -> Outcome:
         """Send an encoded call on a connection that carries no other call.
 
         A request that is lost on a reused connection is not retried here: the server may have run
@@ -236,7 +236,9 @@
                 return Error(may_have_run(Reason.CONNECTION_LOST, str(error)))
             return Error(not_run(Reason.UNREACHABLE, str(error)))
 
-    async def send(self, connection: ClientConnection, call: Execute, data: bytes) -> Outcome:
+    async def send(
+        self, connection: ClientConnection, call: Execute, data: Sequence[bytes]
+    ) -> Outcome:
         """Send a call; return the connection to the pool if it is still usable, else close it."""
 
         def accepts(headers) -> bool:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
@@ -12,8 +12,8 @@
 
 # The file may change without a SIGHUP; each check takes a few microseconds.
 POLL_S = 2.0
-# Settings that take effect only after a restart: identity, addresses and ports of the node, its
-# backend server and the store.
+# Settings that take effect only after a restart: identity, addresses, ports and memory of the node,
+# its backend server and the store.
 RESTART_ONLY = frozenset(
     (
         "node",
@@ -25,6 +25,7 @@
         "peer_port",
         "ready_port",
         "store_address",
+        "memory_mb",
     )
 )
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -3,14 +3,21 @@
 import asyncio
 import re
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import httptools
 from attrs import define, field, frozen
 from basilhill.clocks import Clock
+from basilhill.memory import HeldMessage, MessageKind
 from basilhill.outcomes import Header
 
-from basilhill_node.sidecar.messages import HttpResponse, header_value, parsed_header
+from basilhill_node.sidecar.memory import MessageMemory
+from basilhill_node.sidecar.messages import (
+    HttpResponse,
+    finished_body,
+    header_value,
+    parsed_header,
+)
 from basilhill_node.sidecar.segments import Buffer, SegmentProtocol
 
 CONNECT_TIMEOUT_S = 1.0
@@ -35,23 +42,13 @@
     """Bounds of what one exchange may receive, beyond which the connection is closed.
 
     `head_bytes` bounds the bytes received before the end of a head, which include interim responses
-    and blank lines. `body_bytes` bounds all bytes after the head, with chunk lines and trailers; it
-    also bounds the sum over all connections of a pool, beyond which responses of more than
-    `small_body_bytes` fail.
+    and blank lines. `body_bytes` bounds all bytes after the head, with chunk lines and trailers.
     """
 
     head_bytes: int = 64 << 10
     header_count: int = 256
     # The operators' limits allow bodies of up to 64 MB.
     body_bytes: int = 64 << 20
-    small_body_bytes: int = 1 << 20
-
-
-@define(eq=False)
-class HeldBytes:
-    """Bytes of incomplete responses on all connections of a pool."""
-
-    total: int = 0
 
 
 class ConnectionFailedError(Exception):
@@ -84,10 +81,11 @@
 class ClientConnection(SegmentProtocol):
     """Connection for one request at a time, unusable after any unexpected event."""
 
-    def __init__(self, clock: Clock, limits: ResponseLimits, held: HeldBytes) -> None:
+    def __init__(self, clock: Clock, limits: ResponseLimits, memory: MessageMemory) -> None:
         self.clock = clock
         self.limits = limits
-        self.held = held
+        self.memory = memory
+        self.message = HeldMessage(MessageKind.RESPONSE)
         self.transport: asyncio.Transport | None = None
         self.waiter: asyncio.Future[HttpResponse] | None = None
         self.accepts: Callable[[list[Header]], bool] | None = None
@@ -125,7 +123,6 @@
             return
         if self.head_complete:
             self.received_body_bytes += len(data)
-            self.held.total += len(data)
         else:
             self.unparsed_head_bytes += len(data)
         try:
@@ -135,6 +132,7 @@
         except httptools.HttpParserError as error:
             self.fail(f"malformed response: {error}")
         if self.waiter is not None:
+            self.memory.resize(self.message, len(self.body), self)
             self.enforce_limits()
 
     def enforce_limits(self) -> None:
@@ -160,15 +158,17 @@
             return (
                 f"{self.received_body_bytes} bytes after the head exceed {limits.body_bytes} bytes"
             )
-        if (
-            self.held.total > limits.body_bytes
-            and self.received_body_bytes > limits.small_body_bytes
-        ):
-            return (
-                f"{self.held.total} bytes of incomplete responses exceed {limits.body_bytes} bytes"
-            )
         return ""
 
+    def update_reading(self) -> None:
+        """Pause or resume reading, as the account of memory requires."""
+        if self.transport.is_closing():
+            return
+        if self.message.paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def eof_received(self) -> bool:
         """Complete a response without a length, which ends when the connection is closed."""
         self.received_eof = True
@@ -228,7 +228,7 @@
             self.usable = False
         self.idle_ms = keep_alive_ms(self.headers)
         waiter, self.waiter = self.waiter, None
-        waiter.set_result(HttpResponse(status, self.headers, bytes(self.body)))
+        waiter.set_result(HttpResponse(status, self.headers, finished_body(self.body)))
 
     def fail(self, text: str, kind: type[ConnectionFailedError] = ConnectionFailedError) -> None:
         """Fail the request in flight with an error of a kind, and close."""
@@ -238,7 +238,10 @@
         self.close()
 
     async def exchange(
-        self, data: bytes, accepts: Callable[[list[Header]], bool] | None, bodiless: bool = False
+        self,
+        data: Sequence[bytes],
+        accepts: Callable[[list[Header]], bool] | None,
+        bodiless: bool = False,
     ) -> HttpResponse:
         """Send a request and return the response; raise ConnectionFailedError without one."""
         if not self.usable:
@@ -249,14 +252,14 @@
         self.head_complete = False
         self.requests += 1
         self.waiter = waiter = asyncio.get_running_loop().create_future()
-        self.transport.write(data)
+        self.transport.writelines(data)
         try:
             return await waiter
         finally:
             if not waiter.done() or waiter.cancelled():
                 self.waiter = None
                 self.close()
-            self.held.total -= self.received_body_bytes
+            self.memory.release(self.message)
             self.received_body_bytes = 0
             # The response owns its headers; an idle connection holds no part of it.
             self.headers, self.body = [], bytearray()
@@ -309,7 +312,7 @@
     address: str
     clock: Clock
     limits: ResponseLimits = field(factory=ResponseLimits)
-    held: HeldBytes = field(factory=HeldBytes)
+    memory: MessageMemory = field(factory=MessageMemory.of_node)
     idle: list[ClientConnection] = field(factory=list)
     opened: int = 0
 
@@ -320,7 +323,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: ClientConnection(self.clock, self.limits, self.held), host, int(port)
+                    lambda: ClientConnection(self.clock, self.limits, self.memory), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             raise ConnectionFailedError(f"no connection: {error!r}", sent=False) from error
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -8,13 +8,16 @@
 from attrs import define, field
 from basilhill.clocks import Clock
 from basilhill.configuration import RequestLimits
+from basilhill.memory import HeldMessage, MessageKind
 from basilhill.outcomes import Header
 
 from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.messages import (
     HttpRequest,
     HttpResponse,
     encode_response,
+    finished_body,
     parsed_header,
 )
 from basilhill_node.sidecar.periodic import repeat
@@ -25,6 +28,8 @@
 # Requests of one connection that are served at the same time; further ones stay in the socket.
 PIPELINE_LIMIT = 32
 TIMEOUT_CHECK_S = 0.25
+# Retry delay for a client whose body the node had no memory for, in seconds.
+MEMORY_RETRY_S = 1
 # A connection with more unsent bytes sends no further responses until its client reads.
 WRITE_HIGH_BYTES = 256 << 10
 BACKLOG = 4096
@@ -32,6 +37,14 @@
 HEADER_LINE_BYTES = 4
 
 
+def new_held_request() -> HeldMessage:
+    return HeldMessage(MessageKind.REQUEST)
+
+
+def new_held_response() -> HeldMessage:
+    return HeldMessage(MessageKind.RESPONSE)
+
+
 @define(eq=False)
 class Exchange:
     """Request of a connection with its response.
@@ -45,6 +58,8 @@
     request: HttpRequest | None = None
     task: asyncio.Task | None = None
     response: HttpResponse | None = None
+    held_request: HeldMessage = field(factory=new_held_request)
+    held_response: HeldMessage = field(factory=new_held_response)
 
 
 @define(eq=False)
@@ -55,6 +70,7 @@
     limits: Callable[[], RequestLimits]
     clock: Clock
     log: EventLog
+    memory: MessageMemory = field(factory=MessageMemory.of_node)
     connections: set["ServerConnection"] = field(factory=set)
     leaving: bool = False
     server: asyncio.Server | None = None
@@ -115,6 +131,7 @@
         self.target = b""
         self.headers: list[Header] = []
         self.body = bytearray()
+        self.held_request = new_held_request()
         self.header_bytes = 0
         self.head_complete = False
         limits = self.server.limits()
@@ -146,8 +163,19 @@
             self.last_activity_ms = self.server.clock.now_ms()
         if self.pending_bytes > self.header_limit + len(data):
             self.reject(431, "a line of the head, a chunk or the trailers is too long")
+        if self.reading and not self.reading_done:
+            self.server.memory.resize(self.held_request, len(self.body), self)
         if not self.reading_done and len(self.exchanges) >= PIPELINE_LIMIT:
+            self.update_reading()
+
+    def update_reading(self) -> None:
+        """Pause or resume reading, as memory and the number of pipelined requests require."""
+        if self.transport.is_closing():
+            return
+        if self.held_request.paused or len(self.exchanges) >= PIPELINE_LIMIT:
             self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Close a connection that the client has half closed."""
@@ -158,9 +186,11 @@
         self.server.connections.discard(self)
         self.reading_done = True
         self.task.cancel()
+        self.server.memory.release(self.held_request)
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
+            self.release(exchange)
         # The parser and the connection form a reference cycle, and garbage collection is too rare
         # to free it in time.
         self.parser = None
@@ -222,15 +252,22 @@
         self.pending_bytes = 0
         self.reading = False
         method = self.parser.get_method().decode("latin-1")
-        request = HttpRequest(method, self.target.decode("latin-1"), self.headers, bytes(self.body))
+        body, self.body = finished_body(self.body), bytearray()
+        request = HttpRequest(method, self.target.decode("latin-1"), self.headers, body)
         hosts = sum(header.name == "host" for header in self.headers)
         if hosts != 1 or not request.target.startswith("/"):
             self.reject(400, "a request needs one host and a path")
             return
-        exchange = Exchange(method == "HEAD", self.parser.should_keep_alive(), request)
+        exchange = Exchange(
+            method == "HEAD",
+            self.parser.should_keep_alive(),
+            request,
+            held_request=self.held_request,
+        )
+        self.server.memory.hold(exchange.held_request, len(request.body))
         self.reading_done = not exchange.keep_alive
         if self.exchanges:
-            exchange.task = asyncio.get_running_loop().create_task(self.server.handler(request))
+            exchange.task = asyncio.get_running_loop().create_task(self.handle(exchange))
         self.enqueue(exchange)
 
     # The task of the connection.
@@ -239,14 +276,20 @@
         self.exchanges.append(exchange)
         self.arrived.set()
 
-    def reject(self, status: int, text: str) -> None:
+    def release(self, exchange: Exchange) -> None:
+        """Remove the messages of an exchange from the account of memory."""
+        self.server.memory.release(exchange.held_request)
+        self.server.memory.release(exchange.held_response)
+
+    def reject(self, status: int, text: str, *headers: Header) -> None:
         """Respond with an error after the responses to earlier requests, and stop reading."""
         if self.reading_done:
             return
         self.reading_done = True
         self.body = bytearray()
+        self.server.memory.release(self.held_request)
         self.server.log.record("front", "rejected", status=status, problem=text)
-        response = HttpResponse(status, body=text.encode())
+        response = HttpResponse(status, list(headers), text.encode())
         self.enqueue(Exchange(False, False, response=response))
 
     async def run(self) -> None:
@@ -271,27 +314,40 @@
             exchange = self.exchanges[0]
             response = exchange.response or await self.finish(exchange)
             self.exchanges.popleft()
-            close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
-            self.transport.write(encode_response(response, exchange.bodiless, close))
-            self.has_responded = True
-            self.last_activity_ms = self.server.clock.now_ms()
-            if close:
-                self.reading_done = True
-                self.exchanges.clear()
-            if len(self.exchanges) == PIPELINE_LIMIT - 1 and not self.reading_done:
-                self.transport.resume_reading()
-            await self.writable.wait()
+            try:
+                self.send(exchange, response)
+                await self.writable.wait()
+            finally:
+                self.release(exchange)
+
+    def send(self, exchange: Exchange, response: HttpResponse) -> None:
+        """Send a response, after which the connection may be closed."""
+        close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
+        self.transport.writelines(encode_response(response, exchange.bodiless, close))
+        self.has_responded = True
+        self.last_activity_ms = self.server.clock.now_ms()
+        if close:
+            self.reading_done = True
+            for dropped in self.exchanges:
+                self.release(dropped)
+            self.exchanges.clear()
+        if len(self.exchanges) == PIPELINE_LIMIT - 1 and not self.reading_done:
+            self.update_reading()
 
     async def finish(self, exchange: Exchange) -> HttpResponse:
         """Return the response to a request; an exception in the handler becomes a 500."""
         try:
-            if exchange.task is None:
-                return await self.server.handler(exchange.request)
-            return await exchange.task
+            return await (exchange.task or self.handle(exchange))
         except Exception as error:
             self.server.log.record("front", "handler failed", problem=repr(error))
             return HttpResponse(500, body=b"internal error")
 
+    async def handle(self, exchange: Exchange) -> HttpResponse:
+        """Return the response of the handler, counted until it has been sent."""
+        response = await self.server.handler(exchange.request)
+        self.server.memory.hold(exchange.held_response, len(response.body))
+        return response
+
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being read or served."""
         if not self.exchanges and not self.reading:
@@ -301,7 +357,10 @@
     def enforce_timeouts(self, now_ms: int, limits: RequestLimits) -> None:
         """Close the connection if it is idle, or if the client sends or reads too slowly."""
         inactive_ms = now_ms - self.last_activity_ms
-        if self.reading and inactive_ms > limits.header_ms:
+        if self.reading and self.held_request.paused and inactive_ms > limits.header_ms:
+            retry_after = Header("retry-after", str(MEMORY_RETRY_S))
+            self.reject(503, "the node has no memory for the body", retry_after)
+        elif self.reading and inactive_ms > limits.header_ms:
             self.reject(408, "the request did not arrive in time")
         elif not self.exchanges and inactive_ms > limits.idle_ms:
             self.transport.close()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -0,0 +1,66 @@
+"""Memory of the messages of a node, and the connections whose reading waits for it."""
+
+from typing import Protocol
+
+from attrs import define, field
+from basilhill.commands.memory import hold_complete, release_message, resize_incomplete
+from basilhill.memory import SMALL_MESSAGE_BYTES, HeldMessage, MemoryAccount
+from basilhill.queries.memory import readable_again
+
+BYTES_PER_MB = 1 << 20
+# Memory of a node whose platform states none.
+DEFAULT_MEMORY_MB = 200
+# Part of a node's memory for messages. The rest is for the program, for one message of the largest
+# size, and for the copies of a message while it is encoded.
+MESSAGE_MEMORY_SHARE = 1 / 4
+
+
+class PausableReader(Protocol):
+    """Connection whose reading can wait."""
+
+    def update_reading(self) -> None:
+        """Pause or resume reading, as the message in progress requires."""
+        ...
+
+
+@define(eq=False)
+class MessageMemory:
+    """Account of the messages of a node, with the connections that read them."""
+
+    account: MemoryAccount
+    readers: dict[HeldMessage, PausableReader] = field(factory=dict)
+
+    @classmethod
+    def of_node(cls, memory_mb: int = DEFAULT_MEMORY_MB) -> "MessageMemory":
+        """Return the account of a node whose process may take `memory_mb`."""
+        return cls(MemoryAccount(int(memory_mb * BYTES_PER_MB * MESSAGE_MEMORY_SHARE)))
+
+    def resize(self, message: HeldMessage, size: int, reader: PausableReader) -> None:
+        """Record the size of an incomplete message; pause its reader if memory is short."""
+        if size <= SMALL_MESSAGE_BYTES:
+            return
+        was_paused = message.paused
+        self.readers[message] = reader
+        resize_incomplete(self.account, message, size)
+        if message.paused is not was_paused:
+            reader.update_reading()
+
+    def hold(self, message: HeldMessage, size: int) -> None:
+        """Record the size of a complete message, which is held until it is released."""
+        if size <= SMALL_MESSAGE_BYTES:
+            return
+        hold_complete(self.account, message, size)
+        self.readers.pop(message, None)
+        self.resume_readers()
+
+    def release(self, message: HeldMessage) -> None:
+        """Remove a message from the account, and resume the readers that have room now."""
+        if message.size:
+            release_message(self.account, message)
+            self.readers.pop(message, None)
+            self.resume_readers()
+
+    def resume_readers(self) -> None:
+        for message in readable_again(self.account):
+            message.paused = False
+            self.readers[message].update_reading()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -4,6 +4,7 @@
 from functools import lru_cache
 
 from attrs import define, field
+from basilhill.memory import SMALL_MESSAGE_BYTES
 from basilhill.outcomes import Header
 
 # Headers of one hop that are not forwarded (RFC 9110, section 7.6.1), and the length, which is set
@@ -67,7 +68,7 @@
     method: str
     target: str
     headers: list[Header] = field(factory=list)
-    body: bytes = b""
+    body: bytes | bytearray = b""
     peer_address: str = ""
 
     @property
@@ -82,7 +83,7 @@
 
     status: int
     headers: list[Header] = field(factory=list)
-    body: bytes = b""
+    body: bytes | bytearray = b""
 
 
 def header_value(headers: Sequence[Header], name: str) -> str | None:
@@ -105,8 +106,8 @@
     ]
 
 
-def encode_request(request: HttpRequest, host: str | None = None) -> bytes:
-    """Return the bytes of a request; a body or a POST, PUT or PATCH gets a content length."""
+def encode_request(request: HttpRequest, host: str | None = None) -> list[bytes]:
+    """Return the parts of a request; a body or a POST, PUT or PATCH gets a content length."""
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     if host is not None:
         lines.append(f"host: {host}")
@@ -114,11 +115,13 @@
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         lines.append(f"content-length: {len(request.body)}")
     lines.append("\r\n")
-    return "\r\n".join(lines).encode("latin-1") + request.body
+    return joined_if_small("\r\n".join(lines).encode("latin-1"), request.body)
 
 
-def encode_response(response: HttpResponse, bodiless: bool = False, close: bool = False) -> bytes:
-    """Return the bytes of a response; `bodiless` omits the body but not the content length."""
+def encode_response(
+    response: HttpResponse, bodiless: bool = False, close: bool = False
+) -> list[bytes]:
+    """Return the parts of a response; `bodiless` omits the body but not the content length."""
     status = response.status
     lines = [f"HTTP/1.1 {status} {REASON_PHRASES.get(status, 'Status')}"]
     lines.extend(f"{header.name}: {header.value}" for header in response.headers)
@@ -128,4 +131,16 @@
         lines.append("connection: close")
     lines.append("\r\n")
     head = "\r\n".join(lines).encode("latin-1")
-    return head if bodiless or status in BODILESS_STATUSES else head + response.body
+    if bodiless or status in BODILESS_STATUSES:
+        return [head]
+    return joined_if_small(head, response.body)
+
+
+def finished_body(buffer: bytearray) -> bytes | bytearray:
+    """Return the body in a buffer that is not used again; a large one is not copied."""
+    return bytes(buffer) if len(buffer) <= SMALL_MESSAGE_BYTES else buffer
+
+
+def joined_if_small(head: bytes, body: bytes) -> list[bytes]:
+    """Return a message in one part, or in two if a copy of its body would take much memory."""
+    return [head + body] if len(body) <= SMALL_MESSAGE_BYTES else [head, body]
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -32,6 +32,7 @@
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_client import ConnectionPool
 from basilhill_node.sidecar.http_server import HttpServer
+from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import CHECK_INTERVAL_S, PeerStreams
@@ -84,6 +85,7 @@
 
 def new_state(settings: SidecarSettings, clock: Clock) -> SidecarState:
     """Return the initial state of a node."""
+    memory = MessageMemory.of_node(settings.memory_mb)
     state = SidecarState(
         settings,
         clock,
@@ -92,8 +94,9 @@
         StoreView(),
         BackendDirectory(),
         OriginState(LoadTable(settings.data_centre)),
-        ExecutorState(ConnectionPool(settings.backend_address, clock)),
+        ExecutorState(ConnectionPool(settings.backend_address, clock, memory=memory)),
         NodeLifecycle(started_ms=clock.now_ms()),
+        memory,
     )
     # A random offset, so that nodes do not all start at the same point of a route's traffic split.
     state.origin.split_offset = state.origin.random.random()
@@ -190,10 +193,10 @@
     )
     listener = PeerListener(executor, state.origin.levels, peer_updates, publisher, clock, log)
     client_listener = HttpServer(
-        origin.serve, lambda: state.active_configuration.limits, clock, log
+        origin.serve, lambda: state.active_configuration.limits, clock, log, state.memory
     )
-    ready = HttpServer(readiness_handler(state), RequestLimits, clock, log)
-    metrics = HttpServer(metrics_handler(state), RequestLimits, clock, log)
+    ready = HttpServer(readiness_handler(state), RequestLimits, clock, log, state.memory)
+    metrics = HttpServer(metrics_handler(state), RequestLimits, clock, log, state.memory)
     return Sidecar(
         state,
         executor,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -20,13 +20,16 @@
     "rate_limit_per_s": "Calls per second that the own server takes, -1 if it states no limit",
     "admission_level": "Ranks below it are admitted by the own server",
     "retries_in_window": "Retries sent within the budget window, all services",
+    "message_bytes": "Bytes of messages above 64 KB that this node holds",
+    "message_bytes_limit": "Bytes beyond which messages are read one after the other",
+    "messages_paused": "Incomplete messages whose reading waits for memory",
     "backend_connections": "Connections opened to the own backend server so far",
 }
 
 
 def gauge_values(state: SidecarState) -> dict[str, float]:
     """Return the current values of the gauges by name."""
-    slots = state.executor.slots
+    slots, account = state.executor.slots, state.memory.account
     return {
         "ready": is_ready(state.lifecycle, state.active_configuration),
         "store_reachable": state.store.reachable,
@@ -42,6 +45,9 @@
         "rate_limit_per_s": slots.rate.per_s if slots.rate else -1,
         "admission_level": state.executor.level.level,
         "retries_in_window": sum(len(q.retries) for q in state.origin.quotas.values()),
+        "message_bytes": account.held_bytes,
+        "message_bytes_limit": account.limit_bytes,
+        "messages_paused": sum(message.paused for message in account.reading),
         "backend_connections": state.executor.pool.opened,
     }
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -20,6 +20,7 @@
 from basilhill_node.metrics import Metrics
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_client import ConnectionPool
+from basilhill_node.sidecar.memory import DEFAULT_MEMORY_MB, MessageMemory
 
 # Slots assumed for the local backend server until its entry is read; servers have 13 or more.
 INITIAL_SLOTS = 10
@@ -49,6 +50,8 @@
     retry_ratio: float
     retry_window_ms: int
     retry_minimum: int
+    # Memory that the process may take, in MB.
+    memory_mb: int = DEFAULT_MEMORY_MB
 
 
 @define(eq=False)
@@ -173,4 +176,5 @@
     origin: OriginState
     executor: ExecutorState
     lifecycle: NodeLifecycle
+    memory: MessageMemory
     metrics: Metrics = field(factory=Metrics)
--- a/packages/basilhill_node/tests/test_endless_messages.py
+++ b/packages/basilhill_node/tests/test_endless_messages.py
@@ -7,6 +7,7 @@
 import pytest
 from basilhill.clocks import SystemClock
 from basilhill.configuration import RequestLimits
+from basilhill.memory import MemoryAccount
 from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.store import PlatformStore
@@ -17,12 +18,13 @@
     ResponseLimits,
 )
 from basilhill_node.sidecar.http_server import HttpServer
+from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.store import StoreFailedError
 
 ADDRESS = "127.0.0.1"
 REQUEST = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
-LIMITS = ResponseLimits(head_bytes=32 << 10, body_bytes=1 << 20, small_body_bytes=64 << 10)
+LIMITS = ResponseLimits(head_bytes=32 << 10, body_bytes=1 << 20)
 # Bytes beyond the limit that the buffers of two sockets and one read of the event loop may hold.
 BUFFERED_BYTES = 12 << 20
 FILL = b"x" * 16_384
@@ -74,34 +76,69 @@
         connection = await pool.acquire()
         async with asyncio.timeout(5):
             with pytest.raises(ConnectionFailedError) as failed:
-                await connection.exchange(REQUEST, lambda h: dialect.matches_request(h, "one"))
+                await connection.exchange([REQUEST], lambda h: dialect.matches_request(h, "one"))
         assert failed.value.sent
         assert not connection.usable
-        assert pool.held.total == 0
+        assert pool.memory.account.held_bytes == 0
         await asyncio.sleep(0.05)
         assert sent[0] < LIMITS.body_bytes + BUFFERED_BYTES
 
 
-async def test_incomplete_large_responses_share_one_limit():
-    """Guard against many endless responses that each stay within the limit of one response."""
-    head = HEAD + b"Content-Length: 900000\r\n\r\n"
+async def test_large_responses_at_the_same_time_share_one_limit():
+    """Guard against responses that together take all memory, and against failing those that wait.
+
+    Beyond the limit all but one wait, so that each of them completes.
+    """
+    body = b"x" * 900_000
+    unsent = asyncio.Event()
 
     async def handle(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(head + b"x" * 600_000)
-        await reader.read()
+        writer.write(HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode() + body[:-1])
+        await unsent.wait()
+        writer.write(body[-1:])
+        await writer.drain()
 
     async with serve_streams(handle) as address:
-        pool = ConnectionPool(address, SystemClock(), LIMITS)
+        memory = MessageMemory(MemoryAccount(1 << 20))
+        pool = ConnectionPool(address, SystemClock(), LIMITS, memory)
         connections = [await pool.acquire() for _ in range(4)]
-        running = [asyncio.create_task(c.exchange(REQUEST, None)) for c in connections]
+        running = [asyncio.create_task(c.exchange([REQUEST], None)) for c in connections]
         await asyncio.sleep(0.3)
-        assert any(task.done() for task in running)
-        assert pool.held.total <= LIMITS.body_bytes + 4 * LIMITS.small_body_bytes
-        for task in running:
-            task.cancel()
-        await asyncio.gather(*running, return_exceptions=True)
-        assert pool.held.total == 0
+        assert not any(task.done() for task in running)
+        assert sum(message.paused for message in memory.account.reading) >= 2
+        assert memory.account.held_bytes <= memory.account.limit_bytes + len(body)
+        unsent.set()
+        async with asyncio.timeout(2):
+            responses = await asyncio.gather(*running)
+        assert all(response.body == body for response in responses)
+        assert memory.account.held_bytes == 0 and not memory.readers
+
+
+async def test_cancelled_response_makes_room_for_the_others():
+    """Guard against responses that wait forever for one whose caller has given up."""
+    body = b"x" * 900_000
+
+    async def handle(reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + f"Content-Length: {len(body)}\r\n\r\n".encode())
+        writer.write(body[:-1] if b"/stalls" in head else body)
+        await reader.read()
+
+    async with serve_streams(handle) as address:
+        memory = MessageMemory(MemoryAccount(100 << 10))
+        pool = ConnectionPool(address, SystemClock(), LIMITS, memory)
+        stalled = asyncio.create_task(
+            (await pool.acquire()).exchange([REQUEST.replace(b"/a", b"/stalls")], None)
+        )
+        await asyncio.sleep(0.1)
+        others = [asyncio.create_task((await pool.acquire()).exchange([REQUEST], None))]
+        await asyncio.sleep(0.1)
+        assert not others[0].done()
+        stalled.cancel()
+        async with asyncio.timeout(2):
+            assert (await others[0]).body == body
+        assert memory.account.held_bytes == 0 and not memory.readers
 
 
 async def test_large_response_within_the_limits_is_delivered():
@@ -117,7 +154,7 @@
     async with serve_streams(handle) as address:
         connection = await ConnectionPool(address, SystemClock()).acquire()
         async with asyncio.timeout(5):
-            response = await connection.exchange(REQUEST, None)
+            response = await connection.exchange([REQUEST], None)
         assert len(response.body) == len(body)
 
 
@@ -193,5 +230,5 @@
 
     async with serve_streams(handle) as address:
         connection = await ConnectionPool(address, SystemClock()).acquire()
-        response = await connection.exchange(REQUEST, None)
+        response = await connection.exchange([REQUEST], None)
         assert PlatformDialect().decode_answer(response).is_ok()
--- a/packages/basilhill_node/tests/test_http_client.py
+++ b/packages/basilhill_node/tests/test_http_client.py
@@ -45,7 +45,7 @@
     connection = await pool.acquire()
     async with asyncio.timeout(1):
         response = await connection.exchange(
-            REQUEST, lambda headers: dialect.matches_request(headers, request_id)
+            [REQUEST], lambda headers: dialect.matches_request(headers, request_id)
         )
     pool.release(connection)
     return response
@@ -145,7 +145,7 @@
         connection = await pool.acquire()
         with pytest.raises(TimeoutError):
             async with asyncio.timeout(0.05):
-                await connection.exchange(REQUEST, None)
+                await connection.exchange([REQUEST], None)
         pool.release(connection)
         assert pool.idle == []
 
