Send no calls to the only server of a service after its entry was removed

Cause: a service without any other server used all of its expired servers, without evidence that they were still there. It was meant for servers whose VMs are partitioned from the store, so that their entries expire while they work.

Change: a removed server is used only while its own node reports that its VM has no access to the store. So that such servers are still found, a node without any listed server of a service opens streams to the nodes of the removed ones, which report it; and a node reports lost access also while it follows the feed of another node, until the store responds to it again.

Tests: test_only_server_that_was_removed_without_notice_gets_no_calls (fails before), test_only_server_partitioned_from_the_store_is_found_through_its_node. A host of an entry that is no name ended the task of a stream without a line; it is now recorded like any failed connection.

--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -8,9 +8,8 @@
 
     The entry of a server expires while its VM is partitioned from the store, though other nodes
     may still reach the server. An expired server without a leaving notice stays in use while its
-    node reports that the store is unreachable. A service without any other server uses all of its
-    expired servers: a terminated one refuses the connection, and without servers the calls would
-    be refused anyway.
+    node reports that the store is unreachable. Any other expired server has left, also if it was
+    the only one of its service.
 
     After a restart of the fleet, the entries of the previous servers expire seconds later. Of the
     entries with the same address, only that of the last started server is used.
@@ -23,11 +22,14 @@
     if directory.detached_addresses:
         deregistered = deregistered_entries(directory, service)
         ready += [entry for entry in deregistered if entry.address in directory.detached_addresses]
-    return ready or deregistered_entries(directory, service)
+    return ready
 
 
 def deregistered_entries(directory: BackendDirectory, service: str) -> list[BackendEntry]:
-    """Return the servers of a service that expired without draining and were not replaced."""
+    """Return the servers of a service that expired without draining and were not replaced.
+
+    They have left, unless their nodes report that the store is unreachable.
+    """
     return [
         entry
         for entry in directory.removed_entries.values()
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -9,7 +9,7 @@
     remove_entry,
     replace_entries,
 )
-from basilhill.queries.backends import is_leaving, ready_entries
+from basilhill.queries.backends import deregistered_entries, is_leaving, ready_entries
 
 FIRST = BackendEntry("i-1", "calendar", "10.0.0.1:80", "buc-a", 10)
 SECOND = BackendEntry("i-2", "calendar", "10.0.0.2:80", "buc-a", 10)
@@ -65,12 +65,13 @@
     assert listed.entries.keys() == {"i-1"}
 
 
-def test_service_whose_entries_have_all_expired_keeps_its_servers():
+def test_service_whose_entries_have_all_expired_keeps_its_partitioned_servers():
     """Guard against refusal of all calls to a service whose VMs are partitioned from the store.
 
     One of two servers drained before the entry of the other one expired.
     """
     listed = directory(FIRST, SECOND)
+    listed.detached_addresses = {SECOND.address}
     put_entry(listed, evolve(FIRST, draining=True))
     remove_entry(listed, "i-2")
     assert ready_entries(listed, "calendar") == [SECOND]
@@ -80,6 +81,15 @@
     assert is_leaving(listed, "i-1")
 
 
+def test_only_server_of_a_service_gets_no_calls_after_its_entry_was_removed():
+    """Guard against calls to a server that left without notice because there is no other one."""
+    listed = directory(FIRST)
+    remove_entry(listed, "i-1")
+    assert ready_entries(listed, "calendar") == []
+    assert is_leaving(listed, "i-1")
+    assert deregistered_entries(listed, "calendar") == [FIRST]
+
+
 def test_expired_server_gets_no_calls_while_another_one_is_listed():
     listed = directory(FIRST, SECOND)
     remove_entry(listed, "i-2")
@@ -165,6 +175,7 @@
     remove_entry(listed, "i-1")
     assert ready_entries(listed, "calendar") == [] and is_leaving(listed, "i-1")
     listed = directory(FIRST)
+    listed.detached_addresses = {FIRST.address}
     remove_entry(listed, "i-1")
     assert ready_entries(listed, "calendar") == [FIRST]
     mark_leaving(listed, "i-1")
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -4,6 +4,8 @@
 
 import pytest
 from basilhill.backends import BackendEntry
+from basilhill.queries.backends import ready_entries
+from basilhill_fakes.failing_stores import RefusingStore
 from basilhill_fakes.sidecar_fleet import (
     CLIENT_PORT,
     HOST,
@@ -302,6 +304,42 @@
     await fleet.wait_until(lambda: peer_directory.detached_addresses == set())
 
 
+async def test_only_server_that_was_removed_without_notice_gets_no_calls(fleet):
+    """Guard against calls that reach a server that left because its service has no other one."""
+    leaver = fleet.vms[2]
+    assert (await fleet.send_attempt(fleet.vms[0], "/write/x", "POST", b"1")).status == 200
+    fleet.store.remove(f"servers/{leaver.server.server_id}")
+    await fleet.wait_until(
+        lambda: all(not ready_entries(vm.node.state.directory, "deposits") for vm in fleet.vms)
+    )
+    runs = dict(leaver.server.runs)
+    for vm in fleet.vms:
+        for _ in range(3):
+            answer = await fleet.send_attempt(vm, "/write/x", "POST", b"1")
+            assert answer.status == 503 and "retry-after" in answer.headers
+            await asyncio.sleep(0.1)
+    assert leaver.server.runs == runs
+
+
+async def test_only_server_partitioned_from_the_store_is_found_through_its_node(fleet):
+    """Guard against refusal of all calls to a service whose only entry expired in a partition.
+
+    The caller's node had no stream to the node beside the server.
+    """
+    partitioned = fleet.vms[2]
+    partitioned.node.follower.store = RefusingStore()
+    partitioned.node.follower.feeds.stop()
+    fleet.store.remove(f"servers/{partitioned.server.server_id}")
+    await fleet.wait_until(lambda: not partitioned.node.state.store.reachable)
+    caller = fleet.vms[0]
+    await fleet.wait_until(lambda: not ready_entries(caller.node.state.directory, "deposits"))
+    statuses = []
+    for _ in range(10):
+        statuses.append((await fleet.send_attempt(caller, "/write/x", "POST", b"1")).status)
+        await asyncio.sleep(0.1)
+    assert statuses[-1] == 200
+
+
 async def test_request_lost_on_a_keep_alive_connection_counts_as_a_retry(fleet):
     """Guard against attempts beyond the retry budget while servers reset instead of responding."""
     for _ in range(3):
--- a/packages/basilhill_fakes/tests/test_store_feeds.py
+++ b/packages/basilhill_fakes/tests/test_store_feeds.py
@@ -4,11 +4,11 @@
 
 import pytest
 from basilhill.queries.subscribers import is_subscriber
+from basilhill_fakes.failing_stores import RefusingStore, SilentStore
 from basilhill_fakes.sidecar_fleet import SidecarFleet, SidecarVm, build_configuration, build_route
 from basilhill_node.sidecar.commands import follow_store
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.state import STORE
-from basilhill_node.sidecar.store import StoreFailedError
 
 READS = build_route("r-read", "/read/", "calendar")
 # Time within which a new configuration must be active and a leaving server gets no new calls, by
@@ -127,37 +127,6 @@
     await wait_applied(fleet, 15, [vm for vm in fleet.vms if vm is not reader])
 
 
-class SilentStore:
-    """Store that does not respond to this node, with the timeouts of the real client."""
-
-    async def read(self):
-        await asyncio.sleep(1.5)
-        raise StoreFailedError("no response")
-        yield
-
-    async def watch(self, _after: int, wait_ms: int):
-        await asyncio.sleep(wait_ms / 1000 + 1.5)
-        raise StoreFailedError("no response")
-
-    async def probe(self) -> int:
-        await asyncio.sleep(0.6)
-        raise StoreFailedError("no response")
-
-
-class RefusingStore:
-    """Store that refuses this node only."""
-
-    async def read(self):
-        raise StoreFailedError("status 503")
-        yield
-
-    async def watch(self, _after: int, _wait_ms: int):
-        raise StoreFailedError("status 503")
-
-    async def probe(self) -> int:
-        raise StoreFailedError("status 503")
-
-
 async def test_outage_of_the_store_ends_for_all_nodes(fleet):
     """Guard against followers that keep an old view after the store is back."""
     fleet.store.down = True
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
@@ -58,7 +58,7 @@
             self.settings.node,
             self.settings.service,
             self.active_configuration.version,
-            self.store.reachable,
+            self.store.has_access,
             self.settings.backend_address,
         )
 
@@ -133,7 +133,7 @@
             for peer_state in self.peers.values()
             if not peer_state.store_reachable
         }
-        if not self.store.reachable:
+        if not self.store.has_access:
             detached_addresses.add(self.settings.backend_address)
         self.directory.detached_addresses = detached_addresses
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -147,7 +147,11 @@
         settings = self.settings
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
-            ended = await self.feeds.follow(host)
+            regaining = asyncio.create_task(self.regain_access())
+            try:
+                ended = await self.feeds.follow(host)
+            finally:
+                regaining.cancel()
             if ended is not FeedEnd.NOT_BEGUN:
                 self.missed_changes = ended is FeedEnd.FAILED
                 # Followers of one node do not all turn to the next one at once.
@@ -157,6 +161,20 @@
                 break
         return False
 
+    async def regain_access(self) -> None:
+        """Probe the store, while a feed is followed after an outage, until it responds.
+
+        Peers use the server of a VM without access even if its entry has been removed.
+        """
+        while self.view.access_lost:
+            await asyncio.sleep(RETRY_MAX_MS / 1000)
+            try:
+                await self.store.probe()
+            except StoreFailedError as error:
+                self.log.record("store", "still lost", reason=str(error))
+            else:
+                self.record_access(True)
+
     async def wait_for_store(self, pause_ms: int) -> bool:
         """Wait until the store responds to a probe or a feed was followed; return whether one was.
 
@@ -196,6 +214,7 @@
         retained_until_ms = now_ms + REGISTRATION_GRACE_MS if self.view.unreachable_since_ms else 0
         self.view.source = STORE
         self.record_store_contact(now_ms)
+        self.record_access(True)
         self.updater.replace(entries, retained_until_ms)
         self.publisher.publish(revision)
 
@@ -240,6 +259,7 @@
         now_ms = self.clock.now_ms()
         self.view.source = STORE
         self.record_store_contact(now_ms)
+        self.record_access(True)
         for item in watched.events:
             self.apply_event(item)
         self.updater.expire(now_ms)
@@ -333,9 +353,16 @@
         """Record that another node reported a response of the store."""
         self.record_store_contact(self.clock.now_ms() - age_ms)
 
+    def record_access(self, has_access: bool) -> None:
+        """Record whether the store responds to this node itself."""
+        if self.view.access_lost is has_access:
+            self.view.access_lost = not has_access
+            self.view.changed()
+
     def record_store_loss(self, reason: str) -> None:
         """Record that the store is unreachable, unless that is recorded already."""
         view = self.view
+        self.record_access(False)
         if not view.reachable and view.unreachable_since_ms:
             return
         view.reachable, view.unreachable_since_ms = False, self.clock.now_ms()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -41,6 +41,8 @@
 # Time for which a server is not chosen after a refusal because it is leaving or its address now
 # belongs to another server. Its entry in the store changes within three heartbeats of 1.5 s.
 STALE_ENTRY_MS = 2_000
+# Nodes that are contacted for a request to a service without a listed server.
+MAX_CONTACTED_NODES = 8
 
 
 @define(eq=False)
@@ -94,6 +96,12 @@
         self.record_outcome(opened, entry, outcome, self.clock.now_ms() - now_ms)
         return outcome
 
+    def contact_nodes(self, entries: list[BackendEntry]) -> None:
+        """Open streams to the nodes beside the last of the servers, which report lost stores."""
+        for entry in entries[-MAX_CONTACTED_NODES:]:
+            if entry.address != self.settings.backend_address:
+                self.peers.stream(f"{entry.host}:{self.settings.peer_port}").open()
+
     async def transmit(self, entry: BackendEntry, execute: Execute) -> Outcome:
         """Run a call on the local backend server or on that of a peer."""
         levels, route = self.origin.levels, execute.route
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -17,7 +17,7 @@
     may_have_run,
     not_run,
 )
-from basilhill.queries.backends import ready_entries
+from basilhill.queries.backends import deregistered_entries, ready_entries
 from basilhill.queries.balancing import choose_backend
 from basilhill.queries.configuration import choose_service, find_route
 from basilhill.queries.levels import admitted_share, route_level
@@ -276,6 +276,10 @@
             listed = ready_entries(self.directory, opened.service)
             others = frozenset(e.server_id for e in listed) - opened.refused_by
             entry = self.choose(opened, others)
+        if entry is None and not opened.tried:
+            # The VMs of all servers may be partitioned from the store, so that their entries have
+            # expired; their nodes know.
+            self.sender.contact_nodes(deregistered_entries(self.directory, opened.service))
         return entry
 
     def choose(self, opened: OpenRequest, excluded: frozenset[str]) -> BackendEntry | None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -62,11 +62,7 @@
 
     async def call(self, execute: Execute) -> Reply | LostCall:
         """Send a call and wait for its reply; cancellation also cancels the call at the peer."""
-        self.used_ms = self.clock.now_ms()
-        if self.task is None or self.task.done():
-            self.ready.clear()
-            self.task = asyncio.get_running_loop().create_task(self.run())
-        opened_by = self.task
+        opened_by = self.open()
         while not self.ready.is_set():
             if opened_by.done():
                 return LostCall(False, f"no connection to {self.address}")
@@ -80,6 +76,14 @@
             return LostCall(False, f"{self.address} is silent or does not read")
         return await self.exchange(connection, execute)
 
+    def open(self) -> asyncio.Task:
+        """Open the stream unless it is open, and return its task."""
+        self.used_ms = self.clock.now_ms()
+        if self.task is None or self.task.done():
+            self.ready.clear()
+            self.task = asyncio.get_running_loop().create_task(self.run())
+        return self.task
+
     async def exchange(self, connection: StreamConnection, execute: Execute) -> Reply | LostCall:
         """Send a call on an open stream and wait for its reply."""
         execute.call_id = next(self.ids)
@@ -116,7 +120,8 @@
                     host,
                     int(port),
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, UnicodeError) as error:
+            # A host that is no name is a UnicodeError.
             self.record(f"cannot connect: {error!r}")
             return
         connection = self.connection
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -89,11 +89,18 @@
     # Number of nodes that follow the feed of this node; written by `publish_feed`.
     followers: int = 0
     unreachable_since_ms: int = 0
+    # Whether the store did not respond to this node itself, which may still follow a feed.
+    access_lost: bool = False
     last_contact_ms: int = 0
     revision: int = 0
     # Called when the store becomes unreachable or reachable.
     changed: Callable[[], None] = field(default=lambda: None)
 
+    @property
+    def has_access(self) -> bool:
+        """Return whether the VM reaches the store, so that its server can keep its entry."""
+        return self.reachable and not self.access_lost
+
 
 @define(eq=False)
 class OriginState:
