Remove servers that are missing after an outage in time, at all nodes

Callers' requests reach servers that left without notice during an outage of the store, more than 3 s after its end (DRAIN).

Causes, traced with the walks: - missing entries were kept for 2.5 s from the first complete read, which can be 1.6 s after the store is back, so they were in use for up to 4.1 s; - the pause after a watch, up to 0.75 s, delayed their removal further; - a follower gets a kept entry as a listed one. If it read the store itself before the publisher removed the entry, it read only later changes, and kept the entry until its next complete read.

Change: the time starts at the last failure of the store that the node has seen, which is before the store was back, and is 2.8 s; the pause wakes up for it; a node that has followed a feed reads all items before it watches the store by itself (one call, as before for the changes that it may have missed).

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -34,8 +34,10 @@
 COALESCE_MAX_MS = 750
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1_000
-# Servers register again within about 2 s after the store has recovered.
-REGISTRATION_GRACE_MS = 2_500
+# Time from the last failure of the store until entries missing after the outage are removed.
+# Servers register again within about 2 s after the store has recovered, and 3 s after it a server
+# that has left must not be in use.
+REGISTRATION_GRACE_MS = 2_800
 # Time for which a node that found no feed or got followers reads the store. While a fleet starts,
 # each new VM can be the next subscriber, and followers would move with each one.
 READER_HOLD_MS = 15_000
@@ -80,8 +82,9 @@
     random: Random = field(factory=Random)
     # Time until which a node that found no feed reads the store.
     reads_until_ms: int = 0
-    # Whether a feed failed, which may have been silent while changes were made.
-    missed_changes: bool = False
+    # Whether this node followed a feed since it last read all items. A feed that failed may have
+    # been silent while changes were made, and a feed does not tell which entries are retained.
+    followed_feed: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Connect the feeds: a follower makes this node read the store by itself."""
@@ -106,16 +109,17 @@
                 if read_all or self.feeds.store_in_doubt:
                     self.feeds.store_in_doubt = False
                     await self.read()
-                    read_all = self.missed_changes = False
-                if self.missed_changes:
-                    await self.read_changes(1)
-                    self.missed_changes = False
+                    read_all = False
                 pause_ms = RETRY_MIN_MS
                 if not self.reads_store():
-                    if await self.follow():
+                    ended = await self.follow()
+                    if ended is not FeedEnd.NOT_BEGUN:
+                        read_all = ended is FeedEnd.FAILED
                         continue
                     self.log.record("feed", "none found")
                     self.reads_until_ms = self.clock.now_ms() + READER_HOLD_MS
+                if self.followed_feed:
+                    await self.read()
                 await self.watch()
             except HistoryExpiredError as error:
                 read_all = True
@@ -142,8 +146,8 @@
             or is_subscriber(directory, settings.data_centre, settings.address)
         )
 
-    async def follow(self) -> bool:
-        """Follow the feed of another node until it ends; return whether there was one."""
+    async def follow(self) -> FeedEnd:
+        """Follow the feed of another node until it ends; return how it ended."""
         settings = self.settings
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
@@ -153,13 +157,13 @@
             finally:
                 regaining.cancel()
             if ended is not FeedEnd.NOT_BEGUN:
-                self.missed_changes = ended is FeedEnd.FAILED
+                self.followed_feed = True
                 # Followers of one node do not all turn to the next one at once.
                 await asyncio.sleep(self.random.uniform(0, FEED_SPREAD_MS) / 1000)
-                return True
+                return ended
             if self.publisher.is_wanted:
                 break
-        return False
+        return FeedEnd.NOT_BEGUN
 
     async def regain_access(self) -> None:
         """Probe the store, while a feed is followed after an outage, until it responds.
@@ -176,24 +180,28 @@
                 self.record_access(True)
 
     async def wait_for_store(self, pause_ms: int) -> bool:
-        """Wait until the store responds to a probe or a feed was followed; return whether one was.
+        """Wait until the store responds to a probe or a feed has ended.
+
+        Return whether a feed has ended while it was up to date, so that nothing need be read.
 
         A subscriber follows a feed only for a limited time, so that it reads the store again.
         """
         while True:
             ends_ms = self.clock.now_ms() + int(pause_ms * self.random.uniform(0.5, 1.0))
             limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
-            followed = False
+            ended = FeedEnd.NOT_BEGUN
             with suppress(TimeoutError):
                 async with asyncio.timeout(limit_s):
-                    followed = await self.follow()
-            if followed:
-                return True
+                    ended = await self.follow()
+            if ended is not FeedEnd.NOT_BEGUN:
+                return ended is FeedEnd.CURRENT
             await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
             pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+            started_ms = self.clock.now_ms()
             try:
                 await self.store.probe()
             except StoreFailedError as error:
+                self.view.failed_ms = started_ms
                 self.log.record("store", "still lost", reason=str(error))
             else:
                 return False
@@ -210,13 +218,14 @@
             revision = revision or page.revision
             entries += self.apply_items(page.items)
         now_ms = self.clock.now_ms()
-        # Entries that expired during an outage of the store may be registered again shortly.
-        retained_until_ms = now_ms + REGISTRATION_GRACE_MS if self.view.unreachable_since_ms else 0
         self.view.source = STORE
         self.record_store_contact(now_ms)
         self.record_access(True)
-        self.updater.replace(entries, retained_until_ms)
+        # Entries that expired during an outage of the store may be registered again shortly.
+        retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
+        self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
         self.publisher.publish(revision)
+        self.followed_feed = False
 
     def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
         """Apply the configuration among items of the store; return their server entries."""
@@ -251,7 +260,18 @@
             if not self.updater.directory.retained_until_ms and self.yields_to_subscribers():
                 return
             pause_ms = next_pause_ms(pause_ms, changes, now_ms - started_ms)
-            await asyncio.sleep(pause_ms / 1000)
+            await self.pause(pause_ms)
+
+    async def pause(self, pause_ms: int) -> None:
+        """Wait before the next watch, and remove retained entries in time meanwhile."""
+        ends_ms = self.clock.now_ms() + pause_ms
+        for expires_ms in sorted(self.updater.directory.retained_until_ms.values()):
+            if expires_ms >= ends_ms:
+                break
+            await asyncio.sleep(max(0, expires_ms - self.clock.now_ms()) / 1000)
+            self.updater.expire(self.clock.now_ms())
+            self.publisher.publish(self.view.revision)
+        await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
 
     async def read_changes(self, wait_ms: int) -> int:
         """Wait for changes of the store and apply them; return how many there were."""
@@ -362,6 +382,8 @@
     def record_store_loss(self, reason: str) -> None:
         """Record that the store is unreachable, unless that is recorded already."""
         view = self.view
+        # The attempt that failed began up to a timeout ago, after the last response.
+        view.failed_ms = max(view.failed_ms, view.last_contact_ms)
         self.record_access(False)
         if not view.reachable and view.unreachable_since_ms:
             return
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -91,6 +91,8 @@
     unreachable_since_ms: int = 0
     # Whether the store did not respond to this node itself, which may still follow a feed.
     access_lost: bool = False
+    # Time at which the store certainly did not respond yet, after an outage.
+    failed_ms: int = 0
     last_contact_ms: int = 0
     revision: int = 0
     # Called when the store becomes unreachable or reachable.
