Let an idle connection hold nothing of what it carried

Cause: the task of a connection kept its last request and response in local variables while it waited for the next one, and a connection to a server kept the last call in the check for its response.

--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -273,6 +273,26 @@
     return handle
 
 
+async def test_idle_connections_hold_nothing_of_what_they_carried(tmp_path):
+    """Guard against a node that keeps the last body of each connection which stays open."""
+    async with pressure(tmp_path) as running, raw_server(running.vm, build_large_server(8 << 20)):
+        vm, opened = running.vm, []
+        rest_mb = memory_mb(vm)
+        for number in range(30):
+            opened.append(await asyncio.open_connection(vm.address, CLIENT_PORT, limit=1 << 20))
+            reader, writer = opened[-1]
+            head = f"POST /read/{number} HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: raw{number}\r\n"
+            head += f"Basilhill-Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {8 << 20}\r\n\r\n"
+            writer.write(head.encode() + bytes(8 << 20))
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+            await reader.readexactly(8 << 20)
+        await asyncio.sleep(0.2)
+        assert memory_mb(vm) < rest_mb + AT_REST_MB
+        for _, writer in opened:
+            writer.close()
+    assert set(running.statuses) == {200}
+
+
 async def test_long_headers_are_not_kept(tmp_path):
     """Guard against a node that remembers headers which servers choose, up to 64 KB each."""
     async with pressure(tmp_path) as running, raw_server(running.vm, build_header_server(48_000)):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -261,8 +261,8 @@
                 self.close()
             self.memory.release(self.message)
             self.received_body_bytes = 0
-            # The response owns its headers; an idle connection holds no part of it.
-            self.headers, self.body = [], bytearray()
+            # The response owns its headers; an idle connection holds no part of an exchange.
+            self.headers, self.body, self.accepts = [], bytearray(), None
             self.idle_since_ms = self.clock.now_ms()
 
     def record_refusal(self, request_id: str) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -311,14 +311,18 @@
                     return
                 self.arrived.clear()
                 await self.arrived.wait()
-            exchange = self.exchanges[0]
-            response = exchange.response or await self.finish(exchange)
-            self.exchanges.popleft()
-            try:
-                self.send(exchange, response)
-                await self.writable.wait()
-            finally:
-                self.release(exchange)
+            # A method of its own, so that an idle connection holds no message.
+            await self.respond(self.exchanges[0])
+
+    async def respond(self, exchange: Exchange) -> None:
+        """Send the response of the first request, and wait until the client reads it."""
+        response = exchange.response or await self.finish(exchange)
+        self.exchanges.popleft()
+        try:
+            self.send(exchange, response)
+            await self.writable.wait()
+        finally:
+            self.release(exchange)
 
     def send(self, exchange: Exchange, response: HttpResponse) -> None:
         """Send a response, after which the connection may be closed."""
