Count a response as work in flight until its client has taken it

Cause: a stopping node waited for open requests and calls only. A response that was written, but not yet taken by its client or peer, counted as done, and the process ended with its unsent bytes.

Change: the node waits for unsent bytes of clients and peers too, within the same share of the grace time, and its last log line says how many are cut off.

--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -153,10 +153,10 @@
         }
         self.store.put(f"servers/{vm.server.server_id}", entry)
 
-    def write_settings(self, vm: SoakVm, retry_ratio: float) -> None:
+    def write_settings(self, vm: SoakVm, retry_ratio: float, grace_s: float = GRACE_S) -> None:
         ports = {"inbound": PEER_PORT, "outbound": CLIENT_PORT, "ready": READY_PORT}
         bounds = {
-            "graceS": GRACE_S,
+            "graceS": grace_s,
             "retryBudgetRatio": retry_ratio,
             "budgetWindowS": 10,
             "budgetMinRetries": 48,
--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -1,7 +1,10 @@
-"""Tests of the memory of real node processes beside servers and clients that send without end."""
+"""Tests of real node processes with large messages: their memory, and a stop while clients read."""
 
 import asyncio
 import os
+import signal
+import socket
+import time
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from random import Random
@@ -11,7 +14,14 @@
 from attrs import define, field
 from basilhill_fakes.plain_server import ATTEMPT_ID, MAX_BODY_BYTES
 from basilhill_fakes.sidecar_fleet import HOST, build_configuration
-from basilhill_fakes.soak_fleet import CLIENT_PORT, READS, SERVER_PORT, WRITES, SoakFleet, SoakVm
+from basilhill_fakes.soak_fleet import (
+    CLIENT_PORT,
+    READS,
+    SERVER_PORT,
+    WRITES,
+    SoakFleet,
+    SoakVm,
+)
 
 # Limit at which the platform kills a process.
 MEMORY_MB = 300
@@ -33,6 +43,8 @@
     "headerTimeoutS": 10,
     "idleTimeoutS": 15,
 }
+# A body of 32 MB takes 4.2 s.
+SLOW_BYTES_PER_S = 8_000_000
 TINY_CHUNKS = b"2\r\nxx\r\n" * 8_192
 
 
@@ -50,10 +62,12 @@
     vm: SoakVm
     peak_mb: float = 0.0
     statuses: list[int] = field(factory=list)
+    # Whether the test has stopped the node.
+    stopped: bool = False
 
     async def sample(self) -> None:
-        """Record the peak memory until cancelled."""
-        while True:
+        """Record the peak memory until the node ends."""
+        while self.vm.process.returncode is None:
             self.peak_mb = max(self.peak_mb, memory_mb(self.vm))
             await asyncio.sleep(SAMPLE_S)
 
@@ -83,7 +97,7 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
-        assert running.vm.process.returncode is None
+        assert running.stopped or running.vm.process.returncode is None
     finally:
         await fleet.stop()
 
@@ -312,3 +326,37 @@
         )
         assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
     writer.close()
+
+
+async def read_slowly(reader: asyncio.StreamReader, size: int) -> int:
+    """Read a body at `SLOW_BYTES_PER_S`; return how many of its bytes arrived."""
+    received, started_s = 0, time.monotonic()
+    while received < size and (part := await reader.read(64 << 10)):
+        received += len(part)
+        await asyncio.sleep(max(0, started_s + received / SLOW_BYTES_PER_S - time.monotonic()))
+    return received
+
+
+async def test_stopping_node_sends_its_response_to_a_slow_reader(tmp_path):
+    """Guard against a complete response that is cut because its node ends before it is sent.
+
+    The client reads steadily and has all bytes long before the end of the grace time.
+    """
+    size, grace_s = 32 << 20, 10
+    async with pressure(tmp_path) as running, raw_server(running.vm, build_large_server(size)):
+        vm = running.vm
+        running.fleet.write_settings(vm, retry_ratio=0.1, grace_s=grace_s)
+        running.fleet.signal(vm, signal.SIGHUP)
+        reader, writer = await asyncio.open_connection(vm.address, CLIENT_PORT, limit=64 << 10)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        writer.write(
+            f"GET /read/1 HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: slow\r\n"
+            f"Basilhill-Deadline-Ms: {DEADLINE_MS}\r\n\r\n".encode()
+        )
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        running.stopped = True
+        running.fleet.signal(vm, signal.SIGTERM)
+        async with asyncio.timeout(grace_s):
+            assert await read_slowly(reader, size) == size
+            assert await vm.process.wait() == 0
+        writer.close()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -96,6 +96,10 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that clients have not taken yet."""
+        return sum(one.transport.get_write_buffer_size() for one in self.connections)
+
     def close(self) -> None:
         """Stop listening; open connections stay open."""
         if self.server is not None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -306,13 +306,19 @@
     cut_off = state.origin.open_requests
     node.origin.expire_all()
     await asyncio.sleep(FINAL_RESPONSES_MS / 1000)
-    state.log.record("node", "stopped", cut_off=cut_off)
+    unsent_bytes = node.client_listener.unsent_bytes() + node.listener.unsent_bytes()
+    state.log.record("node", "stopped", cut_off=cut_off, unsent_bytes=unsent_bytes)
     close_sidecar(node)
 
 
 def has_work_in_flight(node: Sidecar) -> bool:
-    """Return whether requests or calls are in flight."""
-    return bool(node.state.origin.open_requests or node.state.executor.slots.in_flight)
+    """Return whether requests or calls are in flight, or responses are not sent completely."""
+    return bool(
+        node.state.origin.open_requests
+        or node.state.executor.slots.in_flight
+        or node.client_listener.unsent_bytes()
+        or node.listener.unsent_bytes()
+    )
 
 
 def close_sidecar(node: Sidecar) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -109,6 +109,10 @@
         connection = incoming.connection
         connection.send(encode_reply(reply, connection.sent_headers))
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of replies that peers have not taken yet."""
+        return sum(one.transport.get_write_buffer_size() for one in self.streams)
+
     def record(self, event: str) -> None:
         self.log.record("peer", event)
 
