--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -330,9 +330,10 @@
     partitioned.node.follower.store = RefusingStore()
     partitioned.node.follower.feeds.stop()
     fleet.store.remove(f"servers/{partitioned.server.server_id}")
-    await fleet.wait_until(lambda: not partitioned.node.state.store.reachable)
-    caller = fleet.vms[0]
-    await fleet.wait_until(lambda: not ready_entries(caller.node.state.directory, "deposits"))
+    # The node may follow the feed of another one all the while.
+    await fleet.wait_until(lambda: not partitioned.node.state.store.has_access)
+    caller, server_id = fleet.vms[0], partitioned.server.server_id
+    await fleet.wait_until(lambda: server_id not in caller.node.state.directory.entries)
     statuses = []
     for _ in range(10):
         statuses.append((await fleet.send_attempt(caller, "/write/x", "POST", b"1")).status)
