--- a/packages/basilhill_fakes/tests/test_soak.py
+++ b/packages/basilhill_fakes/tests/test_soak.py
@@ -5,10 +5,20 @@
 import pytest
 from basilhill_fakes.queries.soak_invariants import find_soak_violations
 from basilhill_fakes.soak import run_soak
-from basilhill_fakes.soak_records import AcknowledgedChange, Attempt, Disruption, Run, SoakHistory
+from basilhill_fakes.soak_plans import PLANS
+from basilhill_fakes.soak_records import (
+    AcknowledgedChange,
+    Arrival,
+    Attempt,
+    Disruption,
+    Run,
+    SoakHistory,
+)
 
 SEED = 1
 SECONDS = 6.0
+LEAVING_SEED = 13
+LEAVING_SECONDS = 20.0
 # Seeds of fixed failures, each with a comment on the cause.
 REGRESSION_SEEDS: tuple[int, ...] = ()
 
@@ -20,6 +30,16 @@
     assert len(result.history.disruptions) > 3 and len(result.history.runs) > 100
 
 
+async def test_servers_that_leave_get_no_requests_after_the_bound(tmp_path: Path):
+    """Guard against requests to servers that said in responses or in the store that they leave.
+
+    Some servers are the only ones of their service. Both bounds broke on earlier revisions.
+    """
+    result = await run_soak(LEAVING_SEED, LEAVING_SECONDS, tmp_path, PLANS["leaving-single"])
+    assert result.violations == []
+    assert any(attempt.leaving_server for attempt in result.history.attempts)
+
+
 def new_attempt(number: int, **changes) -> Attempt:
     sent = Attempt(f"a{number}", 1, "POST", f"/write/a{number}", b"x", False, 10_000 + number)
     sent.ended_ms, sent.status = sent.sent_ms + 10, 200
@@ -125,3 +145,26 @@
 
 def test_fleet_that_does_not_recover_is_found():
     assert violation_kinds(SoakHistory([new_attempt(1)], [new_run(1)])) == ["RECOVER"]
+
+
+def test_request_after_a_statement_that_the_node_passed_on_is_found():
+    stated = new_attempt(1, leaving_server="i-1")
+    late = new_attempt(2, sent_ms=stated.ended_ms + 2_001)
+    arrival = Arrival("a2", "i-1", 1, late.sent_ms + 1)
+    found = new_history([stated, late], [new_run(1), new_run(2)], arrivals=[arrival])
+    assert violation_kinds(found) == ["DRAIN"]
+    found.disruptions.append(Disruption("store down", "store", False, 0, 99_000))
+    assert violation_kinds(found) == ["DRAIN"]
+    found.disruptions.append(Disruption("pause", "deposits", False, late.sent_ms, 99_000, vm=1))
+    assert violation_kinds(found) == []
+
+
+def test_request_after_the_removal_of_a_server_is_found_beside_faults_of_other_nodes():
+    attempt = new_attempt(1)
+    removed = AcknowledgedChange("removal", "i-1", attempt.sent_ms - 2_500)
+    arrival = Arrival("a1", "i-1", 2, attempt.sent_ms + 1)
+    found = new_history([attempt], [new_run(1)], arrivals=[arrival], acknowledged_changes=[removed])
+    found.disruptions.append(Disruption("kill", "deposits", False, 0, 99_000, vm=3))
+    assert violation_kinds(found) == ["DRAIN"]
+    found.disruptions.append(Disruption("kill", "deposits", False, 0, 99_000, vm=2))
+    assert violation_kinds(found) == []
