Log each stage of following the store, and show its revision and age

Cause: the log had no line at the beginning of a stage and no revision in most lines, and store_age_ms counts a probe, which may be stale, as a contact.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from contextlib import suppress
 from random import Random
+from typing import Any
 
 from attrs import define, field
 from basilhill.backends import BackendEntry
@@ -14,7 +15,7 @@
 from basilhill_node.sidecar.commands.follow_feed import FeedEnd, FeedFollower
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.state import STORE, SidecarSettings, StoreView
+from basilhill_node.sidecar.state import STORE, FollowStage, SidecarSettings, StoreView
 from basilhill_node.sidecar.store import (
     HistoryExpiredError,
     Store,
@@ -151,6 +152,7 @@
         settings = self.settings
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
+            self.enter(FollowStage.ASKING, host=host)
             regaining = asyncio.create_task(self.regain_access())
             try:
                 ended = await self.feeds.follow(host)
@@ -195,6 +197,7 @@
                     ended = await self.follow()
             if ended is not FeedEnd.NOT_BEGUN:
                 return ended is FeedEnd.CURRENT
+            self.enter(FollowStage.WAITING)
             await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
             pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
             started_ms = self.clock.now_ms()
@@ -210,6 +213,8 @@
         """Read all items of the store and apply them."""
         revision = 0
         entries = []
+        self.enter(FollowStage.READING)
+        started_ms = self.clock.now_ms()
         async for page in self.store.read():
             if page.revision < self.view.revision:
                 raise StoreFailedError(
@@ -225,6 +230,7 @@
         retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
         self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
         self.publisher.publish(revision)
+        self.view.verified_ms = max(self.view.verified_ms, started_ms)
         self.followed_feed = False
 
     def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
@@ -242,6 +248,7 @@
     async def watch(self) -> None:
         """Apply changes as they arrive, until the store fails or another node reads it."""
         pause_ms = 0
+        self.enter(FollowStage.WATCHING)
         if not self.updater.directory.entries:
             await asyncio.sleep(self.random.uniform(*COLD_START_S))
         while True:
@@ -275,6 +282,7 @@
 
     async def read_changes(self, wait_ms: int) -> int:
         """Wait for changes of the store and apply them; return how many there were."""
+        started_ms = self.clock.now_ms()
         watched = await self.watch_and_probe(wait_ms)
         now_ms = self.clock.now_ms()
         self.view.source = STORE
@@ -284,6 +292,7 @@
             self.apply_event(item)
         self.updater.expire(now_ms)
         self.publisher.publish(max(self.view.revision, watched.revision))
+        self.view.verified_ms = max(self.view.verified_ms, started_ms)
         return len(watched.events)
 
     async def watch_and_probe(self, wait_ms: int) -> StoreEvents:
@@ -369,9 +378,28 @@
             self.log.record("store", "reached", revision=view.revision, away_ms=away_ms)
             view.changed()
 
+    def enter(self, stage: FollowStage, **inputs: Any) -> None:
+        """Record the beginning of a stage with what this node knows at that time."""
+        view = self.view
+        if view.stage is stage and not inputs:
+            return
+        view.stage = stage
+        self.log.record(
+            "store",
+            "stage",
+            stage=stage.value,
+            revision=view.revision,
+            version=self.updater.active_configuration.version,
+            verified_age_ms=self.clock.now_ms() - view.verified_ms,
+            **inputs,
+        )
+
     def record_feed_contact(self, age_ms: int) -> None:
         """Record that another node reported a response of the store."""
-        self.record_store_contact(self.clock.now_ms() - age_ms)
+        contact_ms = self.clock.now_ms() - age_ms
+        self.view.verified_ms = max(self.view.verified_ms, contact_ms)
+        self.record_store_contact(contact_ms)
+        self.enter(FollowStage.FOLLOWING)
 
     def record_access(self, has_access: bool) -> None:
         """Record whether the store responds to this node itself."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from enum import Enum
 from random import Random
 from typing import Any
 
@@ -74,6 +75,17 @@
         return self.configuration.limits if self.configuration else RequestLimits()
 
 
+class FollowStage(Enum):
+    """What a node does to learn the changes of the store."""
+
+    STARTING = "starting"
+    READING = "reading all items"
+    WATCHING = "watching the store"
+    ASKING = "asking for a feed"
+    FOLLOWING = "following a feed"
+    WAITING = "waiting for the store"
+
+
 @define(eq=False)
 class StoreView:
     """State of the connection to the store; written by `follow_store` and `follow_feed`.
@@ -94,7 +106,10 @@
     # Time at which the store certainly did not respond yet, after an outage.
     failed_ms: int = 0
     last_contact_ms: int = 0
+    # Latest time before which each change that the store acknowledged is known to be applied here.
+    verified_ms: int = 0
     revision: int = 0
+    stage: FollowStage = FollowStage.STARTING
     # Called when the store becomes unreachable or reachable.
     changed: Callable[[], None] = field(default=lambda: None)
 
