Reproduce old versions beside stale reads and unresponsive nodes

Change: the store of the test doubles answers reads that may be stale with an old revision, and can be slow for one VM; three tests on simulated time.

--- a/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
@@ -1,7 +1,9 @@
 """Test double of the platform store: range reads, watches, event history and outages."""
 
 import asyncio
+import time
 from base64 import b64encode
+from collections.abc import Callable
 
 import orjson
 from aiohttp import web
@@ -24,6 +26,11 @@
     # Requests get no response while this is not set.
     responsive: asyncio.Event = field(factory=asyncio.Event)
     delay_s: float = 0.0
+    # Age of the responses to reads that may be stale.
+    stale_s: float = 0.0
+    now_s: Callable[[], float] = time.monotonic
+    # Times of the revisions, in order.
+    revision_times: list[tuple[float, int]] = field(factory=list)
     reads: int = 0
     changed: asyncio.Event = field(factory=asyncio.Event)
 
@@ -48,8 +55,14 @@
         self.oldest_revision = self.revision
         self.notify_watches(None)
 
+    def stale_revision(self) -> int:
+        """Return the revision that a read which may be stale returns now."""
+        until_s = self.now_s() - self.stale_s
+        return max((one for at_s, one in self.revision_times if at_s <= until_s), default=1)
+
     def notify_watches(self, event: dict | None) -> None:
         """Append an event, if any, and notify the watches."""
+        self.revision_times.append((self.now_s(), self.revision))
         if event is not None:
             self.events.append(event)
         self.changed.set()
@@ -69,7 +82,9 @@
             page.append(state.items[keys[len(page)]])
             size += len(page[-1]["value"])
         more = len(keys) > len(page)
-        return web.json_response({"items": page, "hasMore": more, "asOf": state.revision})
+        is_stale = request.query.get("allowStale") == "1"
+        as_of = state.stale_revision() if is_stale else state.revision
+        return web.json_response({"items": page, "hasMore": more, "asOf": as_of})
 
     async def kv_watch(request: web.Request) -> web.Response:
         state.reads += 1
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -40,6 +40,8 @@
     refused: bool = False
     # Number of times that silence has begun.
     silences: int = 0
+    # Time that requests and responses take in addition, as at a slow VM.
+    delay_s: float = 0.0
 
     def silence(self) -> None:
         self.silent = True
@@ -65,7 +67,7 @@
     async def probe(self) -> int:
         """Return the revision; raise StoreFailedError if the store is out of reach."""
         await self.respond(PROBE_TIMEOUT_S)
-        return self.state.revision
+        return self.state.stale_revision()
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
@@ -83,7 +85,9 @@
                 await asyncio.sleep(started_s + longest_s - loop.time())
                 raise StoreFailedError("the response was lost")
             if events or left_s <= 0:
-                return StoreEvents(tuple(map(decode_item, events)), self.state.revision)
+                found = StoreEvents(tuple(map(decode_item, events)), self.state.revision)
+                await asyncio.sleep(self.delay_s())
+                return found
             changed = self.state.changed
             try:
                 async with asyncio.timeout(left_s):
@@ -93,13 +97,16 @@
 
     async def respond(self, longest_s: float) -> None:
         """Wait for the store's latency; raise StoreFailedError if it does not respond."""
-        await asyncio.sleep(STORE_LATENCY_S)
+        await asyncio.sleep(STORE_LATENCY_S + self.delay_s())
         if any(path.refused for path in self.paths):
             raise StoreFailedError("status 503")
         if any(path.silent for path in self.paths):
             await asyncio.sleep(longest_s - STORE_LATENCY_S)
             raise StoreFailedError(f"store did not respond within {longest_s} s")
 
+    def delay_s(self) -> float:
+        return sum(path.delay_s for path in self.paths)
+
     def silences(self) -> int:
         return sum(path.silences for path in self.paths)
 
@@ -136,6 +143,10 @@
     # Time of the last disturbance of the store, in seconds.
     store_disturbed_s: float = 0.0
 
+    def __attrs_post_init__(self) -> None:
+        """Let the store use the simulated time."""
+        self.store.now_s = self.loop.time
+
     def add_vm(self, data_centre: str) -> SimulatedVm:
         """Add a VM without a running node, and register its server."""
         number = len(self.vms) + 1
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -5,11 +5,13 @@
 
 import pytest
 from basilhill.queries.backends import ready_entries
+from basilhill.queries.subscribers import SUBSTITUTES, subscriber_hosts
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
-from basilhill_fakes.simulated_loop import SimulatedLoop
+from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
 from basilhill_node.platform.store import PROBE_TIMEOUT_S
 from basilhill_node.sidecar.commands import follow_feed, follow_store
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
+from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.state import STORE
 
 # Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
@@ -289,6 +291,101 @@
     run(loop, scenario())
 
 
+@pytest.mark.parametrize("stale_s", [2.0, 3.0])
+@pytest.mark.parametrize("data_centres", ["a" * VMS, "aaabbc"])
+def test_lost_watch_response_is_found_beside_stale_reads(loop, data_centres, stale_s):
+    """Guard against probes with stale responses that hide a watch on a silent connection.
+
+    The reader and its followers served an old version for as long as the probes returned the
+    revision of before.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, 1, data_centres), {}
+        fleet.store.stale_s = stale_s
+        await check_until(fleet, 20.0, seen)
+        fleet.access.silences += 1
+        fleet.store_disturbed_s = loop.time()
+        for _ in range(30):
+            await check_until(fleet, loop.time() + 0.33, seen)
+            fleet.change_configuration()
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+@pytest.mark.parametrize("connect_s", [0.0, 0.2, 0.4])
+@pytest.mark.parametrize("seed", range(4))
+def test_unresponsive_nodes_that_are_asked_in_turn_delay_no_version(
+    loop, monkeypatch, seed, connect_s
+):
+    """Guard against a follower that learns nothing while it asks one node after the other.
+
+    Each node that accepts a connection slowly and sends nothing took up to 1.2 s, and no bound
+    held for all of them together.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, "a" * VMS), {}
+        await check_until(fleet, 20.0, seen)
+        frozen = freeze_feeds(fleet, monkeypatch, connect_s)
+        while loop.time() < 40.0:
+            await check_until(fleet, loop.time() + 0.15, seen)
+            fleet.change_configuration()
+        assert len(frozen) == SUBSTITUTES + 1
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+def freeze_feeds(fleet: SimulatedFleet, monkeypatch, connect_s: float) -> list[SimulatedVm]:
+    """Let all nodes that others ask for a feed send none and accept connections slowly."""
+    hosts = subscriber_hosts(fleet.vms[0].node.state.directory, "a")
+    frozen = [vm for vm in fleet.vms if vm.address in hosts]
+    publishers = [vm.node.publisher for vm in frozen]
+    for name in ("send", "serve_pending"):
+        works = getattr(FeedPublisher, name)
+
+        def work_unless_frozen(self, *arguments, works=works):
+            return None if self in publishers else works(self, *arguments)
+
+        monkeypatch.setattr(FeedPublisher, name, work_unless_frozen)
+    connect = SimulatedNetwork.connect
+
+    async def connect_slowly(self, factory, host, other, port):
+        if other in hosts:
+            await asyncio.sleep(connect_s)
+        return await connect(self, factory, host, other, port)
+
+    monkeypatch.setattr(SimulatedNetwork, "connect", connect_slowly)
+    for vm in frozen:
+        # The bounds do not hold for the nodes that are frozen.
+        vm.disturbed_s = fleet.loop.time() + RUN_S
+    return frozen
+
+
+@pytest.mark.parametrize("delay_s", [0.3, 0.5])
+@pytest.mark.parametrize("seed", range(3))
+def test_followers_of_a_slow_reader_have_the_version_in_time(loop, seed, delay_s):
+    """Guard against followers that take frames of a slow reader for a proof of its state."""
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, "a" * VMS), {}
+        await check_until(fleet, 20.0, seen)
+        (reader,) = (vm for vm in fleet.vms if vm.node.state.store.source == STORE)
+        reader.path.delay_s = delay_s
+        # The bounds do not hold for the node that is slow.
+        reader.disturbed_s = loop.time() + RUN_S
+        random = Random(seed)
+        while loop.time() < 40.0:
+            for _ in range(random.choice((1, 1, 4))):
+                fleet.change_configuration()
+            await check_until(fleet, loop.time() + random.uniform(0.1, 2.5), seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
 def test_unexpected_error_while_the_store_is_lost_does_not_end_the_task(loop, monkeypatch):
     """Guard against a node that never follows the store again after one error in an outage."""
     errors = []
