Check for missed changes with a read that is never stale

Cause: a reader of the store took the revision of a probe, which may be stale by seconds, for the proof that its watch had missed nothing. After a lost response of the watch, the reader and all of its followers kept the old version for as long as the probes returned the revision of before. Change: StoreReader (read_store) checks with a watch of 1 ms, which is never stale, returns what is missing, and ends a watch that has missed it. A response proves what was acknowledged before its request; changes that came through another response are not applied again. Probes only show whether a lost store responds.

--- a/packages/basilhill_fakes/src/basilhill_fakes/failing_stores.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/failing_stores.py
@@ -17,6 +17,10 @@
         await asyncio.sleep(wait_ms / 1000 + 1.5)
         raise StoreFailedError("no response")
 
+    async def changes(self, _after: int):
+        await asyncio.sleep(0.6)
+        raise StoreFailedError("no response")
+
     async def probe(self) -> int:
         await asyncio.sleep(0.6)
         raise StoreFailedError("no response")
@@ -32,5 +36,8 @@
     async def watch(self, _after: int, _wait_ms: int):
         raise StoreFailedError("status 503")
 
+    async def changes(self, _after: int):
+        raise StoreFailedError("status 503")
+
     async def probe(self) -> int:
         raise StoreFailedError("status 503")
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -71,16 +71,22 @@
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
+        return await self.await_changes(after, wait_ms / 1000, wait_ms / 1000 + WATCH_MARGIN_S)
+
+    async def changes(self, after: int) -> StoreEvents:
+        """Return the changes after a revision at once."""
+        return await self.await_changes(after, 0.0, PROBE_TIMEOUT_S)
+
+    async def await_changes(self, after: int, wait_s: float, longest_s: float) -> StoreEvents:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        longest_s = wait_ms / 1000 + WATCH_MARGIN_S
         silences = self.silences()
         await self.respond(longest_s)
         while True:
             if after < self.state.oldest_revision:
                 raise HistoryExpiredError(f"no history since revision {after}")
             events = [item for item in self.state.events if item["revision"] > after]
-            left_s = started_s + wait_ms / 1000 - loop.time()
+            left_s = started_s + wait_s - loop.time()
             if silences != self.silences():
                 await asyncio.sleep(started_s + longest_s - loop.time())
                 raise StoreFailedError("the response was lost")
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -9,7 +9,11 @@
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
 from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
 from basilhill_node.platform.store import PROBE_TIMEOUT_S
-from basilhill_node.sidecar.commands import follow_feed, follow_store
+from basilhill_node.sidecar.commands import (
+    follow_feed,
+    follow_store,
+    read_store,
+)
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.state import STORE
@@ -422,17 +426,17 @@
         + follow_feed.CHECK_S
         + own_read_s
     )
-    silent_store_s = (
+    reader_proof_s = (
         max(
-            follow_store.COALESCE_MAX_MS + follow_store.PROBE_WAIT_MS,
-            follow_store.PROBE_AGE_MS,
+            follow_store.COALESCE_MAX_MS + read_store.CHECK_WAIT_MS,
+            follow_store.CHECK_AGE_MS,
         )
         / 1000
-        + PROBE_TIMEOUT_S
-        + own_read_s
     )
+    silent_store_s = reader_proof_s + PROBE_TIMEOUT_S + own_read_s
     feed_behind_s = follow_feed.FEED_BEHIND_MS / 1000 + follow_feed.CHECK_S + own_read_s
-    silent_watch_s = 2 * follow_store.PROBE_AGE_MS / 1000 + own_read_s
-    assert max(silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s) < APPLY_S
+    silent_watch_s = reader_proof_s + own_read_s
+    stages_s = silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s
+    assert max(stages_s) < APPLY_S
     # After an outage, a node has the version when it is in touch again.
     assert PROBE_TIMEOUT_S + follow_store.RETRY_MAX_MS / 1000 + own_read_s < CONTACT_S
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -327,7 +327,7 @@
     The caller's node had no stream to the node beside the server.
     """
     partitioned = fleet.vms[2]
-    partitioned.node.follower.store = RefusingStore()
+    partitioned.node.follower.reader.store = RefusingStore()
     partitioned.node.follower.feeds.stop()
     fleet.store.remove(f"servers/{partitioned.server.server_id}")
     # The node may follow the feed of another one all the while.
--- a/packages/basilhill_fakes/tests/test_store_feeds.py
+++ b/packages/basilhill_fakes/tests/test_store_feeds.py
@@ -102,7 +102,7 @@
     """Guard against a data centre cut from the store because the store refuses its reader."""
     (reader,) = readers(fleet)
 
-    reader.node.follower.store = RefusingStore()
+    reader.node.follower.reader.store = RefusingStore()
     fleet.store.put("op/config", build_configuration(8, READS))
     fleet.store.compact_history()
     fleet.store.put("op/config", build_configuration(9, READS))
@@ -118,7 +118,7 @@
     The store responded to the followers all the while.
     """
     (reader,) = readers(fleet)
-    reader.node.follower.store = SilentStore()
+    reader.node.follower.reader.store = SilentStore()
     # The watch of the reader that is in flight ends with this change.
     fleet.store.put("op/config", build_configuration(14, READS))
     await wait_applied(fleet, 14, fleet.vms)
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -42,6 +42,7 @@
 # No key has this prefix, so a probe returns no items.
 PROBE_PREFIX = "basilhill-probe/"
 PROBE_TIMEOUT_S = 0.6
+SHORTEST_WATCH_MS = 1
 # A watch fails if it has not returned this long after `wait_ms`, since its connection is then
 # unresponsive.
 WATCH_MARGIN_S = 1.5
@@ -75,15 +76,22 @@
         Raise HistoryExpiredError if the store no longer has all changes or if they are too large,
         StoreFailedError if it returns no valid response.
         """
+        return await self.fetch_changes(after, wait_ms, wait_ms / 1000 + WATCH_MARGIN_S)
+
+    async def changes(self, after: int) -> StoreEvents:
+        """Return the changes after a revision at once; raise as `watch` does."""
+        return await self.fetch_changes(after, SHORTEST_WATCH_MS, PROBE_TIMEOUT_S)
+
+    async def fetch_changes(self, after: int, wait_ms: int, timeout_s: float) -> StoreEvents:
         query = {"prefix": "", "after": str(after), "waitMs": str(wait_ms)}
         try:
-            page = await self.fetch(WATCH, query, wait_ms / 1000 + WATCH_MARGIN_S)
+            page = await self.fetch(WATCH, query, timeout_s)
         except StoreResponseTooLargeError as error:
             raise HistoryExpiredError(f"the changes are too large: {error}") from error
         return StoreEvents(page.items, page.revision)
 
     async def probe(self) -> int:
-        """Return a recent revision; raise StoreFailedError if the store does not respond.
+        """Return a possibly old revision; raise StoreFailedError if the store does not respond.
 
         A read that may be stale costs a tenth of another one.
         """
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -62,11 +62,16 @@
     failed_ms: dict[str, int] = field(factory=dict)
     # Set if the entry of the local backend server was removed: this VM may have lost the store.
     store_in_doubt: bool = False
-    # Called when the store is reachable through a feed, with the age of the information in ms.
+    # Called with the age in ms of the sender's proof that it knows all changes of the store.
     contact: Callable[[int], None] = field(default=lambda _age_ms: None)
     # Called with the revision of a frame when all its changes are applied.
     applied: Callable[[int], None] = field(default=lambda _revision: None)
 
+    @property
+    def is_live(self) -> bool:
+        """Return whether a feed is followed that has sent a frame."""
+        return self.live and self.connection is not None
+
     def working_first(self, hosts: list[str]) -> list[str]:
         """Return hosts in order, those whose feed failed recently last."""
         oldest_ms = self.clock.now_ms() - FEED_PENALTY_MS
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -1,29 +1,20 @@
 """Reading and watching of the configuration and server entries in the platform's store."""
 
 import asyncio
-from collections.abc import Iterable
 from contextlib import suppress
 from random import Random
-from typing import Any
 
 from attrs import define, field
-from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
 from basilhill.queries.subscribers import feed_hosts, is_subscriber
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.follow_feed import FeedEnd, FeedFollower
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
+from basilhill_node.sidecar.commands.read_store import StoreReader
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.state import STORE, FollowStage, SidecarSettings, StoreView
-from basilhill_node.sidecar.store import (
-    HistoryExpiredError,
-    Store,
-    StoreDecoder,
-    StoredItem,
-    StoreEvents,
-    StoreFailedError,
-)
+from basilhill_node.sidecar.state import FollowStage, SidecarSettings, StoreView
+from basilhill_node.sidecar.store import HistoryExpiredError, StoreFailedError
 
 # The store allows waits up to 30 s. The wait is long because each request to the store has a price.
 WATCH_MS = 25_000
@@ -35,20 +26,14 @@
 COALESCE_MAX_MS = 750
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1_000
-# Time from the last failure of the store until entries missing after the outage are removed.
-# Servers register again within about 2 s after the store has recovered, and 3 s after it a server
-# that has left must not be in use.
-REGISTRATION_GRACE_MS = 2_800
 # Time for which a node that found no feed or got followers reads the store. While a fleet starts,
 # each new VM can be the next subscriber, and followers would move with each one.
 READER_HOLD_MS = 15_000
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
 FEED_SPREAD_MS = 100
-# Age of the last response of the store at which a node that reads it sends a probe.
-PROBE_AGE_MS = 700
-# Shortest wait for a watch before a probe: after a pause, a watch often returns changes at once.
-PROBE_WAIT_MS = 100
+# Age of the last proof that all changes are applied at which a node checks the store.
+CHECK_AGE_MS = 700
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -72,8 +57,7 @@
     """
 
     settings: SidecarSettings
-    store: Store
-    decoder: StoreDecoder
+    reader: StoreReader
     updater: ViewUpdater
     publisher: FeedPublisher
     feeds: FeedFollower
@@ -89,7 +73,7 @@
 
     def __attrs_post_init__(self) -> None:
         """Connect the feeds: a follower makes this node read the store by itself."""
-        self.feeds.contact = self.record_feed_contact
+        self.feeds.contact = self.reader.record_feed
         self.feeds.applied = self.publisher.publish
         self.publisher.wanted = self.feeds.stop
 
@@ -102,7 +86,7 @@
         while True:
             try:
                 if loss:
-                    self.record_store_loss(loss)
+                    self.reader.record_loss(loss)
                     self.publisher.end("the store is unreachable")
                     loss = ""
                     read_all = not await self.wait_for_store(pause_ms)
@@ -136,6 +120,11 @@
                 self.view.source = ""
                 await asyncio.sleep(RETRY_MAX_MS / 1000)
 
+    async def read(self) -> None:
+        """Read all items of the store."""
+        await self.reader.read()
+        self.followed_feed = False
+
     def reads_store(self) -> bool:
         """Return whether this node reads the store by itself instead of following a feed."""
         directory, settings = self.updater.directory, self.settings
@@ -152,7 +141,7 @@
         settings = self.settings
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
-            self.enter(FollowStage.ASKING, host=host)
+            self.reader.enter(FollowStage.ASKING, host=host)
             regaining = asyncio.create_task(self.regain_access())
             try:
                 ended = await self.feeds.follow(host)
@@ -175,11 +164,11 @@
         while self.view.access_lost:
             await asyncio.sleep(RETRY_MAX_MS / 1000)
             try:
-                await self.store.probe()
+                await self.reader.store.probe()
             except StoreFailedError as error:
                 self.log.record("store", "still lost", reason=str(error))
             else:
-                self.record_access(True)
+                self.reader.record_access(True)
 
     async def wait_for_store(self, pause_ms: int) -> bool:
         """Wait until the store responds to a probe or a feed has ended.
@@ -197,58 +186,22 @@
                     ended = await self.follow()
             if ended is not FeedEnd.NOT_BEGUN:
                 return ended is FeedEnd.CURRENT
-            self.enter(FollowStage.WAITING)
+            self.reader.enter(FollowStage.WAITING)
             await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
             pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
             started_ms = self.clock.now_ms()
             try:
-                await self.store.probe()
+                await self.reader.store.probe()
             except StoreFailedError as error:
                 self.view.failed_ms = started_ms
                 self.log.record("store", "still lost", reason=str(error))
             else:
                 return False
 
-    async def read(self) -> None:
-        """Read all items of the store and apply them."""
-        revision = 0
-        entries = []
-        self.enter(FollowStage.READING)
-        started_ms = self.clock.now_ms()
-        async for page in self.store.read():
-            if page.revision < self.view.revision:
-                raise StoreFailedError(
-                    f"store returned revision {page.revision}, {self.view.revision} is known"
-                )
-            revision = revision or page.revision
-            entries += self.apply_items(page.items)
-        now_ms = self.clock.now_ms()
-        self.view.source = STORE
-        self.record_store_contact(now_ms)
-        self.record_access(True)
-        # Entries that expired during an outage of the store may be registered again shortly.
-        retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
-        self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
-        self.publisher.publish(revision)
-        self.view.verified_ms = max(self.view.verified_ms, started_ms)
-        self.followed_feed = False
-
-    def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
-        """Apply the configuration among items of the store; return their server entries."""
-        entries = []
-        for item in items:
-            if item.key == self.decoder.configuration_key:
-                self.updater.apply_configuration(item.value or b"", STORE)
-            elif item.key.startswith(self.decoder.entry_prefix):
-                entry = self.decode_entry(item)
-                if entry is not None:
-                    entries.append(entry)
-        return entries
-
     async def watch(self) -> None:
         """Apply changes as they arrive, until the store fails or another node reads it."""
         pause_ms = 0
-        self.enter(FollowStage.WATCHING)
+        self.reader.enter(FollowStage.WATCHING)
         if not self.updater.directory.entries:
             await asyncio.sleep(self.random.uniform(*COLD_START_S))
         while True:
@@ -262,7 +215,7 @@
                 # Shows immediately whether the store responds.
                 wait_ms = 1
             started_ms = self.clock.now_ms()
-            changes = await self.read_changes(wait_ms)
+            changes = await self.reader.watch(wait_ms, CHECK_AGE_MS)
             now_ms = self.clock.now_ms()
             if not self.updater.directory.retained_until_ms and self.yields_to_subscribers():
                 return
@@ -280,54 +233,6 @@
             self.publisher.publish(self.view.revision)
         await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
 
-    async def read_changes(self, wait_ms: int) -> int:
-        """Wait for changes of the store and apply them; return how many there were."""
-        started_ms = self.clock.now_ms()
-        watched = await self.watch_and_probe(wait_ms)
-        now_ms = self.clock.now_ms()
-        self.view.source = STORE
-        self.record_store_contact(now_ms)
-        self.record_access(True)
-        for item in watched.events:
-            self.apply_event(item)
-        self.updater.expire(now_ms)
-        self.publisher.publish(max(self.view.revision, watched.revision))
-        self.view.verified_ms = max(self.view.verified_ms, started_ms)
-        return len(watched.events)
-
-    async def watch_and_probe(self, wait_ms: int) -> StoreEvents:
-        """Return the changes of the store; raise StoreFailedError if it does not respond.
-
-        A waiting watch shows neither whether the store still responds nor whether its own
-        connection still works. Therefore the node probes the store, and replaces a watch that does
-        not return the revision of a probe until the next probe.
-        """
-        watching = asyncio.create_task(self.store.watch(self.view.revision, wait_ms))
-        tasks = {watching}
-        probed_revision = 0
-        try:
-            while True:
-                age_ms = self.clock.now_ms() - self.view.last_contact_ms
-                probe_in_ms = max(PROBE_WAIT_MS, PROBE_AGE_MS - age_ms)
-                await asyncio.wait({watching}, timeout=probe_in_ms / 1000)
-                if watching.done():
-                    return watching.result()
-                if probed_revision > self.view.revision:
-                    self.log.record("store", "watch replaced", revision=probed_revision)
-                    watching.cancel()
-                    return await self.store.watch(self.view.revision, 1)
-                probing = asyncio.create_task(self.store.probe())
-                tasks = {watching, probing}
-                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-                if watching.done():
-                    return watching.result()
-                probed_revision = probing.result()
-                self.view.last_contact_ms = self.clock.now_ms()
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
     def yields_to_subscribers(self) -> bool:
         """Send followers of a node that is no subscriber to the subscribers of the data centre.
 
@@ -344,78 +249,3 @@
             return False
         self.publisher.end("other nodes read the store")
         return True
-
-    def apply_event(self, item: StoredItem) -> None:
-        if item.key == self.decoder.configuration_key:
-            if item.value is not None:
-                self.updater.apply_configuration(item.value, STORE)
-            return
-        if not item.key.startswith(self.decoder.entry_prefix):
-            return
-        entry = None if item.value is None else self.decode_entry(item)
-        if entry is None:
-            # An invalid entry removes the server that its key registered before.
-            self.updater.remove(item.key.removeprefix(self.decoder.entry_prefix), STORE)
-        else:
-            self.updater.put(entry, STORE)
-
-    def decode_entry(self, item: StoredItem) -> BackendEntry | None:
-        """Return the server entry of an item; log and return None if it cannot be decoded."""
-        server_id = item.key.removeprefix(self.decoder.entry_prefix)
-        result = self.decoder.decode_entry(server_id, item.value or b"", self.clock.now_ms())
-        if result.is_error():
-            self.log.record("servers", "entry ignored", problem=result.error)
-            return None
-        return result.ok
-
-    def record_store_contact(self, now_ms: int) -> None:
-        """Record a response of the store."""
-        view = self.view
-        away_ms = now_ms - view.unreachable_since_ms if view.unreachable_since_ms else 0
-        recovered, view.reachable, view.unreachable_since_ms = not view.reachable, True, 0
-        view.last_contact_ms = now_ms
-        if recovered:
-            self.log.record("store", "reached", revision=view.revision, away_ms=away_ms)
-            view.changed()
-
-    def enter(self, stage: FollowStage, **inputs: Any) -> None:
-        """Record the beginning of a stage with what this node knows at that time."""
-        view = self.view
-        if view.stage is stage and not inputs:
-            return
-        view.stage = stage
-        self.log.record(
-            "store",
-            "stage",
-            stage=stage.value,
-            revision=view.revision,
-            version=self.updater.active_configuration.version,
-            verified_age_ms=self.clock.now_ms() - view.verified_ms,
-            **inputs,
-        )
-
-    def record_feed_contact(self, age_ms: int) -> None:
-        """Record that another node reported a response of the store."""
-        contact_ms = self.clock.now_ms() - age_ms
-        self.view.verified_ms = max(self.view.verified_ms, contact_ms)
-        self.record_store_contact(contact_ms)
-        self.enter(FollowStage.FOLLOWING)
-
-    def record_access(self, has_access: bool) -> None:
-        """Record whether the store responds to this node itself."""
-        if self.view.access_lost is has_access:
-            self.view.access_lost = not has_access
-            self.view.changed()
-
-    def record_store_loss(self, reason: str) -> None:
-        """Record that the store is unreachable, unless that is recorded already."""
-        view = self.view
-        # The attempt that failed began up to a timeout ago, after the last response.
-        view.failed_ms = max(view.failed_ms, view.last_contact_ms)
-        self.record_access(False)
-        if not view.reachable and view.unreachable_since_ms:
-            return
-        view.reachable, view.unreachable_since_ms = False, self.clock.now_ms()
-        view.source = ""
-        self.log.record("store", "lost", reason=reason, revision=view.revision)
-        view.changed()
--- /dev/null
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -0,0 +1,240 @@
+"""Application of what the platform's store returns, and proof that nothing is missing."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, TypeVar
+
+from attrs import define
+from basilhill.backends import BackendEntry
+from basilhill.clocks import Clock
+
+from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
+from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
+from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.state import STORE, FollowStage, StoreView
+from basilhill_node.sidecar.store import (
+    Store,
+    StoreDecoder,
+    StoredItem,
+    StoreEvents,
+    StoreFailedError,
+)
+
+# Time from the last failure of the store until entries missing after the outage are removed.
+# Servers register again within about 2 s after the store has recovered, and 3 s after it a server
+# that has left must not be in use.
+REGISTRATION_GRACE_MS = 2_800
+# Shortest time from the beginning of a stage to a check: after a pause, a watch often returns
+# changes at once.
+CHECK_WAIT_MS = 100
+
+T = TypeVar("T")
+
+
+@define(eq=False)
+class StoreReader:
+    """Reader of the store that applies its items and changes, and records when it responded."""
+
+    store: Store
+    decoder: StoreDecoder
+    updater: ViewUpdater
+    publisher: FeedPublisher
+    view: StoreView
+    clock: Clock
+    log: EventLog
+
+    async def read(self) -> None:
+        """Read all items of the store and apply them."""
+        self.enter(FollowStage.READING)
+        started_ms = self.clock.now_ms()
+        revision = 0
+        entries = []
+        async for page in self.store.read():
+            if page.revision < self.view.revision:
+                raise StoreFailedError(
+                    f"store returned revision {page.revision}, {self.view.revision} is known"
+                )
+            revision = revision or page.revision
+            entries += self.apply_items(page.items)
+        now_ms = self.clock.now_ms()
+        self.view.source = STORE
+        self.record_response()
+        # Entries that expired during an outage of the store may be registered again shortly.
+        retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
+        self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
+        self.publisher.publish(revision)
+        self.record_verified(started_ms)
+
+    async def watch(self, wait_ms: int, check_age_ms: int) -> int:
+        """Wait for changes of the store and apply them; return how many there were.
+
+        A check that finds changes ends the watch, whose connection may be unresponsive.
+        """
+        started_ms = self.clock.now_ms()
+        revision = self.view.revision
+        watching = self.store.watch(revision, wait_ms)
+        changes = await self.while_verified(
+            watching, check_age_ms, lambda: self.view.revision > revision
+        )
+        if changes is None:
+            self.log.record("store", "watch replaced", revision=self.view.revision)
+            return 0
+        self.view.source = STORE
+        return self.apply(changes, started_ms)
+
+    async def check(self) -> None:
+        """Apply the changes that this node does not know, if any.
+
+        The response is not stale, so it proves that all changes made before the request are
+        applied.
+        """
+        started_ms = self.clock.now_ms()
+        changes = await self.store.changes(self.view.revision)
+        self.apply(changes, started_ms)
+
+    async def while_verified(
+        self,
+        stage: Coroutine[Any, Any, T],
+        age_ms: int,
+        is_over: Callable[[], bool] = lambda: False,
+    ) -> T | None:
+        """Return the result of a stage, or None if it is over after a check.
+
+        While the stage lasts, check the store whenever the last proof that all changes are applied
+        is older than `age_ms`. Raise StoreFailedError if the store does not respond to a check.
+        """
+        running = asyncio.create_task(stage)
+        tasks = {running}
+        try:
+            while True:
+                due_ms = self.view.verified_ms + age_ms - self.clock.now_ms()
+                if self.view.access_lost:
+                    due_ms = age_ms
+                await asyncio.wait({running}, timeout=max(CHECK_WAIT_MS, due_ms) / 1000)
+                if running.done():
+                    return running.result()
+                age_now_ms = self.clock.now_ms() - self.view.verified_ms
+                if self.view.access_lost or age_now_ms < age_ms:
+                    continue
+                checking = asyncio.create_task(self.check())
+                tasks = {running, checking}
+                await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+                if running.done():
+                    return running.result()
+                checking.result()
+                if is_over():
+                    return None
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def apply(self, changes: StoreEvents, started_ms: int) -> int:
+        """Apply the changes that are not known yet; return how many the response had.
+
+        A watch and a check can return the same changes.
+        """
+        self.record_response()
+        for item in changes.events:
+            if item.revision > self.view.revision:
+                self.apply_event(item)
+        self.updater.expire(self.clock.now_ms())
+        self.publisher.publish(max(self.view.revision, changes.revision))
+        self.record_verified(started_ms)
+        return len(changes.events)
+
+    def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
+        """Apply the configuration among items of the store; return their server entries."""
+        entries = []
+        for item in items:
+            if item.key == self.decoder.configuration_key:
+                self.updater.apply_configuration(item.value or b"", STORE)
+            elif item.key.startswith(self.decoder.entry_prefix):
+                entry = self.decode_entry(item)
+                if entry is not None:
+                    entries.append(entry)
+        return entries
+
+    def apply_event(self, item: StoredItem) -> None:
+        if item.key == self.decoder.configuration_key:
+            if item.value is not None:
+                self.updater.apply_configuration(item.value, STORE)
+            return
+        if not item.key.startswith(self.decoder.entry_prefix):
+            return
+        entry = None if item.value is None else self.decode_entry(item)
+        if entry is None:
+            # An invalid entry removes the server that its key registered before.
+            self.updater.remove(item.key.removeprefix(self.decoder.entry_prefix), STORE)
+        else:
+            self.updater.put(entry, STORE)
+
+    def decode_entry(self, item: StoredItem) -> BackendEntry | None:
+        """Return the server entry of an item; log and return None if it cannot be decoded."""
+        server_id = item.key.removeprefix(self.decoder.entry_prefix)
+        result = self.decoder.decode_entry(server_id, item.value or b"", self.clock.now_ms())
+        if result.is_error():
+            self.log.record("servers", "entry ignored", problem=result.error)
+            return None
+        return result.ok
+
+    def record_contact(self, at_ms: int) -> None:
+        """Record a response of the store, to this node or to another one."""
+        view = self.view
+        away_ms = at_ms - view.unreachable_since_ms if view.unreachable_since_ms else 0
+        recovered, view.reachable, view.unreachable_since_ms = not view.reachable, True, 0
+        view.last_contact_ms = at_ms
+        if recovered:
+            self.log.record("store", "reached", revision=view.revision, away_ms=away_ms)
+            view.changed()
+
+    def record_response(self) -> None:
+        """Record that the store responded to this node."""
+        self.record_contact(self.clock.now_ms())
+        self.record_access(True)
+
+    def record_verified(self, at_ms: int) -> None:
+        """Record a proof that all changes made before a time are applied."""
+        self.view.verified_ms = max(self.view.verified_ms, at_ms)
+
+    def record_feed(self, age_ms: int) -> None:
+        """Record a frame of another node, with the age of that node's proof in ms."""
+        verified_ms = self.clock.now_ms() - age_ms
+        self.record_verified(verified_ms)
+        self.record_contact(verified_ms)
+        self.enter(FollowStage.FOLLOWING)
+
+    def record_access(self, has_access: bool) -> None:
+        """Record whether the store responds to this node itself."""
+        if self.view.access_lost is has_access:
+            self.view.access_lost = not has_access
+            self.view.changed()
+
+    def record_loss(self, reason: str) -> None:
+        """Record that the store is unreachable, unless that is recorded already."""
+        view = self.view
+        # The attempt that failed began up to a timeout ago, after the last response.
+        view.failed_ms = max(view.failed_ms, view.last_contact_ms)
+        self.record_access(False)
+        if not view.reachable and view.unreachable_since_ms:
+            return
+        view.reachable, view.unreachable_since_ms = False, self.clock.now_ms()
+        view.source = ""
+        self.log.record("store", "lost", reason=reason, revision=view.revision)
+        view.changed()
+
+    def enter(self, stage: FollowStage, **inputs: Any) -> None:
+        """Record the beginning of a stage with what this node knows at that time."""
+        view = self.view
+        if view.stage is stage and not inputs:
+            return
+        view.stage = stage
+        self.log.record(
+            "store",
+            "stage",
+            stage=stage.value,
+            revision=view.revision,
+            version=self.updater.active_configuration.version,
+            verified_age_ms=self.clock.now_ms() - view.verified_ms,
+            **inputs,
+        )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -24,6 +24,7 @@
 from basilhill_node.sidecar.commands.follow_feed import FeedFollower
 from basilhill_node.sidecar.commands.follow_store import StoreFollower
 from basilhill_node.sidecar.commands.publish_feed import HEARTBEAT_S, FeedPublisher
+from basilhill_node.sidecar.commands.read_store import StoreReader
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
 from basilhill_node.sidecar.commands.send_call import CallSender
 from basilhill_node.sidecar.commands.serve_request import Origin
@@ -164,9 +165,8 @@
         updater.record_leaving,
     )
     feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
-    follower = StoreFollower(
-        settings, store, decoder, updater, publisher, feeds, state.store, clock, log
-    )
+    reader = StoreReader(store, decoder, updater, publisher, state.store, clock, log)
+    follower = StoreFollower(settings, reader, updater, publisher, feeds, state.store, clock, log)
     peers = PeerStreams(peer_updates, clock, log)
     retries = RetryBudget(settings, state.origin, state.directory, clock)
     sender = CallSender(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/store.py
@@ -57,8 +57,12 @@
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
         ...
 
+    async def changes(self, after: int) -> StoreEvents:
+        """Return the changes after a revision at once; the response is never stale."""
+        ...
+
     async def probe(self) -> int:
-        """Return a recent revision; raise StoreFailedError if the store does not respond."""
+        """Return a possibly old revision; raise StoreFailedError if the store does not respond."""
         ...
 
 
