Bound the age of what a node knows in every stage of following

Cause: each stage of following had a timeout, their sequence had none. A follower asked up to three nodes for a feed, 0.5 s to connect and 0.7 s without a frame each, and learned nothing meanwhile. While it waited for a lost store, it probed the store only after all of them. A frame stated the age of the last response of any kind, and no follower acted on it. Change: a frame has the age of its sender's proof; a node that asks for or follows a feed checks the store when its own proof is 1.3 s old, whatever the stage. One task probes a lost store beside the search for a feed.

--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -12,6 +12,7 @@
 from basilhill_node.sidecar.commands import (
     follow_feed,
     follow_store,
+    publish_feed,
     read_store,
 )
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
@@ -436,7 +437,11 @@
     silent_store_s = reader_proof_s + PROBE_TIMEOUT_S + own_read_s
     feed_behind_s = follow_feed.FEED_BEHIND_MS / 1000 + follow_feed.CHECK_S + own_read_s
     silent_watch_s = reader_proof_s + own_read_s
-    stages_s = silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s
+    # Whatever a follower does, it checks the store at this age of its proof.
+    any_stage_s = follow_store.FEED_CHECK_AGE_MS / 1000 + own_read_s
+    stages_s = silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s, any_stage_s
     assert max(stages_s) < APPLY_S
+    # A follower of a sound reader does not check the store.
+    assert reader_proof_s + publish_feed.HEARTBEAT_S < follow_store.FEED_CHECK_AGE_MS / 1000
     # After an outage, a node has the version when it is in touch again.
     assert PROBE_TIMEOUT_S + follow_store.RETRY_MAX_MS / 1000 + own_read_s < CONTACT_S
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -1,7 +1,6 @@
 """Reading and watching of the configuration and server entries in the platform's store."""
 
 import asyncio
-from contextlib import suppress
 from random import Random
 
 from attrs import define, field
@@ -32,8 +31,10 @@
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
 FEED_SPREAD_MS = 100
-# Age of the last proof that all changes are applied at which a node checks the store.
+# Age of the last proof that all changes are applied at which a node checks the store. A frame of a
+# feed has the age at its sender, so a follower checks only if its feed does not renew the proof.
 CHECK_AGE_MS = 700
+FEED_CHECK_AGE_MS = 1_300
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -70,6 +71,8 @@
     # Whether this node followed a feed since it last read all items. A feed that failed may have
     # been silent while changes were made, and a feed does not tell which entries are retained.
     followed_feed: bool = False
+    # Pause before the next probe of a store that does not respond.
+    pause_ms: int = RETRY_MIN_MS
 
     def __attrs_post_init__(self) -> None:
         """Connect the feeds: a follower makes this node read the store by itself."""
@@ -79,7 +82,14 @@
 
     async def run(self) -> None:
         """Keep the state in line with the store until cancelled, through a feed where possible."""
-        pause_ms = RETRY_MIN_MS
+        probing = asyncio.create_task(self.regain_access())
+        try:
+            await self.keep_current()
+        finally:
+            probing.cancel()
+
+    async def keep_current(self) -> None:
+        """Learn the changes of the store from one source after the other."""
         read_all = True
         # Why the store is lost, empty while it responds.
         loss = ""
@@ -89,13 +99,11 @@
                     self.reader.record_loss(loss)
                     self.publisher.end("the store is unreachable")
                     loss = ""
-                    read_all = not await self.wait_for_store(pause_ms)
-                    pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
+                    read_all = not await self.wait_for_store()
                 if read_all or self.feeds.store_in_doubt:
                     self.feeds.store_in_doubt = False
                     await self.read()
                     read_all = False
-                pause_ms = RETRY_MIN_MS
                 if not self.reads_store():
                     ended = await self.follow()
                     if ended is not FeedEnd.NOT_BEGUN:
@@ -124,6 +132,7 @@
         """Read all items of the store."""
         await self.reader.read()
         self.followed_feed = False
+        self.pause_ms = RETRY_MIN_MS
 
     def reads_store(self) -> bool:
         """Return whether this node reads the store by itself instead of following a feed."""
@@ -142,11 +151,7 @@
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
             self.reader.enter(FollowStage.ASKING, host=host)
-            regaining = asyncio.create_task(self.regain_access())
-            try:
-                ended = await self.feeds.follow(host)
-            finally:
-                regaining.cancel()
+            ended = await self.reader.while_verified(self.feeds.follow(host), FEED_CHECK_AGE_MS)
             if ended is not FeedEnd.NOT_BEGUN:
                 self.followed_feed = True
                 # Followers of one node do not all turn to the next one at once.
@@ -157,46 +162,63 @@
         return FeedEnd.NOT_BEGUN
 
     async def regain_access(self) -> None:
-        """Probe the store, while a feed is followed after an outage, until it responds.
+        """Probe the store, whenever it does not respond to this node, until it does.
 
-        Peers use the server of a VM without access even if its entry has been removed.
+        This node may follow a feed meanwhile. Peers use the server of a VM without access even if
+        its entry has been removed.
         """
-        while self.view.access_lost:
-            await asyncio.sleep(RETRY_MAX_MS / 1000)
+        while True:
+            await self.reader.no_access.wait()
+            await asyncio.sleep(self.pause_ms * self.random.uniform(0.5, 1.0) / 1000)
+            self.pause_ms = min(2 * self.pause_ms, RETRY_MAX_MS)
+            started_ms = self.clock.now_ms()
             try:
-                await self.reader.store.probe()
+                revision = await self.reader.store.probe()
             except StoreFailedError as error:
+                if not self.feeds.is_live:
+                    self.view.failed_ms = started_ms
                 self.log.record("store", "still lost", reason=str(error))
+            except Exception as error:
+                self.log.record("store", "probing failed", problem=repr(error))
             else:
+                self.log.record("store", "responds again", revision=revision)
                 self.reader.record_access(True)
 
-    async def wait_for_store(self, pause_ms: int) -> bool:
+    async def wait_for_store(self) -> bool:
         """Wait until the store responds to a probe or a feed has ended.
 
         Return whether a feed has ended while it was up to date, so that nothing need be read.
 
         A subscriber follows a feed only for a limited time, so that it reads the store again.
         """
-        while True:
-            ends_ms = self.clock.now_ms() + int(pause_ms * self.random.uniform(0.5, 1.0))
-            limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
-            ended = FeedEnd.NOT_BEGUN
-            with suppress(TimeoutError):
-                async with asyncio.timeout(limit_s):
-                    ended = await self.follow()
-            if ended is not FeedEnd.NOT_BEGUN:
-                return ended is FeedEnd.CURRENT
-            self.reader.enter(FollowStage.WAITING)
-            await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
-            pause_ms = min(2 * pause_ms, RETRY_MAX_MS)
-            started_ms = self.clock.now_ms()
-            try:
-                await self.reader.store.probe()
-            except StoreFailedError as error:
-                self.view.failed_ms = started_ms
-                self.log.record("store", "still lost", reason=str(error))
-            else:
-                return False
+        responding = asyncio.create_task(self.reader.access.wait())
+        try:
+            while not responding.done():
+                limit_s = REFUSED_READER_MS / 1000 if self.reads_store() else None
+                ended = await self.follow_unless(responding, limit_s)
+                if ended is not FeedEnd.NOT_BEGUN:
+                    return ended is FeedEnd.CURRENT
+                self.reader.enter(FollowStage.WAITING)
+                await asyncio.wait({responding}, timeout=self.pause_ms / 1000)
+        finally:
+            responding.cancel()
+        return False
+
+    async def follow_unless(self, responding: asyncio.Task, limit_s: float | None) -> FeedEnd:
+        """Follow a feed for at most `limit_s`, and ask for none once the store responds."""
+        following = asyncio.create_task(self.follow())
+        try:
+            async with asyncio.timeout(limit_s):
+                await asyncio.wait({following, responding}, return_when=asyncio.FIRST_COMPLETED)
+                if self.feeds.is_live:
+                    await asyncio.wait({following})
+        except TimeoutError:
+            self.log.record("feed", "left to read the store", after_s=limit_s)
+        finally:
+            if not following.done():
+                following.cancel()
+                await asyncio.gather(following, return_exceptions=True)
+        return FeedEnd.NOT_BEGUN if following.cancelled() else following.result()
 
     async def watch(self) -> None:
         """Apply changes as they arrive, until the store fails or another node reads it."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -113,7 +113,7 @@
         return encode_frame(
             FrameKind.FEED,
             self.view.revision,
-            now_ms - self.view.last_contact_ms,
+            now_ms - self.view.verified_ms,
             complete,
             configuration,
             rows,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
-from attrs import define
+from attrs import define, field
 from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
 
@@ -42,6 +42,9 @@
     view: StoreView
     clock: Clock
     log: EventLog
+    # Set while the store responds to this node itself, and while it does not.
+    access: asyncio.Event = field(factory=asyncio.Event)
+    no_access: asyncio.Event = field(factory=asyncio.Event)
 
     async def read(self) -> None:
         """Read all items of the store and apply them."""
@@ -209,6 +212,12 @@
         if self.view.access_lost is has_access:
             self.view.access_lost = not has_access
             self.view.changed()
+        if has_access:
+            self.access.set()
+            self.no_access.clear()
+        else:
+            self.access.clear()
+            self.no_access.set()
 
     def record_loss(self, reason: str) -> None:
         """Record that the store is unreachable, unless that is recorded already."""
