Log the version by which a request was routed, and the age of its proof

Cause: the line of a request had the version at its end, and a request without a route none of the ages. Change: RoutingBasis is taken when the request arrives: version, its age, the age of the last proof that it was the newest.

--- a/packages/basilhill_fakes/tests/test_following_stages.py
+++ b/packages/basilhill_fakes/tests/test_following_stages.py
@@ -4,12 +4,15 @@
 from random import Random
 
 import pytest
+from basilhill_fakes.sidecar_fleet import SidecarFleet, build_configuration, build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
 from basilhill_fakes.simulated_loop import SimulatedLoop
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.queries.exposition import gauge_values
 from basilhill_node.sidecar.state import STORE, FollowStage
 
+READS = build_route("r-read", "/read/", "calendar")
+
 
 @pytest.fixture
 def loop():
@@ -21,14 +24,13 @@
 
 
 @pytest.fixture
-def stages(monkeypatch) -> dict[EventLog, list[dict]]:
-    """Record the lines `stage` of each node."""
+def lines(monkeypatch) -> dict[EventLog, list[dict]]:
+    """Record the lines of each node, with part, event and inputs."""
     found: dict[EventLog, list[dict]] = {}
     write = EventLog.write
 
     def record(self, part, event, request_id, inputs):
-        if event == "stage":
-            found.setdefault(self, []).append(inputs)
+        found.setdefault(self, []).append({"part": part, "event": event, **inputs})
         write(self, part, event, request_id, inputs)
 
     monkeypatch.setattr(EventLog, "write", record)
@@ -49,19 +51,20 @@
     return fleet, reader, follower
 
 
-def test_lines_show_each_stage_after_the_end_of_a_feed(loop, stages):
+def test_lines_show_each_stage_after_the_end_of_a_feed(loop, lines):
     """Guard against an incident whose log does not show how a node learned of changes."""
 
     async def scenario() -> None:
         fleet, reader, follower = await start_fleet(loop)
-        lines = stages[follower.node.state.log]
-        known = len(lines)
+        known = len(lines[follower.node.state.log])
         fleet.kill(reader)
         await asyncio.sleep(5)
-        names = [line["stage"] for line in lines[known:]]
+        written = lines[follower.node.state.log][known:]
+        stages = [line for line in written if line["event"] == "stage"]
+        names = [line["stage"] for line in stages]
         assert names[:2] == [FollowStage.READING.value, FollowStage.ASKING.value]
         assert names[-1] in (FollowStage.FOLLOWING.value, FollowStage.WATCHING.value)
-        asked = lines[known + 1]
+        asked = stages[1]
         assert asked["host"] and asked["version"] == 1
         assert asked["revision"] == fleet.store.revision
         assert asked["verified_age_ms"] < 100
@@ -88,3 +91,24 @@
         fleet.stop()
 
     loop.run_until_complete(scenario())
+
+
+async def test_line_of_a_request_has_the_version_by_which_it_was_routed(lines):
+    """Guard against lines with the version at the end of a request, which did not route it."""
+    async with SidecarFleet() as fleet:
+        fleet.store.put("op/config", build_configuration(3, READS))
+        vm = await fleet.add_vm("calendar")
+        await fleet.wait_converged(3)
+        log = vm.node.state.log
+        vm.server.run_ms = 500
+        sent = asyncio.create_task(fleet.send_attempt(vm, "/read/1"))
+        await asyncio.sleep(0.2)
+        fleet.store.put("op/config", build_configuration(4, READS))
+        await fleet.wait_converged(4)
+        assert not sent.done()
+        assert (await sent).status == 200
+        assert (await fleet.send_attempt(vm, "/unknown/1")).status == 404
+    served = [line for line in lines[log] if line["part"] == "serve"]
+    assert [line["version"] for line in served] == [3, 4]
+    assert all(0 <= line["version_age_ms"] < 5_000 for line in served)
+    assert all(0 <= line["verified_age_ms"] < 2_000 for line in served)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Any
 
-from attrs import define, evolve
+from attrs import asdict, define, evolve
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
 from basilhill.commands.levels import record_called
@@ -33,8 +33,13 @@
 from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.dialect import Dialect, MalformedMetadata, RequestMetadata
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
-from basilhill_node.sidecar.open_requests import OpenRequest
-from basilhill_node.sidecar.state import ActiveConfiguration, OriginState, SidecarSettings
+from basilhill_node.sidecar.open_requests import OpenRequest, RoutingBasis
+from basilhill_node.sidecar.state import (
+    ActiveConfiguration,
+    OriginState,
+    SidecarSettings,
+    StoreView,
+)
 
 # Number of executors that may refuse a call for lack of a free slot before the client is refused.
 MAX_SLOT_REFUSALS = 2
@@ -60,6 +65,7 @@
     settings: SidecarSettings
     origin: OriginState
     active_configuration: ActiveConfiguration
+    view: StoreView
     directory: BackendDirectory
     executor: CallExecutor
     sender: CallSender
@@ -74,35 +80,47 @@
         if isinstance(metadata, MalformedMetadata):
             self.executor.log.record("serve", "rejected", problem=metadata.problem)
             return HttpResponse(400, body=metadata.problem.encode())
+        basis = self.routing_basis(arrived_ms)
         if (
             self.executor.lifecycle.closing
             and metadata.parent_id not in self.executor.state.running
         ):
             # A request started now may still be running when the node is killed.
             refusal = not_run(Reason.LEAVING, "the node is stopping", CLOSING_RETRY_MS)
-            return self.finish(metadata, Error(refusal), arrived_ms)
+            return self.finish(metadata, Error(refusal), arrived_ms, basis)
         self.origin.open_requests += 1
         try:
-            return await self.serve_decoded(request, metadata, arrived_ms)
+            return await self.serve_decoded(request, metadata, arrived_ms, basis)
         finally:
             self.origin.open_requests -= 1
 
     async def serve_decoded(
-        self, request: HttpRequest, metadata: RequestMetadata, arrived_ms: int
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        arrived_ms: int,
+        basis: RoutingBasis,
     ) -> HttpResponse:
         """Serve a request with decoded metadata."""
         configuration = self.active_configuration.configuration
         if configuration is None:
             refusal = not_run(Reason.NO_SERVER, "no configuration is known yet", 500)
-            return self.finish(metadata, Error(refusal), arrived_ms)
+            return self.finish(metadata, Error(refusal), arrived_ms, basis)
         route = find_route(configuration, metadata.host, request.path)
         if route is None:
             refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {metadata.host}{request.path}")
-            return self.finish(metadata, Error(refusal), arrived_ms)
+            return self.finish(metadata, Error(refusal), arrived_ms, basis)
         opened = self.open_request(request, metadata, route, arrived_ms)
         refusal = self.retry_refusal(opened) or self.level_refusal(opened)
         outcome = Error(refusal) if refusal else await self.dispatch(opened)
-        return self.finish(metadata, outcome, arrived_ms, opened)
+        return self.finish(metadata, outcome, arrived_ms, basis, opened)
+
+    def routing_basis(self, now_ms: int) -> RoutingBasis:
+        """Return what this node knows now of the configuration by which it routes."""
+        active = self.active_configuration
+        return RoutingBasis(
+            active.version, now_ms - active.applied_ms, now_ms - self.view.verified_ms
+        )
 
     def open_request(
         self, request: HttpRequest, metadata: RequestMetadata, route: Route, arrived_ms: int
@@ -169,6 +187,7 @@
         metadata: RequestMetadata,
         outcome: Outcome,
         arrived_ms: int,
+        basis: RoutingBasis,
         opened: OpenRequest | None = None,
     ) -> HttpResponse:
         """Record and log the outcome of a request and return the HTTP response."""
@@ -181,29 +200,29 @@
             event = "answered" if answer.status < SERVER_ERROR else "server failed"
             if self.executor.log.should_log("serve", event):
                 result_fields = {"status": answer.status, "took_ms": took_ms}
-                self.record(event, metadata, opened, result_fields)
+                self.record(event, metadata, basis, opened, result_fields)
             return self.dialect.encode_answer(answer, metadata.request_id)
         refusal = outcome.error
         event, reason = refusal.execution_status.value, refusal.reason.value
         if self.executor.log.should_log("serve", event, reason):
             result_fields = {"reason": reason, "problem": refusal.text, "took_ms": took_ms}
-            self.record(event, metadata, opened, result_fields)
+            self.record(event, metadata, basis, opened, result_fields)
         return self.dialect.encode_refusal(refusal, metadata.request_id)
 
     def record(
         self,
         event: str,
         metadata: RequestMetadata,
+        basis: RoutingBasis,
         opened: OpenRequest | None,
         result_fields: dict[str, Any],
     ) -> None:
         """Log the outcome of a request with the inputs of the decision."""
-        result_fields["version"] = self.active_configuration.version
+        result_fields |= asdict(basis)
         if opened is not None:
             result_fields |= {
                 "route": opened.route.name,
                 "service": opened.service,
-                "version_age_ms": max(0, opened.arrived_ms - self.active_configuration.applied_ms),
                 "rank": opened.rank,
                 "depth": opened.depth,
                 "admitted_share": round(opened.share, 2),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -183,6 +183,7 @@
         settings,
         state.origin,
         state.active_configuration,
+        state.store,
         state.directory,
         executor,
         sender,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -1,6 +1,6 @@
 """Requests between their arrival at the origin and the response."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 from basilhill.configuration import Route
 from basilhill.outcomes import Answer, Refusal
 
@@ -9,6 +9,18 @@
 from basilhill_node.sidecar.messages import HttpRequest
 
 
+@frozen
+class RoutingBasis:
+    """Configuration by which a request was routed, as known when it arrived.
+
+    `verified_age_ms` is the age of the last proof that it was the newest one.
+    """
+
+    version: int
+    version_age_ms: int
+    verified_age_ms: int
+
+
 @define(eq=False)
 class OpenRequest:
     """Request from its arrival at the origin until the response."""
