Report the level of a limit that has ended in the reply that ends it

Cause: the reply to the call that ended a limit carried the level of before. The origin, which then admitted no calls, got no later level; after 0.5 s it let the old one rise by 0.1 each 0.1 s. Change: the level is fitted to the new capacity when a response changes the limit. The unit test fails without the refit, which did not exist.

--- a/packages/basilhill/src/basilhill/commands/levels.py
+++ b/packages/basilhill/src/basilhill/commands/levels.py
@@ -65,6 +65,16 @@
         before = level.demand.get(rank, 0.0)
         level.demand[rank] = before + WINDOW_WEIGHT * (newest - before)
     level.work.clear()
+    fit_level(level, capacity, backlog)
+
+
+def refit_rank_level(level: RankAdmissionLevel, limiter: ConcurrencyLimiter) -> None:
+    """Fit the level to a capacity that has changed, with the demand measured before."""
+    fit_level(level, sustained_calls(limiter, TARGET_UTILISATION), backlog_by_rank(limiter))
+
+
+def fit_level(level: RankAdmissionLevel, capacity: float, backlog: dict[int, float]) -> None:
+    """Move the level towards the one that fits the capacity; it falls at once."""
     fitting = fitting_level(level, capacity, backlog)
     if fitting > level.level:
         fitting = min(fitting, level.level + RISE_FRACTION * max(1.0, fitting - level.level))
--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -10,13 +10,14 @@
     drop_expired_levels,
     record_called,
     record_level,
+    refit_rank_level,
     set_highest,
 )
 from basilhill.commands.slots import release_slot, request_slot, start_next_request
 from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevels
 from basilhill.queries.levels import admitted_share, route_level, tree_level
 from basilhill.queries.ranks import call_rank
-from basilhill.slots import ConcurrencyLimiter, SlotDecision
+from basilhill.slots import ConcurrencyLimiter, RateLimit, SlotDecision
 
 HIGHEST = 40.0
 SLOTS, SERVICE_MS = 13, 22
@@ -228,3 +229,19 @@
     set_highest(levels, level, 6.0)
     assert admitted_share(route_level(levels, "new", 0), 5) == 1.0
     assert admitted_share(tree_level(levels, "new", level.level, 0), 5) == 1.0
+
+
+def test_end_of_a_rate_limit_raises_the_level_at_once():
+    """Guard against a response that ends a limit but still carries the level of the limit.
+
+    An origin that admits no calls gets no later level, and refused calls for a second more.
+    """
+    level, limiter = RankAdmissionLevel(HIGHEST, HIGHEST), ConcurrencyLimiter(SLOTS)
+    limiter.rate = RateLimit(per_s=0.5, stated_ms=0)
+    for window in range(1, 20):
+        count_work(level, BOOKING, work=20.0)
+        adjust_rank_level(level, limiter, window * WINDOW_MS)
+    assert level.level < BOOKING + 0.1
+    limiter.rate = None
+    refit_rank_level(level, limiter)
+    assert admitted_share(level.level, BOOKING) >= 0.5
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -6,7 +6,7 @@
 from attrs import define, field
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import Clock
-from basilhill.commands.levels import adjust_rank_level, count_work
+from basilhill.commands.levels import adjust_rank_level, count_work, refit_rank_level
 from basilhill.commands.rate_limits import refill_tokens, state_limit
 from basilhill.commands.response_times import record_end, record_start
 from basilhill.commands.slots import (
@@ -266,6 +266,9 @@
             # The last limit that could be decoded still holds.
             self.log.record("limit", "ignored", call.request_id, problem=statement.problem)
         elif state_limit(slots, statement.limit_per_s, sent_ms, self.clock.now_ms()):
+            # The reply to this call carries the level. Without the refit, an origin that admits no
+            # calls would keep the level of the limit that has ended.
+            refit_rank_level(self.state.level, slots)
             self.log.record(
                 "limit",
                 "changed" if slots.rate else "ended",
