Keep probing a lost store after any error

Callers would see: requests handled by an old version for as long as the node runs. Cause: an error after a successful probe ended the task that probes the store, without a log line; nothing else waited for the store. Change: each round of the task is protected and logged; waiting tasks learn of regained access before peers are told.

--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -17,7 +17,7 @@
 )
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
-from basilhill_node.sidecar.state import STORE
+from basilhill_node.sidecar.state import STORE, StoreView
 
 # Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
 # nodes that nothing has disturbed for `CONTACT_S`.
@@ -415,6 +415,38 @@
     assert errors
 
 
+def test_error_after_the_probe_that_finds_the_store_does_not_end_the_probing(loop):
+    """Guard against a node that waits for the store for ever after one error."""
+    errors = []
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, 1, "aa"), {}
+        await check_until(fleet, 20.0, seen)
+        fleet.access.silence()
+        await check_until(fleet, 26.0, seen)
+        for vm in fleet.vms:
+            fail_once(vm.node.state.store, errors)
+        fleet.access.restore()
+        fleet.change_configuration()
+        await check_until(fleet, 40.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
+    assert errors
+
+
+def fail_once(view: StoreView, errors: list[StoreView]) -> None:
+    """Let the next change of the access to the store raise an error."""
+    changed = view.changed
+
+    def fail() -> None:
+        view.changed = changed
+        errors.append(view)
+        raise RuntimeError("unexpected")
+
+    view.changed = fail
+
+
 def test_sum_of_all_stages_is_within_the_bound():
     """Guard against a bound that holds only if the stages are not at their worst together.
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -171,18 +171,24 @@
             await self.reader.no_access.wait()
             await asyncio.sleep(self.pause_ms * self.random.uniform(0.5, 1.0) / 1000)
             self.pause_ms = min(2 * self.pause_ms, RETRY_MAX_MS)
-            started_ms = self.clock.now_ms()
             try:
-                revision = await self.reader.store.probe()
-            except StoreFailedError as error:
-                if not self.feeds.is_live:
-                    self.view.failed_ms = started_ms
-                self.log.record("store", "still lost", reason=str(error))
+                await self.probe()
             except Exception as error:
+                # Without this task, a node would not read the store again after an outage.
                 self.log.record("store", "probing failed", problem=repr(error))
-            else:
-                self.log.record("store", "responds again", revision=revision)
-                self.reader.record_access(True)
+
+    async def probe(self) -> None:
+        """Record whether the store responds."""
+        started_ms = self.clock.now_ms()
+        try:
+            revision = await self.reader.store.probe()
+        except StoreFailedError as error:
+            if not self.feeds.is_live:
+                self.view.failed_ms = started_ms
+            self.log.record("store", "still lost", reason=str(error))
+        else:
+            self.log.record("store", "responds again", revision=revision)
+            self.reader.record_access(True)
 
     async def wait_for_store(self) -> bool:
         """Wait until the store responds to a probe or a feed has ended.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -209,15 +209,15 @@
 
     def record_access(self, has_access: bool) -> None:
         """Record whether the store responds to this node itself."""
-        if self.view.access_lost is has_access:
-            self.view.access_lost = not has_access
-            self.view.changed()
         if has_access:
             self.access.set()
             self.no_access.clear()
         else:
             self.access.clear()
             self.no_access.set()
+        if self.view.access_lost is has_access:
+            self.view.access_lost = not has_access
+            self.view.changed()
 
     def record_loss(self, reason: str) -> None:
         """Record that the store is unreachable, unless that is recorded already."""
