Keep followers of a sound reader from checking the store

Callers would see, at the size of a large fleet: old versions everywhere after the store was slow for some seconds. Cause: the age at which a follower checks was below the largest age of a sound reader's proof. With changes each second, 63 followers checked in the same 0.1 s; beyond the store's limit of reads, the refused readers ended their feeds and all followers read everything. Change: followers check at 1.55 to 1.7 s, spread at random; a reader sends a renewed proof at once and does not pause beyond an age of 1 s; a check that fails beside a live feed is repeated after a pause that doubles, and is no loss of the store; regained access ends the wait for a check.

--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -17,6 +17,7 @@
 )
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
+from basilhill_node.sidecar.commands.read_store import StoreReader
 from basilhill_node.sidecar.state import STORE, StoreView
 
 # Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
@@ -447,6 +448,37 @@
     view.changed = fail
 
 
+@pytest.mark.parametrize("round_trip_s", [0.0, 0.24])
+@pytest.mark.parametrize("gap_s", [(0.3, 3.0), (1.0, 1.1)])
+def test_followers_of_a_sound_reader_do_not_check_the_store(loop, monkeypatch, gap_s, round_trip_s):
+    """Guard against calls to the store that grow with the followers, all at the same moment.
+
+    They exceeded the store's limit, and the readers that it then refused sent their followers to
+    read everything.
+    """
+    checked = []
+    check = StoreReader.check
+
+    async def count(self) -> None:
+        if self.view.source != STORE:
+            checked.append((loop.time(), self.view.source))
+        await check(self)
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, 1, "a" * 32), {}
+        await check_until(fleet, 30.0, seen)
+        monkeypatch.setattr(StoreReader, "check", count)
+        fleet.access.delay_s = round_trip_s / 2
+        random = Random(1)
+        while loop.time() < 60.0:
+            await check_until(fleet, loop.time() + random.uniform(*gap_s), seen)
+            fleet.change_configuration()
+        fleet.stop()
+
+    run(loop, scenario())
+    assert not checked
+
+
 def test_sum_of_all_stages_is_within_the_bound():
     """Guard against a bound that holds only if the stages are not at their worst together.
 
@@ -459,18 +491,22 @@
         + follow_feed.CHECK_S
         + own_read_s
     )
+    # A watch that returns changes proves what was acknowledged before its request; the next one is
+    # sent after a pause, and checked a little later if it returns nothing.
     reader_proof_s = (
         max(
-            follow_store.COALESCE_MAX_MS + read_store.CHECK_WAIT_MS,
-            follow_store.CHECK_AGE_MS,
+            follow_store.CHECK_AGE_MS + follow_store.COALESCE_MS,
+            follow_store.COALESCE_MS + follow_store.COALESCE_MAX_MS,
+            follow_store.COALESCE_PROOF_AGE_MS,
         )
-        / 1000
-    )
+        + read_store.CHECK_WAIT_MS
+    ) / 1000
     silent_store_s = reader_proof_s + PROBE_TIMEOUT_S + own_read_s
     feed_behind_s = follow_feed.FEED_BEHIND_MS / 1000 + follow_feed.CHECK_S + own_read_s
     silent_watch_s = reader_proof_s + own_read_s
     # Whatever a follower does, it checks the store at this age of its proof.
-    any_stage_s = follow_store.FEED_CHECK_AGE_MS / 1000 + own_read_s
+    follower_check_ms = follow_store.FEED_CHECK_AGE_MS + follow_store.FEED_CHECK_SPREAD_MS
+    any_stage_s = follower_check_ms / 1000 + own_read_s
     stages_s = silent_reader_s, silent_store_s, feed_behind_s, silent_watch_s, any_stage_s
     assert max(stages_s) < APPLY_S
     # A follower of a sound reader does not check the store.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -23,6 +23,9 @@
 # bound for applying a change is 2 s.
 COALESCE_MS = 250
 COALESCE_MAX_MS = 750
+# The pause ends at this age of the last proof that all changes are applied, so that followers of a
+# node that reads a slow store do not all check it themselves.
+COALESCE_PROOF_AGE_MS = 1_000
 RETRY_MIN_MS = 100
 RETRY_MAX_MS = 1_000
 # Time for which a node that found no feed or got followers reads the store. While a fleet starts,
@@ -31,10 +34,15 @@
 # Longest time for which a subscriber that cannot reach the store follows another node.
 REFUSED_READER_MS = 15_000
 FEED_SPREAD_MS = 100
-# Age of the last proof that all changes are applied at which a node checks the store. A frame of a
-# feed has the age at its sender, so a follower checks only if its feed does not renew the proof.
+# Age of the last proof that all changes are applied at which a node checks the store.
 CHECK_AGE_MS = 700
-FEED_CHECK_AGE_MS = 1_300
+# The same for a follower. Frames of a sound reader renew the proof before, and the followers of
+# another one do not check all at once.
+FEED_CHECK_AGE_MS = 1_550
+FEED_CHECK_SPREAD_MS = 150
+# Pause after the first check that failed beside a live feed; it doubles up to the maximum.
+FAILED_CHECK_PAUSE_MS = 200
+FAILED_CHECK_PAUSE_MAX_MS = 5_000
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -73,6 +81,8 @@
     followed_feed: bool = False
     # Pause before the next probe of a store that does not respond.
     pause_ms: int = RETRY_MIN_MS
+    # Pause after a check that fails beside a live feed.
+    check_pause_ms: int = FAILED_CHECK_PAUSE_MS
 
     def __attrs_post_init__(self) -> None:
         """Connect the feeds: a follower makes this node read the store by itself."""
@@ -133,6 +143,7 @@
         await self.reader.read()
         self.followed_feed = False
         self.pause_ms = RETRY_MIN_MS
+        self.check_pause_ms = FAILED_CHECK_PAUSE_MS
 
     def reads_store(self) -> bool:
         """Return whether this node reads the store by itself instead of following a feed."""
@@ -151,7 +162,10 @@
         hosts = feed_hosts(self.updater.directory, settings.data_centre, settings.address)
         for host in self.feeds.working_first(hosts):
             self.reader.enter(FollowStage.ASKING, host=host)
-            ended = await self.reader.while_verified(self.feeds.follow(host), FEED_CHECK_AGE_MS)
+            age_ms = FEED_CHECK_AGE_MS + self.random.uniform(0, FEED_CHECK_SPREAD_MS)
+            ended = await self.reader.while_verified(
+                self.feeds.follow(host), age_ms, self.check_beside_feed
+            )
             if ended is not FeedEnd.NOT_BEGUN:
                 self.followed_feed = True
                 # Followers of one node do not all turn to the next one at once.
@@ -161,6 +175,27 @@
                 break
         return FeedEnd.NOT_BEGUN
 
+    async def check_beside_feed(self) -> None:
+        """Check the store, and pause if it cannot answer while a feed is live.
+
+        The sender of the feed may know more: it ends the feed when it loses the store itself. Only
+        a lost history that the sender does not make up for is an error.
+        """
+        try:
+            await self.reader.check()
+        except (StoreFailedError, HistoryExpiredError) as error:
+            if not self.feeds.is_live:
+                raise
+            failed_before = self.check_pause_ms > FAILED_CHECK_PAUSE_MS
+            if failed_before and isinstance(error, HistoryExpiredError):
+                raise
+            self.log.record("store", "check failed beside a feed", reason=str(error))
+            pause_ms = self.check_pause_ms * self.random.uniform(0.5, 1.0)
+            self.check_pause_ms = min(2 * self.check_pause_ms, FAILED_CHECK_PAUSE_MAX_MS)
+            await asyncio.sleep(pause_ms / 1000)
+        else:
+            self.check_pause_ms = FAILED_CHECK_PAUSE_MS
+
     async def regain_access(self) -> None:
         """Probe the store, whenever it does not respond to this node, until it does.
 
@@ -252,7 +287,8 @@
 
     async def pause(self, pause_ms: int) -> None:
         """Wait before the next watch, and remove retained entries in time meanwhile."""
-        ends_ms = self.clock.now_ms() + pause_ms
+        longest_ms = self.view.verified_ms + COALESCE_PROOF_AGE_MS
+        ends_ms = min(self.clock.now_ms() + pause_ms, longest_ms)
         for expires_ms in sorted(self.updater.directory.retained_until_ms.values()):
             if expires_ms >= ends_ms:
                 break
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -65,8 +65,8 @@
         # Entries that expired during an outage of the store may be registered again shortly.
         retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
         self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
-        self.publisher.publish(revision)
         self.record_verified(started_ms)
+        self.publisher.publish(revision)
 
     async def watch(self, wait_ms: int, check_age_ms: int) -> int:
         """Wait for changes of the store and apply them; return how many there were.
@@ -77,7 +77,7 @@
         revision = self.view.revision
         watching = self.store.watch(revision, wait_ms)
         changes = await self.while_verified(
-            watching, check_age_ms, lambda: self.view.revision > revision
+            watching, check_age_ms, self.check, lambda: self.view.revision > revision
         )
         if changes is None:
             self.log.record("store", "watch replaced", revision=self.view.revision)
@@ -98,28 +98,23 @@
     async def while_verified(
         self,
         stage: Coroutine[Any, Any, T],
-        age_ms: int,
+        age_ms: float,
+        check: Callable[[], Coroutine[Any, Any, None]],
         is_over: Callable[[], bool] = lambda: False,
     ) -> T | None:
         """Return the result of a stage, or None if it is over after a check.
 
-        While the stage lasts, check the store whenever the last proof that all changes are applied
-        is older than `age_ms`. Raise StoreFailedError if the store does not respond to a check.
+        While the stage lasts and the store responds to this node, check the store whenever the last
+        proof that all changes are applied is older than `age_ms`. Raise what a check raises.
         """
         running = asyncio.create_task(stage)
         tasks = {running}
         try:
             while True:
-                due_ms = self.view.verified_ms + age_ms - self.clock.now_ms()
-                if self.view.access_lost:
-                    due_ms = age_ms
-                await asyncio.wait({running}, timeout=max(CHECK_WAIT_MS, due_ms) / 1000)
+                await self.wait_until_unverified(running, age_ms)
                 if running.done():
                     return running.result()
-                age_now_ms = self.clock.now_ms() - self.view.verified_ms
-                if self.view.access_lost or age_now_ms < age_ms:
-                    continue
-                checking = asyncio.create_task(self.check())
+                checking = asyncio.create_task(check())
                 tasks = {running, checking}
                 await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
                 if running.done():
@@ -132,6 +127,19 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def wait_until_unverified(self, running: asyncio.Task, age_ms: float) -> None:
+        """Wait until a task is done, or a proof older than `age_ms` can be renewed."""
+        while not running.done():
+            if self.view.access_lost:
+                regained = asyncio.create_task(self.access.wait())
+                await asyncio.wait({running, regained}, return_when=asyncio.FIRST_COMPLETED)
+                regained.cancel()
+                continue
+            due_ms = self.view.verified_ms + age_ms - self.clock.now_ms()
+            await asyncio.wait({running}, timeout=max(CHECK_WAIT_MS, due_ms) / 1000)
+            if self.clock.now_ms() - self.view.verified_ms >= age_ms:
+                return
+
     def apply(self, changes: StoreEvents, started_ms: int) -> int:
         """Apply the changes that are not known yet; return how many the response had.
 
@@ -142,8 +150,11 @@
             if item.revision > self.view.revision:
                 self.apply_event(item)
         self.updater.expire(self.clock.now_ms())
-        self.publisher.publish(max(self.view.revision, changes.revision))
         self.record_verified(started_ms)
+        self.publisher.publish(max(self.view.revision, changes.revision))
+        if not changes.events:
+            # Followers get the proof at once, so that they do not check the store themselves.
+            self.publisher.send_heartbeat()
         return len(changes.events)
 
     def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
