End no feed as complete while its sender retains entries

Callers would see: requests to a server that is gone (DRAIN). Cause: a reader that stopped within 2.8 s after an outage told its followers that they were up to date. The entries that it retained and would remove without a change of the store stayed in use there. Change: such a feed ends as possibly incomplete, and its followers read all items. Result: test_feed_that_ends_beside_retained_entries_is_no_proof[True] fails before and passes.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -173,7 +173,10 @@
         if not self.is_wanted:
             return
         self.log.record("feed", "ended", reason=reason, followers=len(self.followers))
-        frame = encode_frame(FrameKind.FEED_END, reason, self.is_current)
+        # Followers do not know which entries are retained and will be removed without a change of
+        # the store, so they must read all items themselves.
+        was_current = self.is_current and not self.directory.retained_until_ms
+        frame = encode_frame(FrameKind.FEED_END, reason, was_current)
         for connection in self.followers | self.pending.keys():
             connection.send(frame)
         self.followers.clear()
--- a/packages/basilhill_node/tests/test_feed.py
+++ b/packages/basilhill_node/tests/test_feed.py
@@ -239,6 +239,24 @@
     assert follower.stream is None and not reader.publisher.is_wanted
 
 
+@pytest.mark.parametrize("retains", [False, True])
+def test_feed_that_ends_beside_retained_entries_is_no_proof(retains):
+    """Guard against a server that stays in use at followers after an outage of the store.
+
+    A reader that stops while it retains entries never tells that it removed them.
+    """
+    store, reader, follower = FakeStore(), FeedNode("reader"), FeedNode("follower")
+    store.change("1", False)
+    reader.read(store)
+    follower.subscribe(reader)
+    follower.deliver()
+    if retains:
+        reader.updater.replace([], CLOCK.now_ms() + 1_000)
+    reader.publisher.end("the node is stopping")
+    follower.deliver()
+    assert follower.follower.ended_current is not retains
+
+
 def test_node_without_the_store_has_no_feed_to_offer():
     """Guard against followers that take the view of a node which lost the store for current."""
     reader, follower = FeedNode("reader"), FeedNode("follower")
