Walk slow and paused nodes, and stores that fail for a data centre

The walks had no slow stores, slow or paused nodes, reset watches, stale reads, forgotten history or faults of one data centre only, and did not compare routes or the servers that a node must know.

The simulated loop can pause a host: its callbacks wait, received data before timers, while its kernel still accepts connections and data. The store serves its calls apart from the host that waits, can be slow, lose responses and reset connections. The checks of the existing walks move to configuration_checks and also compare the content of each version.

--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -1,10 +1,13 @@
 """Fleet of real nodes on simulated time, network and store."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextvars import copy_context
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextvars import Context, copy_context
+from functools import partial
 from random import Random
+from typing import TypeVar
 
+import orjson
 from attrs import define, field
 from basilhill_node.platform.decoder import PlatformDecoder
 from basilhill_node.platform.http import PlatformDialect
@@ -30,6 +33,8 @@
 STORE_LATENCY_S = 0.004
 READS = build_route("r-read", "/read/", "calendar")
 
+T = TypeVar("T")
+
 
 @define(eq=False)
 class StoreAccess:
@@ -42,13 +47,31 @@
     silences: int = 0
     # Time that requests and responses take in addition, as at a slow VM.
     delay_s: float = 0.0
+    # Time that responses of the store take in addition.
+    slow_s: float = 0.0
+    # Share of the responses that are lost.
+    lost_ratio: float = 0.0
+    # Number of times that all connections were reset.
+    resets: int = 0
+    random: Random = field(factory=lambda: Random(0))
+
+    @property
+    def is_disturbed(self) -> bool:
+        """Return whether any fault is present."""
+        return bool(self.silent or self.refused or self.delay_s or self.slow_s or self.lost_ratio)
+
+    def loses_response(self) -> bool:
+        """Return whether the next response is lost."""
+        return self.lost_ratio > 0 and self.random.random() < self.lost_ratio
 
     def silence(self) -> None:
         self.silent = True
         self.silences += 1
 
     def restore(self) -> None:
+        """End all faults."""
         self.silent = self.refused = False
+        self.delay_s = self.slow_s = self.lost_ratio = 0.0
 
 
 @define(eq=False)
@@ -60,40 +83,69 @@
 
     async def read(self) -> AsyncIterator[StoreItems]:
         """Yield all items; raise StoreFailedError if the store is out of reach."""
-        await self.respond(READ_TIMEOUT_S)
-        items = tuple(decode_item(item) for item in self.state.items.values())
-        yield StoreItems(items, self.state.revision)
+        yield await self.call(self.read_items, READ_TIMEOUT_S)
 
     async def probe(self) -> int:
         """Return the revision; raise StoreFailedError if the store is out of reach."""
-        await self.respond(PROBE_TIMEOUT_S)
-        return self.state.stale_revision()
+        return await self.call(self.read_revision, PROBE_TIMEOUT_S)
 
     async def watch(self, after: int, wait_ms: int) -> StoreEvents:
         """Return the changes after a revision, or none if there are none within `wait_ms`."""
-        return await self.await_changes(after, wait_ms / 1000, wait_ms / 1000 + WATCH_MARGIN_S)
+        wait_s = wait_ms / 1000
+        return await self.call(partial(self.await_changes, after, wait_s), wait_s + WATCH_MARGIN_S)
 
     async def changes(self, after: int) -> StoreEvents:
         """Return the changes after a revision at once."""
-        return await self.await_changes(after, 0.0, PROBE_TIMEOUT_S)
+        return await self.call(partial(self.await_changes, after, 0.0), PROBE_TIMEOUT_S)
+
+    async def call(self, serve: Callable[[], Awaitable[T]], longest_s: float) -> T:
+        """Return the response to a call, which the store serves also while the host is paused.
+
+        The timeouts of a slow VM are late as well.
+        """
+        exchange = asyncio.get_running_loop().create_task(self.exchange(serve), context=Context())
+        try:
+            async with asyncio.timeout(longest_s + 2 * self.delay_s()):
+                return await exchange
+        except TimeoutError as error:
+            raise StoreFailedError(f"store did not respond within {longest_s} s") from error
+
+    async def exchange(self, serve: Callable[[], Awaitable[T]]) -> T:
+        """Return the response of the store, unless it is lost on the way."""
+        resets = self.resets()
+        await asyncio.sleep(STORE_LATENCY_S + self.delay_s())
+        if any(path.refused for path in self.paths):
+            raise StoreFailedError("status 503")
+        if any(path.silent for path in self.paths):
+            await asyncio.Future()
+        response = await serve()
+        await asyncio.sleep(self.delay_s() + sum(path.slow_s for path in self.paths))
+        if any(path.loses_response() for path in self.paths):
+            await asyncio.Future()
+        if resets != self.resets():
+            raise StoreFailedError("the connection was reset")
+        return response
+
+    async def read_items(self) -> StoreItems:
+        items = tuple(decode_item(item) for item in self.state.items.values())
+        return StoreItems(items, self.state.revision)
 
-    async def await_changes(self, after: int, wait_s: float, longest_s: float) -> StoreEvents:
+    async def read_revision(self) -> int:
+        return self.state.stale_revision()
+
+    async def await_changes(self, after: int, wait_s: float) -> StoreEvents:
         loop = asyncio.get_running_loop()
-        started_s = loop.time()
-        silences = self.silences()
-        await self.respond(longest_s)
+        ends_s = loop.time() + max(0.0, wait_s - STORE_LATENCY_S)
+        silences, resets = self.silences(), self.resets()
         while True:
             if after < self.state.oldest_revision:
                 raise HistoryExpiredError(f"no history since revision {after}")
             events = [item for item in self.state.events if item["revision"] > after]
-            left_s = started_s + wait_s - loop.time()
+            left_s = ends_s - loop.time()
             if silences != self.silences():
-                await asyncio.sleep(started_s + longest_s - loop.time())
-                raise StoreFailedError("the response was lost")
-            if events or left_s <= 0:
-                found = StoreEvents(tuple(map(decode_item, events)), self.state.revision)
-                await asyncio.sleep(self.delay_s())
-                return found
+                await asyncio.Future()
+            if events or left_s <= 0 or resets != self.resets():
+                return StoreEvents(tuple(map(decode_item, events)), self.state.revision)
             changed = self.state.changed
             try:
                 async with asyncio.timeout(left_s):
@@ -101,21 +153,15 @@
             except TimeoutError:
                 continue
 
-    async def respond(self, longest_s: float) -> None:
-        """Wait for the store's latency; raise StoreFailedError if it does not respond."""
-        await asyncio.sleep(STORE_LATENCY_S + self.delay_s())
-        if any(path.refused for path in self.paths):
-            raise StoreFailedError("status 503")
-        if any(path.silent for path in self.paths):
-            await asyncio.sleep(longest_s - STORE_LATENCY_S)
-            raise StoreFailedError(f"store did not respond within {longest_s} s")
-
     def delay_s(self) -> float:
         return sum(path.delay_s for path in self.paths)
 
     def silences(self) -> int:
         return sum(path.silences for path in self.paths)
 
+    def resets(self) -> int:
+        return sum(path.resets for path in self.paths)
+
 
 @define(eq=False)
 class SimulatedVm:
@@ -146,6 +192,8 @@
     # Servers that leave by id, with the time of the acknowledgement, in seconds.
     leaving: dict[str, float] = field(factory=dict)
     version: int = 0
+    # Bytes of all versions.
+    contents: dict[int, bytes] = field(factory=dict)
     # Time of the last disturbance of the store, in seconds.
     store_disturbed_s: float = 0.0
 
@@ -192,10 +240,12 @@
         self.store.remove(f"servers/{vm.server_id}")
         self.leaving[vm.server_id] = self.loop.time()
 
-    def change_configuration(self) -> None:
+    def change_configuration(self, *routes: dict) -> None:
         """Write the next version to the store, which acknowledges it at once."""
         self.version += 1
-        self.store.put("op/config", build_configuration(self.version, READS))
+        data = orjson.dumps(build_configuration(self.version, *(routes or (READS,))))
+        self.contents[self.version] = data
+        self.store.put("op/config", data)
         self.acknowledged.append((self.loop.time(), self.version))
 
     async def start(self, vm: SimulatedVm) -> None:
@@ -219,6 +269,12 @@
             self.loop.network.reset(vm.address)
             close_sidecar(vm.node)
             vm.node = None
+            self.loop.resume(vm.address)
+
+    def reset_store_connections(self, access: StoreAccess) -> None:
+        """Cut the watches of one host, or of all hosts."""
+        access.resets += 1
+        self.store.notify_watches(None)
 
     def cut(self, vm: SimulatedVm) -> None:
         """Cut a VM off from all other nodes."""
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
@@ -31,14 +31,86 @@
         return []
 
 
+@define(eq=False)
+class HostStep:
+    """Callback of a host that is or was paused, which waits until the host resumes."""
+
+    loop: "SimulatedLoop"
+    host: str
+    callback: Callable
+    arguments: tuple
+    context: Context
+    is_timer: bool
+    handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        """Run the callback now, or when the host resumes."""
+        if self.host in self.loop.paused:
+            self.loop.paused[self.host].append(self)
+        else:
+            self.callback(*self.arguments)
+
+    def resume(self) -> None:
+        """Run the callback unless one that ran before cancelled it."""
+        if not self.handle.cancelled():
+            self.callback(*self.arguments)
+
+
 class SimulatedLoop(asyncio.SelectorEventLoop):
     """Event loop whose time passes only while all tasks wait."""
 
     def __init__(self) -> None:
         self.simulated = SimulatedSelector()
         self.network = SimulatedNetwork(self)
+        # Callbacks that wait, by paused host.
+        self.paused: dict[str, list[HostStep]] = {}
         super().__init__(self.simulated)
 
+    def pause(self, host: str) -> None:
+        """Stop the process of a host, whose kernel still accepts connections and data."""
+        self.paused.setdefault(host, [])
+        for handle in (*self._ready, *self._scheduled):
+            if not handle.cancelled() and handle._context.get(HOST) == host:
+                is_timer = isinstance(handle, asyncio.TimerHandle)
+                handle._callback, handle._args = (
+                    self.host_step(handle._callback, handle._args, handle._context, is_timer),
+                    (),
+                )
+                handle._callback.handle = handle
+
+    def resume(self, host: str) -> None:
+        """Let the process of a host handle all that it received, then its timers."""
+        for step in sorted(self.paused.pop(host, ()), key=lambda step: step.is_timer):
+            self.call_soon(step.resume, context=step.context)
+
+    def call_soon(
+        self, callback: Callable, *arguments: Any, context: Context | None = None
+    ) -> asyncio.Handle:
+        """Run a callback soon, or when its host resumes."""
+        if not self.paused:
+            return super().call_soon(callback, *arguments, context=context)
+        step = self.host_step(callback, arguments, context, False)
+        step.handle = super().call_soon(step, context=step.context)
+        return step.handle
+
+    def call_at(
+        self, when: float, callback: Callable, *arguments: Any, context: Context | None = None
+    ) -> asyncio.TimerHandle:
+        """Run a callback at a time, or when its host resumes after it."""
+        if not self.paused:
+            return super().call_at(when, callback, *arguments, context=context)
+        step = self.host_step(callback, arguments, context, True)
+        step.handle = super().call_at(when, step, context=step.context)
+        return step.handle
+
+    def host_step(
+        self, callback: Callable, arguments: tuple, context: Context | None, is_timer: bool
+    ) -> HostStep:
+        """Return a callback that waits while the host of its context is paused."""
+        context = copy_context() if context is None else context
+        host = context.get(HOST, "")
+        return HostStep(self, host, callback, arguments, context, is_timer)
+
     def time(self) -> float:
         """Return the simulated time in seconds."""
         return self.simulated.now_s
@@ -90,6 +162,8 @@
     listeners: dict[tuple[str, int], SimulatedServer] = field(factory=dict)
     transports: list["SimulatedTransport"] = field(factory=list)
     cut: set[frozenset[str]] = field(factory=set)
+    # Time that data from and to a host takes in addition, by host.
+    delays_s: dict[str, float] = field(factory=dict)
 
     def listen(self, factory: Callable, host: str, port: int) -> SimulatedServer:
         server = self.listeners[host, port] = SimulatedServer(factory, copy_context())
@@ -110,7 +184,7 @@
         accepted = SimulatedTransport(self, other, host, server.factory(), server.context)
         client.peer, accepted.peer = accepted, client
         self.transports = [one for one in self.transports if not one.closed] + [client, accepted]
-        accepted.context.copy().run(accepted.protocol.connection_made, accepted)
+        accepted.run(accepted.protocol.connection_made, accepted)
         client.protocol.connection_made(client)
         return client, client.protocol
 
@@ -169,10 +243,21 @@
         """Send data to the other end."""
         if not self.closed:
             self.unacknowledged.append((data, self.network.loop.time()))
-            self.schedule(self.deliver)
-
-    def schedule(self, step: Callable) -> None:
-        self.network.loop.call_later(LATENCY_S, step)
+            delays_s = self.network.delays_s
+            delay_s = delays_s.get(self.host, 0.0) + delays_s.get(self.other, 0.0)
+            self.schedule(self.deliver, delay_s)
+
+    def schedule(self, step: Callable, delay_s: float = 0.0) -> None:
+        """Run a step of the network, which goes on while hosts are paused."""
+        self.network.loop.call_later(LATENCY_S + delay_s, step, context=Context())
+
+    def run(self, step: Callable, *arguments: Any) -> None:
+        """Run a step of the process at this end, or let it wait while the process is paused."""
+        loop = self.network.loop
+        if self.host in loop.paused:
+            loop.call_soon(step, *arguments, context=self.context.copy())
+        else:
+            self.context.copy().run(step, *arguments)
 
     def deliver(self) -> None:
         """Deliver the oldest data unless the hosts are cut off from each other."""
@@ -187,7 +272,7 @@
             return
         self.unacknowledged.popleft()
         if not self.peer.closed:
-            self.peer.context.copy().run(self.peer.protocol.data_received, data)
+            self.peer.run(self.peer.protocol.data_received, data)
 
     def abort(self) -> None:
         """Close both ends; the other end learns of it once the hosts reach each other."""
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -6,6 +6,15 @@
 import pytest
 from basilhill.queries.backends import ready_entries
 from basilhill.queries.subscribers import SUBSTITUTES, subscriber_hosts
+from basilhill_fakes.configuration_checks import (
+    APPLY_S,
+    CONTACT_S,
+    check_until,
+    cut_hosts,
+    run,
+    start_fleet,
+    toggle,
+)
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
 from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
 from basilhill_node.platform.store import PROBE_TIMEOUT_S
@@ -19,11 +28,6 @@
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.state import STORE
 
-# Bounds of the strictest platform: a version is in force this long after its acknowledgement, at
-# nodes that nothing has disturbed for `CONTACT_S`.
-APPLY_S = 2.0
-CONTACT_S = 3.0
-CHECK_S = 0.05
 RUN_S = 60.0
 VMS = 6
 SEEDS = range(24)
@@ -50,75 +54,6 @@
     running.close()
 
 
-def run(loop: SimulatedLoop, scenario) -> None:
-    """Run a scenario, then end all tasks that are left."""
-    try:
-        loop.run_until_complete(scenario)
-    finally:
-        tasks = asyncio.all_tasks(loop)
-        for task in tasks:
-            task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-
-
-async def start_fleet(loop: SimulatedLoop, seed: int, data_centres: str) -> SimulatedFleet:
-    fleet = SimulatedFleet(loop, Random(seed))
-    for data_centre in data_centres:
-        fleet.add_vm(data_centre)
-    fleet.change_configuration()
-    for vm in fleet.vms:
-        await fleet.start(vm)
-    return fleet
-
-
-def is_in_touch(fleet: SimulatedFleet, vm: SimulatedVm) -> bool:
-    """Return whether the bounds hold for a VM now."""
-    if vm.node is None:
-        return False
-    calm_since_s = max(vm.disturbed_s, fleet.store_disturbed_s)
-    return fleet.loop.time() - calm_since_s >= CONTACT_S
-
-
-def check_versions(fleet: SimulatedFleet, seen: dict[object, int]) -> None:
-    """Fail if a VM in touch has an older version than it must have, or goes back to one."""
-    now_s = fleet.loop.time()
-    due = max((v for acked_s, v in fleet.acknowledged if acked_s <= now_s - APPLY_S), default=0)
-    for vm in fleet.vms:
-        if vm.node is None:
-            continue
-        version = vm.node.state.active_configuration.version
-        assert version >= seen.get(vm.node, 0), f"{vm.address} went back at {now_s:.2f} s"
-        seen[vm.node] = version
-        if is_in_touch(fleet, vm):
-            assert version >= due, f"{vm.address} has {version}, due is {due} at {now_s:.2f} s"
-            used = ready_entries(vm.node.state.directory, "calendar")
-            late = [one.server_id for one in used if is_due(fleet, one.server_id, now_s)]
-            assert not late, f"{vm.address} uses {late} at {now_s:.2f} s"
-
-
-def is_due(fleet: SimulatedFleet, server_id: str, now_s: float) -> bool:
-    """Return whether a server must count as leaving by now at nodes in touch."""
-    return fleet.leaving.get(server_id, now_s) <= now_s - APPLY_S
-
-
-async def check_until(fleet: SimulatedFleet, end_s: float, seen: dict[object, int]) -> None:
-    while fleet.loop.time() < end_s:
-        await asyncio.sleep(CHECK_S)
-        for vm in fleet.vms:
-            if vm.path.silent or vm.path.refused or vm.address in cut_hosts(fleet):
-                vm.disturbed_s = fleet.loop.time()
-        if fleet.access.silent or fleet.access.refused:
-            fleet.store_disturbed_s = fleet.loop.time()
-        check_versions(fleet, seen)
-
-
-def cut_hosts(fleet: SimulatedFleet) -> set[str]:
-    """Return the hosts that are cut off from all others."""
-    pairs = fleet.loop.network.cut
-    hosts = {host for pair in pairs for host in pair}
-    return {host for host in hosts if sum(host in pair for pair in pairs) == len(fleet.vms) - 1}
-
-
 async def walk(fleet: SimulatedFleet, seed: int, removals: bool = False) -> None:
     """Inject random faults and changes until `RUN_S`, and check all the while.
 
@@ -163,16 +98,6 @@
     fleet.stop()
 
 
-def toggle(access, random: Random) -> None:
-    """End an outage, or begin one of a random kind."""
-    if access.silent or access.refused:
-        access.restore()
-    elif random.random() < 0.7:
-        access.silence()
-    else:
-        access.refused = True
-
-
 @pytest.mark.parametrize("data_centres", ["a" * VMS, "aaabbc"])
 @pytest.mark.parametrize("seed", SEEDS)
 def test_versions_are_in_force_within_the_bound_in_any_order_of_faults(loop, seed, data_centres):
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -0,0 +1,230 @@
+"""Random walks of slow, paused and partly unreachable nodes and stores over simulated time."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import pytest
+from basilhill.queries.subscribers import subscriber_hosts
+from basilhill_fakes.configuration_checks import check_until, run, start_fleet
+from basilhill_fakes.sidecar_fleet import build_route
+from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm, StoreAccess
+from basilhill_fakes.simulated_loop import SimulatedLoop
+
+# Time in which the nodes of a new fleet learn of each other.
+START_S = 3.0
+RUN_S = 60.0
+STEP_S = 0.8
+VMS = 6
+LAYOUTS = ("a" * VMS, "aaaabbbb")
+SEEDS = range(8)
+# The platform's store takes up to 60 times its latency of 4 ms when it is slow.
+SLOW_S = 0.24
+SERVICES = ("calendar", "orders", "search")
+STEPS = (
+    ("change",) * 6
+    + ("leave", "leave", "restart", "entry")
+    + ("store", "data centre", "data centre", "vm", "vm", "vm", "pause", "pause", "pauses")
+    + ("series", "stale", "forget")
+)
+READER_STEPS = tuple(step for step in STEPS if step != "store")
+
+
+@pytest.fixture
+def loop():
+    running = SimulatedLoop()
+    asyncio.set_event_loop(running)
+    yield running
+    asyncio.set_event_loop(None)
+    running.close()
+
+
+def asked_vms(fleet: SimulatedFleet) -> list[SimulatedVm]:
+    """Return the VMs whose nodes others ask for a feed."""
+    directory = fleet.vms[0].node.state.directory
+    return [vm for vm in fleet.vms if vm.address in subscriber_hosts(directory, vm.data_centre)]
+
+
+def random_routes(random: Random) -> list[dict]:
+    """Return routes of which each may be absent, moved to another service or split."""
+    routes = [build_route("r-read", "/read/", "calendar")]
+    for name in ("r-1", "r-2", "r-3", "r-4"):
+        kind = random.choice(("absent", "single", "single", "split"))
+        if kind == "single":
+            routes.append(build_route(name, f"/{name}/", random.choice(SERVICES)))
+        elif kind == "split":
+            split = [{"service": one, "weight": random.randint(1, 9)} for one in SERVICES[:2]]
+            routes.append(build_route(name, f"/{name}/", SERVICES[0], trafficSplit=split))
+    return routes
+
+
+def change(fleet: SimulatedFleet, random: Random) -> None:
+    """Write one version, or several at once."""
+    for _ in range(random.choice((1, 1, 4))):
+        fleet.change_configuration(*random_routes(random))
+
+
+def disturb_access(fleet: SimulatedFleet, accesses: list[StoreAccess], random: Random) -> float:
+    """Begin a random fault on the way to the store; return how long it lasts in seconds."""
+    fault = random.choice(("slow", "slower", "silent", "refused", "lost", "lost watches", "reset"))
+    slow_s, slower_s = random.uniform(0.02, SLOW_S), random.uniform(0.5, 2.0)
+    ratio = random.choice((0.2, 0.5, 1.0))
+    for access in accesses:
+        if fault == "slow":
+            access.slow_s = slow_s
+        elif fault == "slower":
+            access.slow_s = slower_s
+        elif fault == "silent":
+            access.silence()
+        elif fault == "refused":
+            access.refused = True
+        elif fault == "lost":
+            access.lost_ratio = ratio
+        elif fault == "lost watches":
+            access.silences += 1
+        elif fault == "reset":
+            fleet.reset_store_connections(access)
+    return 0.0 if fault in ("lost watches", "reset") else random.uniform(0.3, 9.0)
+
+
+def end_later(fleet: SimulatedFleet, after_s: float, end: Callable[[], None]) -> None:
+    """Call `end` after a time."""
+    fleet.loop.call_later(after_s, end)
+
+
+def disturb_store(fleet: SimulatedFleet, random: Random) -> None:
+    """Disturb the store for all nodes."""
+
+    def end() -> None:
+        fleet.access.restore()
+        fleet.store_disturbed_s = fleet.loop.time()
+
+    end_later(fleet, disturb_access(fleet, [fleet.access], random), end)
+
+
+def disturb_paths(fleet: SimulatedFleet, vms: list[SimulatedVm], random: Random) -> None:
+    """Disturb the way of some nodes to the store."""
+
+    def end() -> None:
+        for vm in vms:
+            vm.path.restore()
+            vm.disturbed_s = max(vm.disturbed_s, fleet.loop.time())
+
+    end_later(fleet, disturb_access(fleet, [vm.path for vm in vms], random), end)
+
+
+def slow_down(fleet: SimulatedFleet, vm: SimulatedVm, random: Random) -> None:
+    """Let all data from and to a VM take longer for a while."""
+    vm.path.delay_s = random.choice((0.05, 0.2, 0.28))
+    fleet.loop.network.delays_s[vm.address] = random.choice((0.05, 0.2, 0.4))
+
+    def end() -> None:
+        vm.path.restore()
+        fleet.loop.network.delays_s.pop(vm.address, None)
+        vm.disturbed_s = max(vm.disturbed_s, fleet.loop.time())
+
+    end_later(fleet, random.uniform(1.0, 12.0), end)
+
+
+def pause(fleet: SimulatedFleet, vm: SimulatedVm, for_s: float) -> None:
+    """Stop the process of a VM for a while."""
+    if vm.node is None or vm.address in fleet.loop.paused:
+        return
+    fleet.loop.pause(vm.address)
+    vm.disturbed_s = max(vm.disturbed_s, fleet.loop.time())
+    node = vm.node
+
+    def end() -> None:
+        if vm.node is node:
+            fleet.loop.resume(vm.address)
+            vm.disturbed_s = max(vm.disturbed_s, fleet.loop.time())
+
+    end_later(fleet, for_s, end)
+
+
+async def take_step(
+    fleet: SimulatedFleet, random: Random, step: str, vms: list[SimulatedVm]
+) -> None:
+    """Make one change or begin one fault at some of the VMs."""
+    vm = random.choice(vms)
+    data_centre = random.choice(sorted({one.data_centre for one in vms}))
+    group = [one for one in vms if one.data_centre == data_centre]
+    if step == "change":
+        change(fleet, random)
+    elif step == "leave":
+        if vm.server_id in fleet.leaving:
+            fleet.start_server(vm)
+        elif random.random() < 0.5:
+            fleet.remove_server(vm)
+        else:
+            fleet.drain_server(vm)
+    elif step == "restart":
+        if vm.node is None:
+            await fleet.start(vm)
+        else:
+            fleet.kill(vm)
+    elif step == "entry":
+        fleet.store.put(f"servers/x-{random.randrange(9)}", b"not an entry")
+    elif step == "store":
+        disturb_store(fleet, random)
+    elif step == "data centre":
+        disturb_paths(fleet, group, random)
+    elif step == "vm":
+        if random.random() < 0.5:
+            disturb_paths(fleet, [vm], random)
+        else:
+            slow_down(fleet, vm, random)
+    elif step == "pause":
+        pause(fleet, vm, random.uniform(0.1, 8.0))
+    elif step == "pauses":
+        for one in random.sample(group, min(3, len(group))):
+            pause(fleet, one, random.uniform(0.5, 6.0))
+    elif step == "series":
+        for number, one in enumerate(random.sample(group, min(3, len(group)))):
+            after_s, for_s = number * random.uniform(0.2, 1.5), random.uniform(0.5, 4.0)
+            fleet.loop.call_later(after_s, pause, fleet, one, for_s)
+    elif step == "stale":
+        fleet.store.stale_s = random.choice((0.0, 0.5, 2.0, 4.0))
+    elif step == "forget":
+        fleet.store.compact_history()
+
+
+async def walk(
+    fleet: SimulatedFleet, seed: int, vms: list[SimulatedVm], steps: tuple[str, ...] = STEPS
+) -> None:
+    """Inject random faults at some VMs and changes until `RUN_S`, and check all the while."""
+    random, seen = Random(seed), {}
+    for access in (fleet.access, *(vm.path for vm in fleet.vms)):
+        access.random = Random(random.random())
+    while fleet.loop.time() < RUN_S:
+        await check_until(fleet, fleet.loop.time() + random.expovariate(1 / STEP_S), seen)
+        await take_step(fleet, random, random.choice(steps), vms)
+    fleet.stop()
+
+
+@pytest.mark.parametrize("data_centres", LAYOUTS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_versions_are_in_force_beside_slow_and_paused_nodes(loop, seed, data_centres):
+    """Guard against nodes in touch that keep an old state beside slow or paused ones."""
+
+    async def scenario() -> None:
+        fleet = await start_fleet(loop, seed, data_centres)
+        await walk(fleet, seed, fleet.vms)
+
+    run(loop, scenario())
+
+
+@pytest.mark.parametrize("data_centres", LAYOUTS)
+@pytest.mark.parametrize("seed", SEEDS)
+def test_versions_are_in_force_where_only_readers_are_disturbed(loop, seed, data_centres):
+    """Guard against sound nodes that keep an old state when their readers fail in any order.
+
+    Faults hit the nodes that others ask for a feed, so the bound holds for the others throughout.
+    """
+
+    async def scenario() -> None:
+        fleet = await start_fleet(loop, seed, data_centres)
+        await check_until(fleet, START_S, {})
+        await walk(fleet, seed, asked_vms(fleet), READER_STEPS)
+
+    run(loop, scenario())
