--- a/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/platform_store.py
@@ -32,6 +32,8 @@
     # Times of the revisions, in order.
     revision_times: list[tuple[float, int]] = field(factory=list)
     reads: int = 0
+    # Items of one page.
+    page_items: int = PAGE_ITEMS
     changed: asyncio.Event = field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -78,7 +80,7 @@
         prefix, after = request.query["prefix"], request.query.get("after", "")
         keys = sorted(key for key in state.items if key.startswith(prefix) and key > after)
         page, size = [], 0
-        while len(page) < min(len(keys), PAGE_ITEMS) and size < PAGE_BYTES:
+        while len(page) < min(len(keys), state.page_items) and size < PAGE_BYTES:
             page.append(state.items[keys[len(page)]])
             size += len(page[-1]["value"])
         more = len(keys) > len(page)
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -82,8 +82,14 @@
     paths: tuple[StoreAccess, ...]
 
     async def read(self) -> AsyncIterator[StoreItems]:
-        """Yield all items; raise StoreFailedError if the store is out of reach."""
-        yield await self.call(self.read_items, READ_TIMEOUT_S)
+        """Yield all items in pages; raise StoreFailedError if the store is out of reach."""
+        after = ""
+        while True:
+            keys, page = await self.call(partial(self.read_items, after), READ_TIMEOUT_S)
+            yield page
+            if len(keys) <= len(page.items):
+                return
+            after = page.items[-1].key
 
     async def probe(self) -> int:
         """Return the revision; raise StoreFailedError if the store is out of reach."""
@@ -126,9 +132,12 @@
             raise StoreFailedError("the connection was reset")
         return response
 
-    async def read_items(self) -> StoreItems:
-        items = tuple(decode_item(item) for item in self.state.items.values())
-        return StoreItems(items, self.state.revision)
+    async def read_items(self, after: str) -> tuple[list[str], StoreItems]:
+        """Return the keys after one, and the first page of their items."""
+        items = self.state.items
+        keys = sorted(key for key in items if key > after)
+        page = tuple(decode_item(items[key]) for key in keys[: self.state.page_items])
+        return keys, StoreItems(page, self.state.revision)
 
     async def read_revision(self) -> int:
         return self.state.stale_revision()
--- a/packages/basilhill_fakes/tests/test_configuration_walks.py
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -5,11 +5,14 @@
 from random import Random
 
 import pytest
+from attrs import define, field
 from basilhill.queries.subscribers import subscriber_hosts
 from basilhill_fakes.configuration_checks import check_until, run, start_fleet
+from basilhill_fakes.platform_store import PAGE_ITEMS
 from basilhill_fakes.sidecar_fleet import build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm, StoreAccess
-from basilhill_fakes.simulated_loop import SimulatedLoop
+from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
+from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 
 # Time in which the nodes of a new fleet learn of each other.
 START_S = 3.0
@@ -18,6 +21,7 @@
 VMS = 6
 LAYOUTS = ("a" * VMS, "aaaabbbb")
 SEEDS = range(8)
+FAILING_METHODS = ("put", "remove", "replace", "apply_configuration")
 # The platform's store takes up to 60 times its latency of 4 ms when it is slow.
 SLOW_S = 0.24
 SERVICES = ("calendar", "orders", "search")
@@ -25,11 +29,47 @@
     ("change",) * 6
     + ("leave", "leave", "restart", "entry")
     + ("store", "data centre", "data centre", "vm", "vm", "vm", "pause", "pause", "pauses")
-    + ("series", "stale", "forget")
+    + ("series", "stale", "forget", "error")
 )
 READER_STEPS = tuple(step for step in STEPS if step != "store")
 
 
+@define(eq=False)
+class FailingUpdaters:
+    """Updaters with the method that fails, and whether it fails after its effect."""
+
+    faults: dict[ViewUpdater, tuple[str, bool]] = field(factory=dict)
+
+    def install(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Let the methods of all updaters fail where a fault is present."""
+        for method in FAILING_METHODS:
+            works = getattr(ViewUpdater, method)
+            monkeypatch.setattr(ViewUpdater, method, self.wrap(method, works))
+
+    def wrap(self, method: str, works: Callable) -> Callable:
+        """Return a method that fails where a fault is present."""
+
+        def work_or_fail(updater: ViewUpdater, *arguments):
+            name, has_effect = self.faults.get(updater, ("", False))
+            if name != method:
+                return works(updater, *arguments)
+            if has_effect:
+                works(updater, *arguments)
+            raise RuntimeError("unexpected")
+
+        return work_or_fail
+
+    def fail(self, fleet: SimulatedFleet, vm: SimulatedVm, random: Random) -> None:
+        """Let the updater of a node fail for a while."""
+        if vm.node is None:
+            return
+        updater, for_s = vm.node.follower.updater, random.uniform(0.2, 5.0)
+        self.faults[updater] = random.choice(FAILING_METHODS), random.random() < 0.5
+        # The bounds do not hold for the node that fails.
+        vm.disturbed_s = max(vm.disturbed_s, fleet.loop.time() + for_s)
+        end_later(fleet, for_s, lambda: self.faults.pop(updater, None))
+
+
 @pytest.fixture
 def loop():
     running = SimulatedLoop()
@@ -39,6 +79,14 @@
     running.close()
 
 
+@pytest.fixture
+def failing(monkeypatch) -> FailingUpdaters:
+    """Return the updaters that fail to apply what their node has decoded."""
+    found = FailingUpdaters()
+    found.install(monkeypatch)
+    return found
+
+
 def asked_vms(fleet: SimulatedFleet) -> list[SimulatedVm]:
     """Return the VMs whose nodes others ask for a feed."""
     directory = fleet.vms[0].node.state.directory
@@ -143,7 +191,11 @@
 
 
 async def take_step(
-    fleet: SimulatedFleet, random: Random, step: str, vms: list[SimulatedVm]
+    fleet: SimulatedFleet,
+    random: Random,
+    step: str,
+    vms: list[SimulatedVm],
+    failing: FailingUpdaters,
 ) -> None:
     """Make one change or begin one fault at some of the VMs."""
     vm = random.choice(vms)
@@ -187,36 +239,43 @@
         fleet.store.stale_s = random.choice((0.0, 0.5, 2.0, 4.0))
     elif step == "forget":
         fleet.store.compact_history()
+    elif step == "error":
+        failing.fail(fleet, vm, random)
 
 
 async def walk(
-    fleet: SimulatedFleet, seed: int, vms: list[SimulatedVm], steps: tuple[str, ...] = STEPS
+    fleet: SimulatedFleet,
+    seed: int,
+    vms: list[SimulatedVm],
+    failing: FailingUpdaters,
+    steps: tuple[str, ...] = STEPS,
 ) -> None:
     """Inject random faults at some VMs and changes until `RUN_S`, and check all the while."""
     random, seen = Random(seed), {}
     for access in (fleet.access, *(vm.path for vm in fleet.vms)):
         access.random = Random(random.random())
+    fleet.store.page_items = random.choice((3, PAGE_ITEMS))
     while fleet.loop.time() < RUN_S:
         await check_until(fleet, fleet.loop.time() + random.expovariate(1 / STEP_S), seen)
-        await take_step(fleet, random, random.choice(steps), vms)
+        await take_step(fleet, random, random.choice(steps), vms, failing)
     fleet.stop()
 
 
 @pytest.mark.parametrize("data_centres", LAYOUTS)
 @pytest.mark.parametrize("seed", SEEDS)
-def test_versions_are_in_force_beside_slow_and_paused_nodes(loop, seed, data_centres):
+def test_versions_are_in_force_beside_slow_and_paused_nodes(loop, failing, seed, data_centres):
     """Guard against nodes in touch that keep an old state beside slow or paused ones."""
 
     async def scenario() -> None:
         fleet = await start_fleet(loop, seed, data_centres)
-        await walk(fleet, seed, fleet.vms)
+        await walk(fleet, seed, fleet.vms, failing)
 
     run(loop, scenario())
 
 
 @pytest.mark.parametrize("data_centres", LAYOUTS)
 @pytest.mark.parametrize("seed", SEEDS)
-def test_versions_are_in_force_where_only_readers_are_disturbed(loop, seed, data_centres):
+def test_versions_are_in_force_where_only_readers_are_disturbed(loop, failing, seed, data_centres):
     """Guard against sound nodes that keep an old state when their readers fail in any order.
 
     Faults hit the nodes that others ask for a feed, so the bound holds for the others throughout.
@@ -225,6 +284,105 @@
     async def scenario() -> None:
         fleet = await start_fleet(loop, seed, data_centres)
         await check_until(fleet, START_S, {})
-        await walk(fleet, seed, asked_vms(fleet), READER_STEPS)
+        await walk(fleet, seed, asked_vms(fleet), failing, READER_STEPS)
+
+    run(loop, scenario())
+
+
+@pytest.mark.parametrize("slow_s", [0.1, SLOW_S])
+@pytest.mark.parametrize("seed", range(2))
+def test_store_slowed_to_its_usual_limit_delays_no_version(loop, seed, slow_s):
+    """Guard against a bound that holds only beside a store that responds at once.
+
+    The checks do not excuse the slow store.
+    """
+
+    async def scenario() -> None:
+        fleet, seen, random = await start_fleet(loop, seed, LAYOUTS[1]), {}, Random(seed)
+        await check_until(fleet, 20.0, seen)
+        slow_responses(fleet, slow_s)
+        while loop.time() < RUN_S:
+            change(fleet, random)
+            await check_until(fleet, loop.time() + random.uniform(0.1, 2.5), seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+def slow_responses(fleet: SimulatedFleet, slow_s: float) -> None:
+    """Let the store respond slowly, without an excuse for any node."""
+    slow = StoreAccess(slow_s=slow_s)
+    for vm in fleet.vms:
+        reader = vm.node.follower.reader
+        reader.store.paths = (*reader.store.paths, slow)
+
+
+@pytest.mark.parametrize("up_s", [0.2, 1.0, 3.0])
+@pytest.mark.parametrize("seed", range(2))
+def test_reader_that_restarts_again_and_again_delays_no_version(loop, seed, up_s):
+    """Guard against followers that lose time with each restart of the node they follow."""
+
+    async def scenario() -> None:
+        fleet, seen, random = await start_fleet(loop, seed, LAYOUTS[0]), {}, Random(seed)
+        await check_until(fleet, 20.0, seen)
+        (reader,) = asked_vms(fleet)[:1]
+        while loop.time() < RUN_S:
+            fleet.kill(reader)
+            change(fleet, random)
+            await check_until(fleet, loop.time() + random.uniform(0.05, 1.0), seen)
+            await fleet.start(reader)
+            change(fleet, random)
+            await check_until(fleet, loop.time() + random.uniform(0.5, 1.0) * up_s, seen)
+        fleet.stop()
 
     run(loop, scenario())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_follower_of_a_node_that_begins_to_follow_misses_no_change(loop, monkeypatch, seed):
+    """Guard against changes that a node with followers learns from a feed and does not send.
+
+    The node had read the store and served a follower while it connected to its own reader. Once it
+    read the store again, its heartbeats proved a revision whose changes the follower never got.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, LAYOUTS[0]), {}
+        await check_until(fleet, 20.0, seen)
+        hosts = subscriber_hosts(fleet.vms[0].node.state.directory, "a")
+        by_host = {vm.address: vm for vm in fleet.vms}
+        reader, middle = by_host[hosts[0]], by_host[hosts[1]]
+        first, second = [vm for vm in fleet.vms if vm.address not in hosts][:2]
+        connect_slowly(monkeypatch, middle.address, 0.45)
+        fleet.kill(middle)
+        await fleet.start(middle)
+        await check_until(fleet, 20.1, seen)
+        leave_reader(first, reader)
+        await check_until(fleet, 20.5, seen)
+        fleet.change_configuration()
+        fleet.remove_server(second)
+        await check_until(fleet, 20.6, seen)
+        leave_reader(second, reader)
+        await check_until(fleet, 30.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+def leave_reader(vm: SimulatedVm, reader: SimulatedVm) -> None:
+    """Let a follower leave its reader and ask another node, as after an unresponsive feed."""
+    feeds = vm.node.follower.feeds
+    feeds.failed_ms[reader.address] = feeds.clock.now_ms()
+    feeds.stop()
+
+
+def connect_slowly(monkeypatch: pytest.MonkeyPatch, from_host: str, connect_s: float) -> None:
+    """Let the connections that a host opens to peers take longer."""
+    connect = SimulatedNetwork.connect
+
+    async def wait_and_connect(self, factory, host, other, port):
+        if host == from_host:
+            await asyncio.sleep(connect_s)
+        return await connect(self, factory, host, other, port)
+
+    monkeypatch.setattr(SimulatedNetwork, "connect", wait_and_connect)
