End the feed of a node that begins to follow another one

Cause: a node that has read the store counts as its reader while it asks other nodes for a feed, so it serves followers. If it then follows a feed, it does not send on what it learns, and clears it. Once it reads the store again, because another node subscribes, its heartbeats have the revision after these changes and the age of its own proof. Change: publishing to followers while not reading the store ends their feed, and they read the store.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -148,6 +148,9 @@
                 self.history_start = self.history[0][0] + 1
             self.history.append((revision, frozenset(changed_ids)))
         if not self.is_current:
+            if self.followers:
+                # A later heartbeat would prove this revision to followers without these changes.
+                self.end("this node follows another one")
             return
         if self.followers and (changed_ids or version_is_new):
             configuration = self.active_configuration.raw if version_is_new else b""
