--- a/packages/basilhill_fakes/tests/test_configuration_walks.py
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -369,6 +369,22 @@
     run(loop, scenario())
 
 
+async def retain_entry(
+    fleet: SimulatedFleet, vm: SimulatedVm, leaving: SimulatedVm, seen: dict[object, int]
+) -> None:
+    """Remove a server while a node reaches nothing, and wait until the node retains its entry."""
+    vm.path.silence()
+    fleet.cut(vm)
+    await check_until(fleet, 25.0, seen)
+    fleet.remove_server(leaving)
+    await check_until(fleet, 26.0, seen)
+    vm.path.restore()
+    vm.disturbed_s = fleet.loop.time()
+    while leaving.server_id not in vm.node.state.directory.retained_until_ms:
+        await check_until(fleet, fleet.loop.time() + 0.01, seen)
+    fleet.reconnect(vm)
+
+
 def leave_reader(vm: SimulatedVm, reader: SimulatedVm) -> None:
     """Let a follower leave its reader and ask another node, as after an unresponsive feed."""
     feeds = vm.node.follower.feeds
@@ -386,3 +402,52 @@
         return await connect(self, factory, host, other, port)
 
     monkeypatch.setattr(SimulatedNetwork, "connect", wait_and_connect)
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_entry_retained_by_a_follower_is_removed_in_time(loop, seed):
+    """Guard against a server that stays in use since its entry was retained after an outage.
+
+    Only readers of the store removed retained entries. A node that lost the store again meanwhile
+    followed a feed for up to 15 s, whose sender had removed the server before.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, LAYOUTS[0]), {}
+        await check_until(fleet, 20.0, seen)
+        hosts = subscriber_hosts(fleet.vms[0].node.state.directory, "a")
+        follower, leaving = [vm for vm in fleet.vms if vm.address not in hosts][:2]
+        await retain_entry(fleet, follower, leaving, seen)
+        follower.path.refused = True
+        await check_until(fleet, 32.0, seen)
+        follower.path.restore()
+        follower.disturbed_s = loop.time()
+        await check_until(fleet, 45.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_entry_retained_by_a_reader_does_not_return_at_its_followers(loop, seed):
+    """Guard against followers that use a removed server again after a frame of its reader.
+
+    The reader had lost the store while the server was removed, and retained its entry. A complete
+    frame does not tell such an entry from one that is registered.
+    """
+
+    async def scenario() -> None:
+        fleet, seen = await start_fleet(loop, seed, LAYOUTS[0]), {}
+        await check_until(fleet, 20.0, seen)
+        hosts = subscriber_hosts(fleet.vms[0].node.state.directory, "a")
+        reader = next(vm for vm in fleet.vms if vm.address == hosts[0])
+        leaving = [vm for vm in fleet.vms if vm.address not in hosts][0]
+        await retain_entry(fleet, reader, leaving, seen)
+        for vm in fleet.vms:
+            if vm is not reader:
+                vm.node.follower.feeds.failed_ms.clear()
+                vm.node.publisher.end("other nodes read the store")
+        await check_until(fleet, 40.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
