Remove retained entries by a timer, whatever the node follows

Cause: only a node that read the store removed the entries that it had retained after an outage. One that lost the store again meanwhile followed a feed for up to 15 s. Change: a timer of 0.1 s removes them.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -109,14 +109,15 @@
         if changed or missing:
             self.entries_changed(changed | missing)
 
-    def expire(self, now_ms: int) -> None:
-        """Remove the retained servers that were not registered again after an outage."""
+    def expire(self, now_ms: int) -> set[str]:
+        """Remove the retained servers that were not registered again; return their ids."""
         expired = expire_retained(self.directory, now_ms)
         if expired:
             self.log.record(
                 "servers", "removed, not registered after outage", servers=sorted(expired)
             )
             self.entries_changed(expired)
+        return expired
 
     def apply_change(self, entry: BackendEntry, source: str) -> None:
         """Log a new or changed server; update the slots if it is the local backend server."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -43,6 +43,7 @@
 # Pause after the first check that failed beside a live feed; it doubles up to the maximum.
 FAILED_CHECK_PAUSE_MS = 200
 FAILED_CHECK_PAUSE_MAX_MS = 5_000
+EXPIRY_INTERVAL_S = 0.1
 # Pause while no server is listed, as when a whole fleet starts. One watch then returns the
 # registrations of many servers, and the node can follow a feed.
 COLD_START_S = (1.0, 1.5)
@@ -273,6 +274,7 @@
             )
             wait_ms = WATCH_MS
             if earliest_expiry_ms is not None:
+                # Then this node can follow a feed again.
                 wait_ms = max(1, min(WATCH_MS, earliest_expiry_ms - self.clock.now_ms()))
             if self.publisher.pending:
                 # Shows immediately whether the store responds.
@@ -286,17 +288,19 @@
             await self.pause(pause_ms)
 
     async def pause(self, pause_ms: int) -> None:
-        """Wait before the next watch, and remove retained entries in time meanwhile."""
+        """Wait before the next watch, so that it returns a group of changes."""
         longest_ms = self.view.verified_ms + COALESCE_PROOF_AGE_MS
         ends_ms = min(self.clock.now_ms() + pause_ms, longest_ms)
-        for expires_ms in sorted(self.updater.directory.retained_until_ms.values()):
-            if expires_ms >= ends_ms:
-                break
-            await asyncio.sleep(max(0, expires_ms - self.clock.now_ms()) / 1000)
-            self.updater.expire(self.clock.now_ms())
-            self.publisher.publish(self.view.revision)
         await asyncio.sleep(max(0, ends_ms - self.clock.now_ms()) / 1000)
 
+    def expire_retained(self) -> None:
+        """Remove the retained entries that were not registered again in time.
+
+        This is done by a timer, since a node can follow a feed before they expire.
+        """
+        if self.updater.expire(self.clock.now_ms()):
+            self.publisher.publish(self.view.revision)
+
     def yields_to_subscribers(self) -> bool:
         """Send followers of a node that is no subscriber to the subscribers of the data centre.
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -149,7 +149,6 @@
         for item in changes.events:
             if item.revision > self.view.revision:
                 self.apply_event(item)
-        self.updater.expire(self.clock.now_ms())
         self.record_verified(started_ms)
         self.publisher.publish(max(self.view.revision, changes.revision))
         if not changes.events:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -22,7 +22,7 @@
 from basilhill_node.sidecar.commands.execute_call import ADJUST_INTERVAL_S, CallExecutor
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
 from basilhill_node.sidecar.commands.follow_feed import FeedFollower
-from basilhill_node.sidecar.commands.follow_store import StoreFollower
+from basilhill_node.sidecar.commands.follow_store import EXPIRY_INTERVAL_S, StoreFollower
 from basilhill_node.sidecar.commands.publish_feed import HEARTBEAT_S, FeedPublisher
 from basilhill_node.sidecar.commands.read_store import StoreReader
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
@@ -262,6 +262,7 @@
 
     for interval_s, step in (
         (HEARTBEAT_S, node.publisher.send_heartbeat),
+        (EXPIRY_INTERVAL_S, node.follower.expire_retained),
         (CLEANUP_INTERVAL_S, clean_up),
         (CHECK_INTERVAL_S, node.peers.check_busy),
         (ADJUST_INTERVAL_S, node.executor.adjust_admission_level),
