Send no retained entries to followers as registered ones

Cause: a reader that had lost the store while a server was removed retained its entry, and sent it in frames with all entries to followers that knew of the removal. Change: frames leave out retained entries; a node that retains some has no list of all entries to offer, and the node that asks reads the store.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/publish_feed.py
@@ -86,6 +86,11 @@
                 configuration = self.active_configuration.raw
             complete = not self.history_start <= subscription.revision <= self.view.revision
             changed: set[str] = set()
+            if complete and self.directory.retained_until_ms:
+                # A list cannot tell the retained entries from those that are registered.
+                reason = "entries are retained after an outage"
+                connection.send(encode_frame(FrameKind.FEED_END, reason, False))
+                continue
             if complete:
                 changed.update(self.directory.entries)
             else:
@@ -106,9 +111,13 @@
         self.pending.clear()
 
     def encode_feed(self, server_ids: set[str], configuration: bytes, complete: bool) -> bytes:
-        """Return a FEED frame with the current entries of servers, or their removals."""
+        """Return a FEED frame with the current entries of servers, or their removals.
+
+        Retained entries are left out: a follower may know that they are removed.
+        """
         now_ms, entries = self.clock.now_ms(), self.directory.entries
-        rows = [encode_entry(entries[key], now_ms) for key in server_ids if key in entries]
+        registered = server_ids & entries.keys() - self.directory.retained_until_ms.keys()
+        rows = [encode_entry(entries[key], now_ms) for key in registered]
         removed_ids = [key for key in server_ids if key not in entries]
         return encode_frame(
             FrameKind.FEED,
