End the retention of entries also while a node follows a feed

Callers saw: calls to a server that had left more than 10 s before, from a node in touch. Cause: only readers of the store ended the retention of entries. A node that lost the store again while it retained some followed a feed, whose sender had removed them before; since it stays with that feed when the store responds, up to 15 s. Change: each frame of a feed ends the retentions that are over.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -170,6 +170,8 @@
                 self.updater.put(entry, source)
             for server_id in feed.removed_ids:
                 self.updater.remove(server_id, source)
+        # This node may have lost the store while it retained entries.
+        self.updater.expire(now_ms)
         self.applied(feed.revision)
         if was_listed and not self.lists_local_server():
             self.store_in_doubt = True
