Send the new proof to followers as soon as a check has returned

Callers saw: nothing; the store saw checks of all followers while it was slow. Cause: a check renewed the reader's proof, and followers got it with the next heartbeat. With a store that takes 0.24 s, the age of the proof at a follower passed the limit of 1.3 s (0.7 + 0.24 + 0.4 s). Change: a heartbeat follows each check.

--- a/packages/basilhill_fakes/tests/test_configuration_walks.py
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -7,10 +7,10 @@
 from random import Random
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 from basilhill.queries.subscribers import subscriber_hosts
 from basilhill_fakes.configuration_checks import check_until, run, start_fleet
-from basilhill_fakes.platform_store import PAGE_ITEMS
+from basilhill_fakes.platform_store import PAGE_ITEMS, PlatformStoreState
 from basilhill_fakes.sidecar_fleet import build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedStore, SimulatedVm, StoreAccess
 from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
@@ -575,3 +575,55 @@
 
     run(loop, scenario())
     assert calls.total() <= CALM_S / (CHECK_AGE_MS / 1000) + 2 * CALM_S / change_s + 4
+
+
+@pytest.mark.parametrize("slow_s", [0.1, SLOW_S])
+def test_checks_of_a_slow_store_do_not_grow_with_the_followers(loop, monkeypatch, slow_s):
+    """Guard against followers that check a slow store since the proof of their reader is late."""
+    calls = count_calls(monkeypatch)
+
+    async def scenario() -> None:
+        fleet = await start_fleet(loop, 1, "a" * 64)
+        await asyncio.sleep(40.0 - loop.time())
+        fleet.access.slow_s = slow_s
+        calls.clear()
+        await asyncio.sleep(CALM_S)
+        fleet.stop()
+
+    run(loop, scenario())
+    assert calls.total() <= CALM_S / (CHECK_AGE_MS / 1000) + 6
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_node_that_changes_to_a_store_behind_its_feed_does_not_go_back(loop, seed):
+    """Guard against a node that returns to an old state when it leaves a feed for the store."""
+
+    async def scenario() -> None:
+        fleet, seen, random = await start_fleet(loop, seed, LAYOUTS[0]), {}, Random(seed)
+        await check_until(fleet, 20.0, seen)
+        behind = copy_state(fleet.store)
+        follower = next(vm for vm in fleet.vms if vm.node.state.store.source != STORE)
+        fleet.remove_server(next(vm for vm in fleet.vms if vm is not follower))
+        change(fleet, random)
+        await check_until(fleet, 21.0, seen)
+        store = follower.node.follower.reader.store
+        current, store.state = store.state, behind
+        # The bounds do not hold for the node whose store is behind.
+        follower.disturbed_s = loop.time() + RUN_S
+        while loop.time() < 30.0:
+            follower.node.follower.feeds.stop()
+            change(fleet, random)
+            await check_until(fleet, loop.time() + random.uniform(0.1, 1.5), seen)
+            entries = follower.node.state.directory.entries
+            assert not [one for one in entries if one in fleet.leaving]
+        store.state, follower.disturbed_s = current, loop.time()
+        await check_until(fleet, 40.0, seen)
+        fleet.stop()
+
+    run(loop, scenario())
+
+
+def copy_state(state: PlatformStoreState) -> PlatformStoreState:
+    """Return a store that stays in the state of now."""
+    items, events = dict(state.items), list(state.events)
+    return evolve(state, items=items, events=events, changed=asyncio.Event())
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -94,6 +94,8 @@
         started_ms = self.clock.now_ms()
         changes = await self.store.changes(self.view.revision)
         self.apply(changes, started_ms)
+        # Followers would check the store as well if its response and the next heartbeat are late.
+        self.publisher.send_heartbeat()
 
     async def while_verified(
         self,
