Keep the connection of a client that reads slowly

Callers saw: a client that pipelines and reads slowly is cut after idleTimeoutS though it takes bytes all the time, and the responses to its other requests are lost. Cause: a connection that waits for its client counted the time since the last response was written, not since the client took a byte. Two more faults of the class: the head of a request beyond the limit of 32 pipelined ones is read in part, then reading is paused, and the request times out with 408 because of this pause; a client that takes nothing and sends nothing further, or a part of a request, was never cut. A connection whose socket still holds bytes is not idle. A full pipeline is not read, so its requests do not time out. Calls to connections with nothing unsent do not ask the socket.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -21,6 +21,7 @@
     parsed_header,
 )
 from basilhill_node.sidecar.periodic import repeat
+from basilhill_node.sidecar.queries.send_queue import read_send_queue
 from basilhill_node.sidecar.segments import Buffer, SegmentProtocol
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -125,6 +126,10 @@
         # A connection opened while the node is leaving is closed only after its first response.
         self.has_responded = False
         self.last_activity_ms = server.clock.now_ms()
+        # Bytes of responses that the client had taken at the last check, and the time of the last
+        # response or of the last check that found progress.
+        self.taken_bytes = 0
+        self.taken_ms = self.last_activity_ms
         # Bytes received without the end of a line, a chunk or a head. The parser holds them, and
         # they are counted from the second segment on, because one segment can end several requests.
         self.pending_bytes = 0
@@ -333,7 +338,7 @@
         close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
         self.transport.writelines(encode_response(response, exchange.bodiless, close))
         self.has_responded = True
-        self.last_activity_ms = self.server.clock.now_ms()
+        self.last_activity_ms = self.taken_ms = self.server.clock.now_ms()
         if close:
             self.reading_done = True
             for dropped in self.exchanges:
@@ -364,13 +369,34 @@
 
     def enforce_timeouts(self, now_ms: int, limits: RequestLimits) -> None:
         """Close the connection if it is idle, or if the client sends or reads too slowly."""
+        if self.takes_nothing(now_ms, limits):
+            self.transport.abort()
+            return
         inactive_ms = now_ms - self.last_activity_ms
         if self.reading and self.held_request.paused and inactive_ms > limits.header_ms:
             retry_after = Header("retry-after", str(MEMORY_RETRY_S))
             self.reject(503, "the node has no memory for the body", retry_after)
-        elif self.reading and inactive_ms > limits.header_ms:
+        elif self.awaits_request() and inactive_ms > limits.header_ms:
             self.reject(408, "the request did not arrive in time")
-        elif not self.exchanges and inactive_ms > limits.idle_ms:
+        elif not self.exchanges and now_ms - self.idle_since_ms() > limits.idle_ms:
             self.transport.close()
-        elif not self.writable.is_set() and inactive_ms > limits.idle_ms:
-            self.transport.abort()
+
+    def idle_since_ms(self) -> int:
+        """Return the time of the last progress in either direction."""
+        return max(self.last_activity_ms, self.taken_ms)
+
+    def awaits_request(self) -> bool:
+        """Return whether the rest of a request is expected; a full pipeline is not read."""
+        return self.reading and len(self.exchanges) < PIPELINE_LIMIT
+
+    def takes_nothing(self, now_ms: int, limits: RequestLimits) -> bool:
+        """Return whether the client has taken no part of its responses for the idle time."""
+        idle = now_ms - self.idle_since_ms() > limits.idle_ms
+        if not idle and not self.transport.get_write_buffer_size():
+            # The system may still hold bytes, but asking it for each connection would be expensive.
+            return False
+        queue = read_send_queue(self.transport)
+        if queue.pending and queue.taken_bytes != self.taken_bytes:
+            self.taken_ms = now_ms
+        self.taken_bytes = queue.taken_bytes
+        return queue.pending and now_ms - self.taken_ms > limits.idle_ms
--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server: framing, order, limits, disconnected clients and shutdown."""
 
 import asyncio
+import socket
 from contextlib import asynccontextmanager
 
 import pytest
@@ -14,6 +15,10 @@
 
 ADDRESS = "127.0.0.1"
 LIMITS = RequestLimits(header_bytes=2_000, body_bytes=1_000, header_ms=300, idle_ms=600)
+# Size of a response that the buffers of sockets do not hold, and the rate of a slow reader, which
+# takes longer than `LIMITS.idle_ms` for one such response.
+LARGE_BYTES = 8 << 20
+SLOW_BYTES_PER_S = 6 << 20
 
 
 class Recorder:
@@ -33,9 +38,15 @@
         return HttpResponse(200, body=request.path.encode() + request.body)
 
 
+async def respond_large(request: HttpRequest) -> HttpResponse:
+    """Respond with `LARGE_BYTES` to a path that begins with `/large`, otherwise with the path."""
+    large = request.path.startswith("/large")
+    return HttpResponse(200, body=bytes(LARGE_BYTES) if large else request.path.encode())
+
+
 @asynccontextmanager
-async def served():
-    recorder, clock = Recorder(), SystemClock()
+async def served(handler=None):
+    recorder, clock = handler or Recorder(), SystemClock()
     server = HttpServer(recorder, lambda: LIMITS, clock, EventLog(clock))
     await server.start(ADDRESS, 0)
     port = server.server.sockets[0].getsockname()[1]
@@ -145,6 +156,76 @@
         assert 0.5 < loop.time() - started < 1.5
 
 
+@asynccontextmanager
+async def narrow_connection(port: int):
+    """Open a connection whose client buffers little, so that its reading decides the progress."""
+    narrow = socket.socket()
+    narrow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+    narrow.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(narrow, (ADDRESS, port))
+    reader, writer = await asyncio.open_connection(sock=narrow, limit=64 << 10)
+    yield reader, writer
+    writer.close()
+
+
+async def read_slowly(reader: asyncio.StreamReader) -> tuple[int, bytes]:
+    """Read at `SLOW_BYTES_PER_S` until the end; return the size and the last 64 KB."""
+    loop = asyncio.get_running_loop()
+    received, end, started_s = 0, b"", loop.time()
+    while part := await reader.read(64 << 10):
+        received += len(part)
+        end = (end + part)[-(64 << 10) :]
+        await asyncio.sleep(max(0, started_s + received / SLOW_BYTES_PER_S - loop.time()))
+    return received, end
+
+
+async def test_slow_reader_that_pipelines_gets_all_responses():
+    """Guard against a client that is cut though it takes bytes of its responses all the time."""
+    async with served(respond_large) as (_, _, port), narrow_connection(port) as (reader, writer):
+        writer.write(get("/large/1") + get("/large/2") + get("/last", "Connection: close"))
+        received, end = await read_slowly(reader)
+        assert received > 2 * LARGE_BYTES and end.endswith(b"/last")
+
+
+async def test_slow_reader_that_pipelines_beyond_the_limit_gets_all_responses():
+    """Guard against a request that times out because the server itself has paused its reading."""
+    async with served(respond_large) as (_, _, port), narrow_connection(port) as (reader, writer):
+        padding = "A: " + "x" * 1_500
+        writer.write(get("/large"))
+        for number in range(2 * http_server.PIPELINE_LIMIT):
+            writer.write(get(f"/{number}", padding))
+        writer.write(get("/last", "Connection: close"))
+        received, end = await read_slowly(reader)
+        assert b"408" not in end
+        assert received > LARGE_BYTES and end.endswith(b"/last")
+
+
+async def test_request_behind_a_response_that_is_read_slowly_is_served():
+    """Guard against a connection closed as idle while its client still takes a response."""
+    async with served(respond_large) as (_, server, port), narrow_connection(port) as streams:
+        reader, writer = streams
+        writer.write(get("/large"))
+        await reader.readuntil(b"\r\n\r\n")
+        left = LARGE_BYTES
+        while left:
+            left -= len(await reader.read(min(left, 64 << 10)))
+            # The rest that only the system holds takes longer than the idle time.
+            await asyncio.sleep(0 if server.unsent_bytes() else 0.02)
+        writer.write(get("/last", "Connection: close"))
+        assert (await reader.read()).endswith(b"/last")
+
+
+@pytest.mark.parametrize("behind", [b"", get("/1"), b"GET /0 HTTP/1.1\r\nHost"])
+async def test_client_that_takes_nothing_is_cut(behind):
+    """Guard against a client that holds responses for longer than it may be idle."""
+    async with served(respond_large) as (_, server, port), narrow_connection(port) as (_, writer):
+        writer.write(get("/large") + behind)
+        await asyncio.sleep(0.3)
+        assert server.unsent_bytes() and server.connections
+        await asyncio.sleep(1.0)
+        assert not server.unsent_bytes() and not server.connections
+
+
 async def test_leaving_server_completes_requests_and_closes():
     """Guard against requests in progress that are aborted by a graceful shutdown."""
     async with served() as (_, server, port):
