--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -38,6 +38,7 @@
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import CHECK_INTERVAL_S, PeerStreams
 from basilhill_node.sidecar.periodic import repeat
+from basilhill_node.sidecar.process_signals import handled_signals
 from basilhill_node.sidecar.queries.exposition import exposition
 from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import (
@@ -231,20 +232,19 @@
 
 async def run_sidecar(node: Sidecar, reloader: SettingsReloader | None = None) -> None:
     """Run a node until SIGTERM or SIGINT, then shut it down gracefully."""
-    await start_sidecar(node)
-    loop = asyncio.get_running_loop()
+    handlers = {signal.SIGTERM: node.stopped.set, signal.SIGINT: node.stopped.set}
     if reloader is not None:
         node.state.lifecycle.spawn(reloader.run())
-        loop.add_signal_handler(signal.SIGHUP, reloader.reload_requested.set)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stopped.set)
-    # Objects that exist after start-up remain until the process exits, so garbage collection can
-    # skip them.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    await node.stopped.wait()
-    await leave(node)
+        handlers[signal.SIGHUP] = reloader.reload_requested.set
+    with handled_signals(handlers, asyncio.get_running_loop().call_soon_threadsafe):
+        await start_sidecar(node)
+        # Objects that exist after start-up remain until the process exits, so garbage collection
+        # can skip them.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        await node.stopped.wait()
+        await leave(node)
 
 
 async def start_sidecar(node: Sidecar) -> None:
