Use a server whose address an entry of another writer claims

Callers saw: 503 for every request to servers whose address is in an entry of another writer with a later `born`, for as long as the entry is there. Cause: of all entries with one address, only the one with the latest start time was used, also if its service gets no calls, it drains, or the server at the address refuses its id. Change: queries/backends.is_replaced decides. A later entry still replaces earlier ones of its service at once, as after a restart. An entry of another service, a draining one, or one whose id was refused at the address (421) replaces no server that was not refused. The node beside the server refuses later calls to such an id with the reason no-server, so that each origin learns it without a call that reaches the server; these refusals don't count as refusals for lack of a slot.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -36,5 +36,11 @@
     # Start times of the servers that stated in a response that they leave, by id. An entry with the
     # same start time counts as draining, whatever the store lists.
     leaving: dict[str, int] = field(factory=dict)
-    # Id of the last started server at each address; entries of earlier ones stay until they expire.
-    newest_by_address: dict[str, str] = field(factory=dict)
+    # Listed servers at each address, the last started one first; entries of earlier ones stay until
+    # they expire.
+    newest_by_address: dict[str, list[BackendEntry]] = field(factory=dict)
+    # Ids that the server at their address has refused as not its own. Until the entry of such an id
+    # is removed or has another start time, it yields to any other entry with the same address.
+    refuted: set[str] = field(factory=set)
+    # Listed servers that get no calls because another one has their address.
+    replaced: set[str] = field(factory=set)
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -5,6 +5,7 @@
 from attrs import evolve
 
 from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.queries.backends import is_replaced
 
 REMOVED_ENTRIES_LIMIT = 1_000
 
@@ -17,6 +18,8 @@
     if entry.server_id in directory.leaving:
         entry = evolve(entry, draining=True)
     before = directory.entries.get(entry.server_id)
+    if before is not None and before.started_ms != entry.started_ms:
+        directory.refuted.discard(entry.server_id)
     directory.entries[entry.server_id] = entry
     directory.retained_until_ms.pop(entry.server_id, None)
     directory.removed_entries.pop(entry.server_id, None)
@@ -24,25 +27,53 @@
     if before is not None:
         directory.services[before.service].remove(before)
     group.append(entry)
-    if before is not None and before.address != entry.address:
-        update_newest(directory, before.address)
-    update_newest(directory, entry.address, entry)
+    if before is not None:
+        remove_address(directory, before)
+    add_address(directory, entry)
     return before is None or evolve(before, warm_until_ms=entry.warm_until_ms) != entry
 
 
-def update_newest(
-    directory: BackendDirectory, address: str, added: BackendEntry | None = None
-) -> None:
-    """Update the id of the last started server at an address after an addition or a removal."""
-    known = directory.entries.get(directory.newest_by_address.get(address, ""))
-    if added is not None and (known is None or known.started_ms <= added.started_ms):
-        directory.newest_by_address[address] = added.server_id
-    elif known is None or known.address != address:
-        listed = [entry for entry in directory.entries.values() if entry.address == address]
-        directory.newest_by_address.pop(address, None)
-        if listed:
-            newest = max(listed, key=lambda entry: entry.started_ms)
-            directory.newest_by_address[address] = newest.server_id
+def add_address(directory: BackendDirectory, entry: BackendEntry) -> None:
+    """List a server at its address."""
+    listed = directory.newest_by_address.setdefault(entry.address, [])
+    listed.insert(0, entry)
+    listed.sort(key=lambda one: one.started_ms, reverse=True)
+    update_replaced(directory, entry.address)
+
+
+def remove_address(directory: BackendDirectory, entry: BackendEntry) -> None:
+    """Remove a server from those at its address."""
+    listed = directory.newest_by_address[entry.address]
+    listed.remove(entry)
+    directory.replaced.discard(entry.server_id)
+    if listed:
+        update_replaced(directory, entry.address)
+    else:
+        del directory.newest_by_address[entry.address]
+
+
+def update_replaced(directory: BackendDirectory, address: str) -> None:
+    """Determine again which of the servers at an address get no calls because of another one."""
+    for entry in directory.newest_by_address[address]:
+        if is_replaced(directory, entry):
+            directory.replaced.add(entry.server_id)
+        else:
+            directory.replaced.discard(entry.server_id)
+
+
+def refute_entry(directory: BackendDirectory, server_id: str) -> bool:
+    """Record that a server refused an id as not its own; return whether another entry gains by it.
+
+    An id alone at its address is not recorded: there is no other server to use in its place.
+    """
+    entry = directory.entries.get(server_id)
+    if entry is None or server_id in directory.refuted:
+        return False
+    if len(directory.newest_by_address[entry.address]) == 1:
+        return False
+    directory.refuted.add(server_id)
+    update_replaced(directory, entry.address)
+    return True
 
 
 def remove_entry(directory: BackendDirectory, server_id: str) -> bool:
@@ -52,7 +83,8 @@
     if entry is None:
         return False
     directory.services[entry.service].remove(entry)
-    update_newest(directory, entry.address)
+    remove_address(directory, entry)
+    directory.refuted.discard(server_id)
     directory.removed_entries[server_id] = entry
     if len(directory.removed_entries) > REMOVED_ENTRIES_LIMIT:
         oldest_id = next(iter(directory.removed_entries))
--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -11,13 +11,11 @@
     node reports that the store is unreachable. Any other expired server has left, also if it was
     the only one of its service.
 
-    After a restart of the fleet, the entries of the previous servers expire seconds later. Of the
-    entries with the same address, only that of the last started server is used.
     """
     ready = [
         entry
         for entry in directory.services.get(service, ())
-        if not entry.draining and directory.newest_by_address.get(entry.address) == entry.server_id
+        if not entry.draining and entry.server_id not in directory.replaced
     ]
     if directory.detached_addresses:
         deregistered = deregistered_entries(directory, service)
@@ -33,12 +31,31 @@
     return [
         entry
         for entry in directory.removed_entries.values()
-        if entry.service == service
-        and not entry.draining
-        and entry.address not in directory.newest_by_address
+        if entry.service == service and not entry.draining and not is_replaced(directory, entry)
     ]
 
 
+def is_replaced(directory: BackendDirectory, entry: BackendEntry) -> bool:
+    """Return whether a server gets no calls because another one is listed at its address.
+
+    After a restart of the fleet, the entries of the previous servers expire seconds later, so that
+    the last started server of a service replaces the earlier ones. Any client of the store can
+    write an entry with the address of a server, though. Therefore an entry of another service, a
+    draining one, or one whose id was refused at the address replaces no server that was not
+    refused.
+    """
+    refuted, is_later = entry.server_id in directory.refuted, True
+    for other in directory.newest_by_address.get(entry.address, ()):
+        if other.server_id == entry.server_id:
+            is_later = False
+        elif (other.server_id in directory.refuted) is not refuted:
+            if refuted:
+                return True
+        elif is_later and other.service == entry.service and not other.draining:
+            return True
+    return False
+
+
 def is_leaving(directory: BackendDirectory, server_id: str) -> bool:
     """Return whether a server gets no new calls, because it is draining or was deregistered."""
     entry = directory.entries.get(server_id)
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -341,6 +341,39 @@
     assert statuses[-1] == 200
 
 
+async def test_entries_with_the_address_of_real_servers_hide_none(fleet):
+    """Guard against servers that get no calls because another writer claims their addresses."""
+    claims = ({"state": "draining"}, {"service": "no-such-service"}, {"service": "deposits"}, {})
+    for number, vm in enumerate(fleet.vms):
+        for kind, claim in enumerate(claims):
+            entry = vm.entry(born=100 - kind, **claim)
+            fleet.store.put(f"servers/claim-{number}-{kind}", entry)
+    await fleet.wait_converged(3)
+    statuses = []
+    for _ in range(5):
+        for vm in fleet.vms:
+            statuses.append((await fleet.send_attempt(vm, "/read/x")).status)
+            statuses.append((await fleet.send_attempt(vm, "/write/x", "POST", b"1")).status)
+    # Servers refuse each of the 6 false ids of called services once; two refusals lead to a 503.
+    assert statuses.count(503) <= 3 and set(statuses[10:]) == {200}
+    for vm in fleet.vms:
+        assert vm.server.runs and sum((vm.server.arrivals - vm.server.runs).values()) <= 3
+
+
+async def test_reborn_server_takes_over_its_address_at_once(fleet):
+    """Guard against calls to the server that had the address before."""
+    for vm in fleet.vms:
+        vm.server.server_id = f"{vm.server.server_id}-reborn"
+        fleet.register(vm, born=2)
+    await fleet.wait_converged(3)
+    for vm in fleet.vms:
+        assert (await fleet.send_attempt(vm, "/read/x")).status == 200
+        assert (await fleet.send_attempt(vm, "/write/x", "POST", b"1")).status == 200
+    # Each request reached one server only, since none was refused.
+    assert sum(sum(vm.server.arrivals.values()) for vm in fleet.vms) == 2 * len(fleet.vms)
+    assert all(vm.server.arrivals == vm.server.runs for vm in fleet.vms)
+
+
 async def test_request_lost_on_a_keep_alive_connection_counts_as_a_retry(fleet):
     """Guard against attempts beyond the retry budget while servers reset instead of responding."""
     for _ in range(3):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -9,6 +9,7 @@
     expire_retained,
     mark_leaving,
     put_entry,
+    refute_entry,
     remove_entry,
     replace_entries,
 )
@@ -86,6 +87,11 @@
         if mark_leaving(self.directory, server_id):
             self.log.record("servers", "states that it leaves", server=server_id)
 
+    def record_refuted(self, server_id: str) -> None:
+        """Use the other servers at an address after its server refused an id as not its own."""
+        if refute_entry(self.directory, server_id):
+            self.log.record("servers", "is not at its address", server=server_id)
+
     def remove(self, server_id: str, source: str) -> None:
         if remove_entry(self.directory, server_id):
             remove_target(self.origin.loads, server_id)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -117,7 +117,7 @@
         if is_leaving(self.directory, call.server_id):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
         if call.server_id in self.state.misdirected_ids:
-            return not_run(Reason.LEAVING, f"the server is no longer {call.server_id}")
+            return not_run(Reason.NO_SERVER, f"the server is not {call.server_id}")
         return None
 
     def slow_refusal(self, call: Execute, now_ms: int) -> Refusal | None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -34,6 +34,9 @@
 SERVER_ERROR = 500
 # Refusals by a backend server itself, which count as arrivals at that server.
 SERVER_REFUSALS = (Reason.MISDIRECTED, Reason.SERVER_REFUSED)
+# Refusals of an id that the server at the address of its entry does not have: the first one by the
+# server, later ones by the node beside it.
+NOT_AT_ADDRESS = (Reason.MISDIRECTED, Reason.NO_SERVER)
 # A server without a free slot is not chosen for this time while other servers have free capacity.
 REFUSAL_BACKOFF_MS = 50
 # A server that has become too slow for its calls is not chosen for this time.
@@ -58,6 +61,8 @@
     clock: Clock
     # Called with the id of a server that states that it leaves.
     leaving_stated: Callable[[str], None] = field(default=lambda _id: None)
+    # Called with an id that the server at its address refused as not its own.
+    refuted: Callable[[str], None] = field(default=lambda _id: None)
 
     async def send(self, opened: OpenRequest, entry: BackendEntry) -> Outcome:
         """Send a request to one server and record the outcome in the load table."""
@@ -149,9 +154,11 @@
             self.record_reached(opened, entry, reason is Reason.SERVER_REFUSED)
         elif reason is Reason.TOO_SLOW:
             opened.slow += 1
-        else:
+        elif reason not in NOT_AT_ADDRESS:
             opened.refused += 1
-        if reason in (Reason.LEAVING, Reason.MISDIRECTED):
+        if reason in NOT_AT_ADDRESS:
+            self.refuted(entry.server_id)
+        if reason is Reason.LEAVING or reason in NOT_AT_ADDRESS:
             record_refusal(target, now_ms, STALE_ENTRY_MS)
         elif reason is Reason.TOO_SLOW:
             record_refusal(target, now_ms, SLOW_BACKOFF_MS)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -179,6 +179,7 @@
         dialect,
         clock,
         updater.record_leaving,
+        updater.record_refuted,
     )
     origin = Origin(
         settings,
