Keep the slots of a server whose address another entry claims

Callers saw: a node passes one call at a time to its server, or more than the server has slots, once an entry of another writer has the address of the server. Cause: every changed entry with the address of the local server set its slots, whatever its service, state or id. Change: the slots are those of the entry that is in use at the address (queries/backends.server_at), also after an entry was removed or its id was refused; a node learns a refused id from its own server, too. An entry of the same service with a later start counts as the server until the first call to it is refused; with few slots it gets that call only once the other servers are busy.

--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -35,6 +35,16 @@
     ]
 
 
+def server_at(directory: BackendDirectory, address: str, service: str) -> BackendEntry | None:
+    """Return the listed server of a service at an address; a draining one only if it is alone."""
+    listed = [
+        entry
+        for entry in directory.newest_by_address.get(address, ())
+        if entry.service == service and entry.server_id not in directory.replaced
+    ]
+    return min(listed, key=lambda entry: entry.draining, default=None)
+
+
 def is_replaced(directory: BackendDirectory, entry: BackendEntry) -> bool:
     """Return whether a server gets no calls because another one is listed at its address.
 
--- a/packages/basilhill_fakes/tests/test_sidecar.py
+++ b/packages/basilhill_fakes/tests/test_sidecar.py
@@ -360,6 +360,21 @@
         assert vm.server.runs and sum((vm.server.arrivals - vm.server.runs).values()) <= 3
 
 
+async def test_entry_of_another_writer_does_not_change_the_slots_of_a_server(fleet):
+    """Guard against a server that gets one call at a time, or more calls than it has slots."""
+    vm = fleet.vms[0]
+    slots = vm.node.state.executor.slots
+    fleet.register(fleet.vms[1], state="draining")
+    for number, claim in enumerate(({"service": "deposits"}, {"state": "draining"}, {})):
+        fleet.store.put(f"servers/claim-{number}", vm.entry(slots=1, born=9, **claim))
+        await fleet.wait_converged(3)
+        # The last claim may be the server until the server refuses its id.
+        assert (await fleet.send_attempt(fleet.vms[2], "/read/x")).status == 200
+        assert slots.slots == 4
+    fleet.register(vm, slots=7)
+    await fleet.wait_until(lambda: slots.slots == 7)
+
+
 async def test_reborn_server_takes_over_its_address_at_once(fleet):
     """Guard against calls to the server that had the address before."""
     for vm in fleet.vms:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -15,6 +15,7 @@
 )
 from basilhill.commands.balancing import remove_target
 from basilhill.commands.levels import set_highest
+from basilhill.queries.backends import server_at
 from basilhill.queries.configuration import least_urgent_rank
 
 from basilhill_node.sidecar.event_log import EventLog
@@ -91,11 +92,13 @@
         """Use the other servers at an address after its server refused an id as not its own."""
         if refute_entry(self.directory, server_id):
             self.log.record("servers", "is not at its address", server=server_id)
+            self.update_slots()
 
     def remove(self, server_id: str, source: str) -> None:
         if remove_entry(self.directory, server_id):
             remove_target(self.origin.loads, server_id)
             self.log.record("servers", "removed", server=server_id, source=source)
+            self.update_slots()
             self.entries_changed({server_id})
 
     def replace(
@@ -109,6 +112,7 @@
         for server_id in changed:
             self.apply_change(self.directory.entries[server_id], source)
         if missing:
+            self.update_slots()
             event = "missing, retained" if retained_until_ms else "removed"
             self.log.record("servers", event, servers=sorted(missing), source=source)
         self.entries_replaced()
@@ -119,6 +123,7 @@
         """Remove the retained servers that were not registered again after an outage."""
         expired = expire_retained(self.directory, now_ms)
         if expired:
+            self.update_slots()
             self.log.record(
                 "servers", "removed, not registered after outage", servers=sorted(expired)
             )
@@ -138,4 +143,11 @@
             source=source,
         )
         if entry.address == self.settings.backend_address:
+            self.update_slots()
+
+    def update_slots(self) -> None:
+        """Use the slots of the local backend server; those of its last entry if it has none."""
+        settings = self.settings
+        entry = server_at(self.directory, settings.backend_address, settings.service)
+        if entry is not None:
             self.executor.slots.slots = entry.slots
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -66,6 +66,8 @@
     log: EventLog
     # Called with the id of a server that states that it leaves.
     leaving_stated: Callable[[str], None] = field(default=lambda _id: None)
+    # Called with an id that the server refused as not its own.
+    refuted: Callable[[str], None] = field(default=lambda _id: None)
     # Timer for the next token of a server with a rate limit.
     token_timer: asyncio.TimerHandle | None = None
 
@@ -253,6 +255,7 @@
             connection.record_refusal(call.request_id)
             if outcome.error.reason is Reason.MISDIRECTED:
                 self.state.misdirected_ids.add(call.server_id)
+                self.refuted(call.server_id)
         self.state.pool.release(connection)
         return outcome
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -164,6 +164,7 @@
         clock,
         log,
         updater.record_leaving,
+        updater.record_refuted,
     )
     feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
     reader = StoreReader(store, decoder, updater, publisher, state.store, clock, log)
