Drop the refused ids of servers that are no longer listed

Callers saw: nothing yet; the memory of a node grows with each server id that its server has refused. Cause: ExecutorState.misdirected_ids lost an id only when its entry changed. Change: the periodic cleanup drops the ids that are not listed; calls to removed ids are refused anyway.

--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
@@ -161,6 +161,9 @@
         """Return the number of bytes that are not delivered."""
         return sum(len(data) for data, _ in self.unacknowledged)
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Accept any limits; the protocol is never paused."""
+
     def is_closing(self) -> bool:
         """Return whether this end is closed."""
         return self.closed
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -287,6 +287,7 @@
     expire_crash_records(state.executor.poison_requests, now_ms)
     retain_routes(state.executor.times, route_names(state.active_configuration.configuration))
     directory = state.directory
+    state.executor.misdirected_ids.intersection_update(directory.entries)
     retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
     node.peers.drop_unused()
 
