Keep hashes of refused request ids instead of the ids

Callers saw: nothing yet; clients choose the ids, and each connection to a server kept up to 256 of them, each as long as a head allows. Cause: the bound of refused_ids counted elements, not bytes. Change: a connection keeps the hashes. Two ids with the same hash cost a new connection, nothing else.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -92,9 +92,10 @@
         self.bodiless = False
         self.usable = True
         self.requests = 0
-        # Ids of requests that the server refused on this connection. A late second copy of such a
-        # refusal would look like the response to a retry with the same id.
-        self.refused_ids: set[str] = set()
+        # Hashes of the ids of requests that the server refused on this connection. A late second
+        # copy of such a refusal would look like the response to a retry with the same id. The ids
+        # themselves can be as long as a head.
+        self.refused_ids: set[int] = set()
         self.received_eof = False
         self.idle_since_ms = clock.now_ms()
         self.idle_ms = IDLE_MS
@@ -267,7 +268,7 @@
 
     def record_refusal(self, request_id: str) -> None:
         """Record that the server refused a request on this connection."""
-        self.refused_ids.add(request_id)
+        self.refused_ids.add(hash(request_id))
         if len(self.refused_ids) >= MAX_REFUSED_IDS:
             self.usable = False
 
@@ -339,7 +340,7 @@
         """
         while self.idle:
             connection = self.idle.pop()
-            if request_id in connection.refused_ids:
+            if hash(request_id) in connection.refused_ids:
                 self.idle.append(connection)
                 break
             if connection.is_reusable(longest_idle_ms):
--- a/packages/basilhill_node/tests/test_call_executor.py
+++ b/packages/basilhill_node/tests/test_call_executor.py
@@ -1,8 +1,10 @@
 """Tests of the slots of a backend server while calls wait and are cancelled."""
 
 import asyncio
+import sys
 
 import pytest
+from attrs import evolve
 from basilhill.backends import BackendDirectory
 from basilhill.clocks import SystemClock
 from basilhill.commands.slots import release_slot
@@ -108,6 +110,27 @@
         executor.state.pool.close()
 
 
+async def test_long_ids_of_refused_requests_are_not_kept():
+    """Guard against connections that hold up to 256 ids of the length that clients choose."""
+
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nBasilhill-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+
+    executor = new_executor(1)
+    pool = executor.state.pool
+    async with serve_streams(handle) as pool.address:
+        for number in range(MAX_REFUSED_IDS // 2):
+            refused = await executor.execute(evolve(call(number), request_id=f"{number:08000}"))
+            assert refused.error.reason is Reason.SERVER_REFUSED
+        (connection,) = pool.idle
+        assert len(connection.refused_ids) == MAX_REFUSED_IDS // 2
+        assert sum(map(sys.getsizeof, connection.refused_ids)) < 100 * MAX_REFUSED_IDS
+        pool.close()
+
+
 async def test_ids_of_refused_requests_do_not_accumulate():
     """Guard against a connection that holds the id of each request that its server ever refused."""
 
