--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -66,6 +66,8 @@
     log: EventLog
     # Called with the id of a server that states that it leaves.
     leaving_stated: Callable[[str], None] = field(default=lambda _id: None)
+    # Called with an id that the server refused as not its own.
+    refuted: Callable[[str], None] = field(default=lambda _id: None)
     # Timer for the next token of a server with a rate limit.
     token_timer: asyncio.TimerHandle | None = None
 
@@ -117,7 +119,7 @@
         if is_leaving(self.directory, call.server_id):
             return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
         if call.server_id in self.state.misdirected_ids:
-            return not_run(Reason.LEAVING, f"the server is no longer {call.server_id}")
+            return not_run(Reason.NO_SERVER, f"the server is not {call.server_id}")
         return None
 
     def slow_refusal(self, call: Execute, now_ms: int) -> Refusal | None:
@@ -253,6 +255,7 @@
             connection.record_refusal(call.request_id)
             if outcome.error.reason is Reason.MISDIRECTED:
                 self.state.misdirected_ids.add(call.server_id)
+                self.refuted(call.server_id)
         self.state.pool.release(connection)
         return outcome
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -38,6 +38,7 @@
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import CHECK_INTERVAL_S, PeerStreams
 from basilhill_node.sidecar.periodic import repeat
+from basilhill_node.sidecar.process_signals import handled_signals
 from basilhill_node.sidecar.queries.exposition import exposition
 from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import (
@@ -163,6 +164,7 @@
         clock,
         log,
         updater.record_leaving,
+        updater.record_refuted,
     )
     feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
     reader = StoreReader(store, decoder, updater, publisher, state.store, clock, log)
@@ -178,6 +180,7 @@
         dialect,
         clock,
         updater.record_leaving,
+        updater.record_refuted,
     )
     origin = Origin(
         settings,
@@ -232,20 +235,19 @@
 
 async def run_sidecar(node: Sidecar, reloader: SettingsReloader | None = None) -> None:
     """Run a node until SIGTERM or SIGINT, then shut it down gracefully."""
-    await start_sidecar(node)
-    loop = asyncio.get_running_loop()
+    handlers = {signal.SIGTERM: node.stopped.set, signal.SIGINT: node.stopped.set}
     if reloader is not None:
         node.state.lifecycle.spawn(reloader.run())
-        loop.add_signal_handler(signal.SIGHUP, reloader.reload_requested.set)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, node.stopped.set)
-    # Objects that exist after start-up remain until the process exits, so garbage collection can
-    # skip them.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    await node.stopped.wait()
-    await leave(node)
+        handlers[signal.SIGHUP] = reloader.reload_requested.set
+    with handled_signals(handlers, asyncio.get_running_loop().call_soon_threadsafe):
+        await start_sidecar(node)
+        # Objects that exist after start-up remain until the process exits, so garbage collection
+        # can skip them.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        await node.stopped.wait()
+        await leave(node)
 
 
 async def start_sidecar(node: Sidecar) -> None:
@@ -287,6 +289,7 @@
     expire_crash_records(state.executor.poison_requests, now_ms)
     retain_routes(state.executor.times, route_names(state.active_configuration.configuration))
     directory = state.directory
+    state.executor.misdirected_ids.intersection_update(directory.entries)
     retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
     node.peers.drop_unused()
 
