Apply a change of the settings file that comes during a start

Callers saw: a node that keeps its old settings until the next change or SIGHUP, because the file changed while the node started. Cause: the reloader read the file again at its own start and took these bytes for the active settings. A file that was missing at this moment ended the task without a log line. Change: the reloader gets the bytes from which the settings were decoded.

--- a/packages/basilhill_node/src/basilhill_node/platform/program.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/program.py
@@ -30,7 +30,7 @@
     clock = SystemClock()
     store = PlatformStore.at(settings.ok.store_address, clock)
     node = build_sidecar(settings.ok, store, PlatformDecoder(), PlatformDialect(), clock)
-    reloader = SettingsReloader(path, decode_settings, settings.ok, node.state.log)
+    reloader = SettingsReloader(path, decode_settings, settings.ok, node.state.log, data)
     await run_sidecar(node, reloader)
     return 0
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/reload_settings.py
@@ -38,12 +38,12 @@
     decode: Callable[[bytes], Result[SidecarSettings, str]]
     settings: SidecarSettings
     log: EventLog
+    # Contents of the file from which the settings were read last.
+    data: bytes
     reload_requested: asyncio.Event = field(factory=asyncio.Event)
-    data: bytes = b""
 
     async def run(self) -> None:
         """Reload after a SIGHUP or when the file has changed, until cancelled."""
-        self.data = self.path.read_bytes()
         while True:
             try:
                 async with asyncio.timeout(POLL_S):
--- a/packages/basilhill_node/tests/test_platform_program.py
+++ b/packages/basilhill_node/tests/test_platform_program.py
@@ -15,6 +15,11 @@
 from random import Random
 
 import pytest
+from basilhill.clocks import SystemClock
+from basilhill_node.platform.settings import decode_settings
+from basilhill_node.sidecar.commands import reload_settings
+from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
+from basilhill_node.sidecar.event_log import EventLog
 
 PROGRAM = (sys.executable, "-m", "basilhill_node.platform")
 # The metrics port is fixed, so each test run uses a separate address.
@@ -131,6 +136,23 @@
     assert time.monotonic() - started < 4
 
 
+async def test_change_of_the_file_during_the_start_is_applied(tmp_path, monkeypatch):
+    """Guard against a node that keeps the settings of its start if they change before it polls."""
+    monkeypatch.setattr(reload_settings, "POLL_S", 0.02)
+    started = json.dumps(settings([1, 2, 3, 4, 5]))
+    changed = json.loads(started)
+    changed["terms"]["bounds"]["retryBudgetRatio"] = 0.1
+    file = tmp_path / "settings.json"
+    file.write_text(json.dumps(changed))
+    active = decode_settings(started.encode()).ok
+    log = EventLog(SystemClock())
+    reloader = SettingsReloader(file, decode_settings, active, log, data=started.encode())
+    task = asyncio.create_task(reloader.run())
+    await asyncio.sleep(0.2)
+    task.cancel()
+    assert active.retry_ratio == 0.1
+
+
 def wait_for_program(pid: int) -> None:
     """Wait until the program holds signals, or has begun to import what it depends on."""
     process = Path(f"/proc/{pid}")
