Bound the complete messages that a node holds

Cause: beyond its limit the account still read the first incomplete message. Once it was complete and waited for its server or its client, the next one was the first, so any number of messages was read. The test missed it, because its random steps rarely complete several messages: 40 messages of 640 bytes, read one after the other, held 25,600 bytes where the limit is 1,000.

Change: the first message waits too while complete messages hold more than 1.5 times the limit. A response waits for complete responses only, since requests need theirs to end.

Cost: slow readers of large responses now delay other large responses, and requests that hold as much while their servers all send large bodies through the same node wait until the header timeout refuses some as not run.

--- a/packages/basilhill/src/basilhill/commands/memory.py
+++ b/packages/basilhill/src/basilhill/commands/memory.py
@@ -21,7 +21,9 @@
 
 def hold_complete(account: MemoryAccount, message: HeldMessage, size: int) -> None:
     """Record the size of a complete message, which is held until it is released."""
+    was_complete = message not in account.reading
     account.reading.discard(message)
+    account.complete_bytes[message.kind] += size - (message.size if was_complete else 0)
     account.held_bytes += size - message.size
     message.size = size
     message.paused = False
--- a/packages/basilhill/src/basilhill/memory.py
+++ b/packages/basilhill/src/basilhill/memory.py
@@ -6,6 +6,8 @@
 
 # Shorter messages are not counted: their number is bounded by that of the connections.
 SMALL_MESSAGE_BYTES = 64 << 10
+# Complete messages may hold this multiple of the limit before the first incomplete one waits too.
+COMPLETE_LIMIT_FACTOR = 1.5
 
 
 class MessageKind(IntEnum):
@@ -30,11 +32,14 @@
 class MemoryAccount:
     """Bytes of all large messages that a node holds, and the incomplete ones.
 
-    Beyond `limit_bytes` only the first incomplete message is read further. The node then holds at
-    most the limit and one message of the largest size that it accepts.
+    Beyond `limit_bytes` only the first incomplete message is read further. It waits too
+    while complete messages, which end without it, hold more than `COMPLETE_LIMIT_FACTOR` times the
+    limit. Requests need their responses to end, so a response waits for complete responses only.
     """
 
     limit_bytes: int
     held_bytes: int = 0
+    # Bytes of the complete messages by kind.
+    complete_bytes: dict[MessageKind, int] = field(factory=lambda: dict.fromkeys(MessageKind, 0))
     sequence: int = 0
     reading: set[HeldMessage] = field(factory=set)
--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -1,14 +1,33 @@
 """Read the memory that messages take."""
 
-from basilhill.memory import HeldMessage, MemoryAccount
+from basilhill.memory import COMPLETE_LIMIT_FACTOR, HeldMessage, MemoryAccount, MessageKind
 
 
 def may_read(account: MemoryAccount, message: HeldMessage) -> bool:
-    """Return whether an incomplete message may be read further.
+    """Return whether an incomplete message may be read further."""
+    return account.held_bytes <= account.limit_bytes or message is first_readable(account)
 
-    One message is always read: if all waited, none would end and free its memory.
+
+def first_readable(account: MemoryAccount) -> HeldMessage | None:
+    """Return the message that is read although the account is full, None if there is none.
+
+    If all incomplete messages waited for each other, none would end and free its memory.
     """
-    return account.held_bytes <= account.limit_bytes or message is first_message(account)
+    first = first_message(account)
+    if first is None or complete_bytes_before(account, first) > full_bytes(account):
+        return None
+    return first
+
+
+def complete_bytes_before(account: MemoryAccount, message: HeldMessage) -> int:
+    """Return the bytes of the complete messages that end without an incomplete one."""
+    if message.kind is MessageKind.RESPONSE:
+        return account.complete_bytes[MessageKind.RESPONSE]
+    return sum(account.complete_bytes.values())
+
+
+def full_bytes(account: MemoryAccount) -> float:
+    return account.limit_bytes * COMPLETE_LIMIT_FACTOR
 
 
 def first_message(account: MemoryAccount) -> HeldMessage | None:
@@ -24,5 +43,5 @@
     """Return the paused messages that may be read further."""
     if account.held_bytes <= account.limit_bytes:
         return [message for message in account.reading if message.paused]
-    first = first_message(account)
+    first = first_readable(account)
     return [first] if first is not None and first.paused else []
