Let large bodies between nodes wait at their sender for memory

Cause: frames between nodes (up to 80 MB) were outside the account of memory. Their reading cannot wait, since a silent stream counts as lost and carries other calls.

Change: a body above 64 KB is offered with its size, granted once the account of its receiver has room, and sent in parts ahead of its frame, at most 256 KB of them on their way. Until EXECUTE is sent the call has not run. PING and PONG state the version of the frames; a node without it ignores the field and gets whole frames, as an old node closes a stream with an unknown kind or a longer HELLO. Bodies up to 64 KB go as before. The test of silent peers now counts only PINGs sent after its call, because a stream sends one when it opens.

--- a/packages/basilhill/src/basilhill/commands/memory.py
+++ b/packages/basilhill/src/basilhill/commands/memory.py
@@ -10,13 +10,32 @@
 
 def resize_incomplete(account: MemoryAccount, message: HeldMessage, size: int) -> None:
     """Record the size of an incomplete message, and whether its reading must wait."""
+    add_incomplete(account, message)
+    account.held_bytes += size - message.size
+    message.size = size
+    message.paused = not may_read(account, message)
+
+
+def announce_message(account: MemoryAccount, message: HeldMessage, size: int) -> None:
+    """Record an incomplete message whose sender waits until all its bytes are granted."""
+    add_incomplete(account, message)
+    message.announced = size
+    message.paused = True
+
+
+def add_incomplete(account: MemoryAccount, message: HeldMessage) -> None:
     if message not in account.reading:
         account.sequence += 1
         message.sequence = account.sequence
         account.reading.add(message)
-    account.held_bytes += size - message.size
-    message.size = size
-    message.paused = not may_read(account, message)
+
+
+def resume_message(account: MemoryAccount, message: HeldMessage) -> None:
+    """Record that a message is read further, or that its announced bytes are granted."""
+    account.held_bytes += message.announced
+    message.size += message.announced
+    message.announced = 0
+    message.paused = False
 
 
 def hold_complete(account: MemoryAccount, message: HeldMessage, size: int) -> None:
@@ -26,6 +45,7 @@
     account.complete_bytes[message.kind] += size - (message.size if was_complete else 0)
     account.held_bytes += size - message.size
     message.size = size
+    message.announced = 0
     message.paused = False
 
 
--- a/packages/basilhill/src/basilhill/memory.py
+++ b/packages/basilhill/src/basilhill/memory.py
@@ -20,11 +20,15 @@
 
 @define(eq=False)
 class HeldMessage:
-    """Message of which a node holds `size` bytes; `paused` is whether its reading waits."""
+    """Message of which a node holds `size` bytes; `paused` is whether its reading waits.
+
+    `announced` bytes wait at another node until they are granted, which charges them as held.
+    """
 
     kind: MessageKind
     sequence: int = 0
     size: int = 0
+    announced: int = 0
     paused: bool = False
 
 
@@ -32,7 +36,7 @@
 class MemoryAccount:
     """Bytes of all large messages that a node holds, and the incomplete ones.
 
-    Beyond `limit_bytes` only the first incomplete message is read further. It waits too
+    Beyond `limit_bytes` only the first incomplete message is read further or granted. It waits too
     while complete messages, which end without it, hold more than `COMPLETE_LIMIT_FACTOR` times the
     limit. Requests need their responses to end, so a response waits for complete responses only.
     """
--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -40,8 +40,17 @@
 
 
 def readable_again(account: MemoryAccount) -> list[HeldMessage]:
-    """Return the paused messages that may be read further."""
-    if account.held_bytes <= account.limit_bytes:
-        return [message for message in account.reading if message.paused]
-    first = first_readable(account)
-    return [first] if first is not None and first.paused else []
+    """Return the paused messages that may be read further, in the order of reading.
+
+    Announced bytes count as held, so that no more is granted than there is room for.
+    """
+    first, held_bytes, readable = first_readable(account), account.held_bytes, []
+    for message in sorted(filter(is_paused, account.reading), key=reading_order):
+        if held_bytes + message.announced <= account.limit_bytes or message is first:
+            held_bytes += message.announced
+            readable.append(message)
+    return readable
+
+
+def is_paused(message: HeldMessage) -> bool:
+    return message.paused
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -26,6 +26,9 @@
     ExecutionStatus.NOT_RUN,
     ExecutionStatus.MAY_HAVE_RUN,
 )
+# Version of the frames, with which each PING and PONG ends. Version 1 sends large bodies ahead of
+# their frames. A node of version 0 ignores the field, and closes a stream with an unknown kind.
+FRAMES_VERSION = 1
 # Levels and shares are encoded as integers in these steps, which take fewer bytes than floats.
 LEVEL_STEPS = 256
 SHARE_STEPS = 100
@@ -52,6 +55,10 @@
     SUBSCRIBE = 9
     FEED = 10
     FEED_END = 11
+    BODY_OFFER = 12
+    BODY_GRANT = 13
+    BODY_PART = 14
+    BODY_RECEIVED = 15
 
 
 class MalformedFrameError(Exception):
@@ -136,7 +143,8 @@
     return LENGTH_PREFIX.pack(len(data)) + data
 
 
-def encode_execute(execute: Execute, table: "HeaderTable") -> bytes:
+def encode_execute(execute: Execute, table: "HeaderTable", has_body: bool = True) -> bytes:
+    """Return an EXECUTE frame; `has_body` is whether the body is in it or was sent ahead."""
     return encode_frame(
         FrameKind.EXECUTE,
         execute.call_id,
@@ -154,7 +162,7 @@
         execute.method,
         execute.target,
         table.encode(execute.headers),
-        execute.body,
+        execute.body if has_body else None,
     )
 
 
@@ -165,12 +173,14 @@
     return execute
 
 
-def encode_reply(reply: Reply, table: "HeaderTable") -> bytes:
+def encode_reply(reply: Reply, table: "HeaderTable", has_body: bool = True) -> bytes:
+    """Return a REPLY frame; `has_body` is whether the body is in it or was sent ahead."""
     kind, call_id, running = FrameKind.REPLY, reply.call_id, reply.running
     level = round(reply.level * LEVEL_STEPS)
     if reply.outcome.is_ok():
         answer = reply.outcome.ok
-        content = (answer.status, table.encode(answer.headers), answer.body)
+        body = answer.body if has_body else None
+        content = (answer.status, table.encode(answer.headers), body)
         return encode_frame(kind, call_id, running, level, 0, content)
     refusal = reply.outcome.error
     content = (refusal.reason.value, refusal.text, refusal.retry_after_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -3,7 +3,13 @@
 from typing import Protocol
 
 from attrs import define, field
-from basilhill.commands.memory import hold_complete, release_message, resize_incomplete
+from basilhill.commands.memory import (
+    announce_message,
+    hold_complete,
+    release_message,
+    resize_incomplete,
+    resume_message,
+)
 from basilhill.memory import SMALL_MESSAGE_BYTES, HeldMessage, MemoryAccount
 from basilhill.queries.memory import readable_again
 
@@ -16,10 +22,10 @@
 
 
 class PausableReader(Protocol):
-    """Connection whose reading can wait."""
+    """Connection whose reading can wait, or body whose sender can."""
 
     def update_reading(self) -> None:
-        """Pause or resume reading, as the message in progress requires."""
+        """Pause or resume reading, as the message in progress requires, or grant the body."""
         ...
 
 
@@ -45,6 +51,12 @@
         if message.paused is not was_paused:
             reader.update_reading()
 
+    def announce(self, message: HeldMessage, size: int, reader: PausableReader) -> None:
+        """Record a large message whose sender waits; its reader grants it once there is room."""
+        self.readers[message] = reader
+        announce_message(self.account, message, size)
+        self.resume_readers()
+
     def hold(self, message: HeldMessage, size: int) -> None:
         """Record the size of a complete message, which is held until it is released."""
         if size <= SMALL_MESSAGE_BYTES:
@@ -55,12 +67,12 @@
 
     def release(self, message: HeldMessage) -> None:
         """Remove a message from the account, and resume the readers that have room now."""
-        if message.size:
+        if message.size or message.announced:
             release_message(self.account, message)
             self.readers.pop(message, None)
             self.resume_readers()
 
     def resume_readers(self) -> None:
         for message in readable_again(self.account):
-            message.paused = False
+            resume_message(self.account, message)
             self.readers[message].update_reading()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -167,7 +167,7 @@
     feeds = FeedFollower(settings, state.active_configuration, state.store, updater, clock, log)
     reader = StoreReader(store, decoder, updater, publisher, state.store, clock, log)
     follower = StoreFollower(settings, reader, updater, publisher, feeds, state.store, clock, log)
-    peers = PeerStreams(peer_updates, clock, log)
+    peers = PeerStreams(peer_updates, clock, log, state.memory)
     retries = RetryBudget(settings, state.origin, state.directory, clock)
     sender = CallSender(
         settings,
@@ -192,7 +192,9 @@
         state.metrics,
         clock,
     )
-    listener = PeerListener(executor, state.origin.levels, peer_updates, publisher, clock, log)
+    listener = PeerListener(
+        executor, state.origin.levels, peer_updates, publisher, clock, log, state.memory
+    )
     client_listener = HttpServer(
         origin.serve, lambda: state.active_configuration.limits, clock, log, state.memory
     )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -4,12 +4,16 @@
 from itertools import count
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 from basilhill.clocks import Clock
+from basilhill.memory import SMALL_MESSAGE_BYTES, MessageKind
+from expression import Ok
 
+from basilhill_node.sidecar.body_transfers import BODY_KINDS, BodyPlace, BodyTransfers
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
+    FRAMES_VERSION,
     Execute,
     FrameKind,
     Reply,
@@ -17,6 +21,7 @@
     encode_execute,
     encode_frame,
 )
+from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.streams import StreamConnection
 
 CONNECT_TIMEOUT_S = 0.5
@@ -32,6 +37,7 @@
 # A stream without calls is closed after this time, so that the number of open streams does not grow
 # with the fleet.
 UNUSED_STREAM_MS = 20_000
+PING = encode_frame(FrameKind.PING, FRAMES_VERSION)
 
 
 @frozen
@@ -50,10 +56,12 @@
     peer_updates: PeerUpdateExchange
     clock: Clock
     log: EventLog
+    memory: MessageMemory
     # The streams of this node that have calls in flight.
     busy: set["PeerStream"]
     ids: count = field(factory=lambda: count(1))
     connection: StreamConnection | None = None
+    transfers: BodyTransfers | None = None
     ready: asyncio.Event = field(factory=asyncio.Event)
     waiters: dict[int, asyncio.Future[Reply | LostCall]] = field(factory=dict)
     task: asyncio.Task | None = None
@@ -87,7 +95,7 @@
     async def exchange(self, connection: StreamConnection, execute: Execute) -> Reply | LostCall:
         """Send a call on an open stream and wait for its reply."""
         execute.call_id = next(self.ids)
-        execute.dispatched = True
+        transfers = self.transfers
         waiter = asyncio.get_running_loop().create_future()
         if not self.waiters:
             # A peer without calls may send no frames, so the peer timeout starts with the first
@@ -95,18 +103,43 @@
             connection.received_ms = self.clock.now_ms()
         self.waiters[execute.call_id] = waiter
         self.busy.add(self)
-        connection.send(encode_execute(execute, connection.sent_headers))
         try:
+            place = await self.send_body(transfers, execute)
+            if place is BodyPlace.LOST:
+                return LostCall(False, f"lost {self.address} before the call was sent")
+            execute.dispatched = True
+            has_body = place is BodyPlace.IN_FRAME
+            connection.send(encode_execute(execute, connection.sent_headers, has_body))
             return await waiter
         except asyncio.CancelledError:
             connection.send(encode_frame(FrameKind.CANCEL, execute.call_id))
             raise
         finally:
             del self.waiters[execute.call_id]
+            if execute.call_id in transfers.incoming:
+                # After this step, in which the caller counts the response as its own.
+                asyncio.get_running_loop().call_soon(transfers.release, execute.call_id)
             if not self.waiters:
                 self.busy.discard(self)
                 self.unresponsive = False
 
+    async def send_body(self, transfers: BodyTransfers, execute: Execute) -> BodyPlace:
+        """Send a large body ahead of its call, and reduce the remaining time of the call."""
+        if len(execute.body) <= SMALL_MESSAGE_BYTES:
+            return BodyPlace.IN_FRAME
+        started_ms = self.clock.now_ms()
+        place = await transfers.send(execute.call_id, execute.body)
+        took_ms = self.clock.now_ms() - started_ms
+        execute.remaining_ms -= took_ms
+        execute.deadline_ms -= took_ms
+        return place
+
+    def greet(self, connection: StreamConnection) -> None:
+        """Send the peer the state of this node and the version of its frames."""
+        self.transfers = BodyTransfers(connection, self.memory, MessageKind.RESPONSE)
+        self.peer_updates.open(connection)
+        connection.send(PING)
+
     async def run(self) -> None:
         """Open the stream and wait until it is closed."""
         host, _, port = self.address.rpartition(":")
@@ -114,9 +147,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.connection = await loop.create_connection(
-                    lambda: StreamConnection(
-                        self.clock, self.handle, self.peer_updates.open, self.record
-                    ),
+                    lambda: StreamConnection(self.clock, self.handle, self.greet, self.record),
                     host,
                     int(port),
                 )
@@ -135,6 +166,7 @@
             self.unresponsive = False
             connection.close()
             self.peer_updates.close(connection)
+            self.transfers.close()
             for waiter in self.waiters.values():
                 if not waiter.done():
                     waiter.set_result(LostCall(True, f"lost {self.address}"))
@@ -153,7 +185,7 @@
             self.unresponsive = not self.unresponsive
             self.record("unresponsive" if self.unresponsive else "responsive again")
         if inactive_ms > CHECK_INTERVAL_S * 1000:
-            connection.send(encode_frame(FrameKind.PING))
+            connection.send(PING)
 
     def close_if_unused(self, now_ms: int) -> None:
         """Close the stream if it has carried no call for `UNUSED_STREAM_MS`."""
@@ -165,10 +197,21 @@
             reply = decode_reply(fields, connection.received_headers)
             waiter = self.waiters.get(reply.call_id)
             if waiter is not None and not waiter.done():
-                waiter.set_result(reply)
-        elif kind is not FrameKind.PONG:
+                waiter.set_result(self.with_body(reply))
+        elif kind in BODY_KINDS:
+            if kind is not FrameKind.BODY_OFFER or fields[0] in self.waiters:
+                self.transfers.handle(kind, fields)
+        elif kind is FrameKind.PONG:
+            self.transfers.learn_version(fields)
+        else:
             self.peer_updates.receive(connection, kind, fields)
 
+    def with_body(self, reply: Reply) -> Reply:
+        """Return a reply with its body, which may have been sent ahead."""
+        if reply.outcome.is_ok() and reply.outcome.ok.body is None:
+            reply.outcome = Ok(evolve(reply.outcome.ok, body=self.transfers.take(reply.call_id)))
+        return reply
+
     def record(self, event: str) -> None:
         """Log an event of the stream with the number of calls in flight."""
         self.log.record("peer", event, address=self.address, calls=len(self.waiters))
@@ -181,6 +224,7 @@
     peer_updates: PeerUpdateExchange
     clock: Clock
     log: EventLog
+    memory: MessageMemory = field(factory=MessageMemory.of_node)
     streams: dict[str, PeerStream] = field(factory=dict)
     busy: set[PeerStream] = field(factory=set)
 
@@ -188,7 +232,9 @@
         """Return the stream to a node; it is opened by its first call."""
         found = self.streams.get(address)
         if found is None:
-            found = PeerStream(address, self.peer_updates, self.clock, self.log, self.busy)
+            found = PeerStream(
+                address, self.peer_updates, self.clock, self.log, self.memory, self.busy
+            )
             self.streams[address] = found
         return found
 
--- a/packages/basilhill_node/tests/test_peer_streams.py
+++ b/packages/basilhill_node/tests/test_peer_streams.py
@@ -49,6 +49,7 @@
         waiting = asyncio.create_task(stream.call(call()))
         await arrived.wait()
         silent_since_ms = stream.connection.received_ms
+        kinds.clear()
         stream.check(silent_since_ms + 300)
         await asyncio.sleep(0.05)
         assert FrameKind.PING in kinds and not stream.unresponsive
