--- a/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/streams.py
@@ -58,6 +58,11 @@
             self.failed(f"malformed frame: {error!r}")
             self.transport.abort()
 
+    def update_reading(self) -> None:
+        """Resume reading, which never waits: a silent stream counts as lost."""
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         self.closed.set()
 
