--- a/packages/basilhill_fakes/tests/test_bounded_state.py
+++ b/packages/basilhill_fakes/tests/test_bounded_state.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import attrs
-import pytest
 from basilhill_fakes.simulated_fleet import SimulatedFleet
 from basilhill_fakes.simulated_loop import HOST, SimulatedLoop
 
@@ -25,19 +24,6 @@
 COLLECTIONS = (dict, set, frozenset, list, tuple, deque, bytes, bytearray, str)
 
 
-@pytest.fixture
-def loop():
-    running = SimulatedLoop()
-    asyncio.set_event_loop(running)
-    yield running
-    tasks = asyncio.all_tasks(running)
-    for task in tasks:
-        task.cancel()
-    running.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-    asyncio.set_event_loop(None)
-    running.close()
-
-
 class VariedServer(asyncio.Protocol):
     """Backend server whose response to a request depends on the end of its id."""
 
--- a/packages/basilhill_fakes/tests/test_configuration_age.py
+++ b/packages/basilhill_fakes/tests/test_configuration_age.py
@@ -16,7 +16,7 @@
     toggle,
 )
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
-from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
+from basilhill_fakes.simulated_loop import SimulatedNetwork
 from basilhill_node.platform.store import PROBE_TIMEOUT_S
 from basilhill_node.sidecar.commands import (
     follow_feed,
@@ -46,15 +46,6 @@
 )
 
 
-@pytest.fixture
-def loop():
-    running = SimulatedLoop()
-    asyncio.set_event_loop(running)
-    yield running
-    asyncio.set_event_loop(None)
-    running.close()
-
-
 async def walk(fleet: SimulatedFleet, seed: int, removals: bool = False) -> None:
     """Inject random faults and changes until `RUN_S`, and check all the while.
 
--- a/packages/basilhill_fakes/tests/test_configuration_walks.py
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -13,7 +13,7 @@
 from basilhill_fakes.platform_store import PAGE_ITEMS, PlatformStoreState
 from basilhill_fakes.sidecar_fleet import build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedStore, SimulatedVm, StoreAccess
-from basilhill_fakes.simulated_loop import SimulatedLoop, SimulatedNetwork
+from basilhill_fakes.simulated_loop import SimulatedNetwork
 from basilhill_node.platform.store import WATCH_MARGIN_S
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.follow_store import CHECK_AGE_MS, WATCH_MS
@@ -78,15 +78,6 @@
         end_later(fleet, for_s, lambda: self.faults.pop(updater, None))
 
 
-@pytest.fixture
-def loop():
-    running = SimulatedLoop()
-    asyncio.set_event_loop(running)
-    yield running
-    asyncio.set_event_loop(None)
-    running.close()
-
-
 @pytest.fixture
 def failing(monkeypatch) -> FailingUpdaters:
     """Return the updaters that fail to apply what their node has decoded."""
--- a/packages/basilhill_fakes/tests/test_following_stages.py
+++ b/packages/basilhill_fakes/tests/test_following_stages.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from basilhill_fakes.configuration_checks import run
 from basilhill_fakes.sidecar_fleet import SidecarFleet, build_configuration, build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedVm
 from basilhill_fakes.simulated_loop import SimulatedLoop
@@ -14,15 +15,6 @@
 READS = build_route("r-read", "/read/", "calendar")
 
 
-@pytest.fixture
-def loop():
-    running = SimulatedLoop()
-    asyncio.set_event_loop(running)
-    yield running
-    asyncio.set_event_loop(None)
-    running.close()
-
-
 @pytest.fixture
 def lines(monkeypatch) -> dict[EventLog, list[dict]]:
     """Record the lines of each node, with part, event and inputs."""
@@ -70,7 +62,7 @@
         assert asked["verified_age_ms"] < 100
         fleet.stop()
 
-    loop.run_until_complete(scenario())
+    run(loop, scenario())
 
 
 def test_metrics_show_the_age_of_the_last_proof_and_the_revision(loop):
@@ -90,7 +82,7 @@
             assert gauge_values(vm.node.state)["store_verified_age_ms"] < 3_100
         fleet.stop()
 
-    loop.run_until_complete(scenario())
+    run(loop, scenario())
 
 
 async def test_line_of_a_request_has_the_version_by_which_it_was_routed(lines):
