Slow nodes in the soak, and name what shows an older version

Change: SlowNode suspends a node for four fifths of the time. The line says what shows the older version. No check changes what it reports.

--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_configurations.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_configurations.py
@@ -127,9 +127,10 @@
 
 
 def version_regressions(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
-    """Yield requests handled by an older version than a server saw in use before.
+    """Yield requests handled by an older version than the origin must have had before.
 
-    This holds within one incarnation of the origin. No disruption excuses it.
+    That is shown by what servers saw and by what was due, within one incarnation of the origin. No
+    disruption excuses it.
     """
     floors: dict[tuple[int, int], Floor] = defaultdict(lambda: Floor([]))
     for one in handlings(history, attempts):
@@ -142,8 +143,8 @@
         numbers = [v.number for v in history.versions if v.number >= lowest and one.fits(v)]
         if lowest and not numbers:
             yield (
-                f"CONFIG: node {attempt.vm} went back from version {lowest}: {attempt} "
-                f"handled by {one.service} at {one.at_ms}"
+                f"CONFIG: node {attempt.vm} used a version before {lowest}, which a server saw or "
+                f"which was due: {attempt} handled by {one.service} at {one.at_ms}"
             )
         elif numbers and one.service is not None:
             # A node in touch cannot have used a version before the required one.
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_faults.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_faults.py
@@ -28,6 +28,8 @@
 STOP_TIMEOUT_S = 8.0
 STATEMENT_LEAD_S = (0.0, 1.5)
 RESTART_DELAY_S = (0.1, 1.0)
+# Times for which a slow node is suspended and runs, in turn.
+SLOW_STOPPED_S, SLOW_RUNNING_S = 0.08, 0.02
 
 
 class Fault(Protocol):
@@ -86,6 +88,21 @@
             record_end(fleet, disruption)
 
 
+@define
+class SlowNode:
+    """Node process that runs for a fifth of the time."""
+
+    async def run(self, fleet: SoakFleet, vm: SoakVm, duration_s: float) -> None:
+        async with vm.restart_lock:
+            disruption = record_start(fleet, "slow", vm, planned=False)
+            for _ in range(int(duration_s / (SLOW_STOPPED_S + SLOW_RUNNING_S))):
+                fleet.signal(vm, signal.SIGSTOP)
+                await asyncio.sleep(SLOW_STOPPED_S)
+                fleet.signal(vm, signal.SIGCONT)
+                await asyncio.sleep(SLOW_RUNNING_S)
+            record_end(fleet, disruption)
+
+
 @define
 class FreezeFeeds:
     """Suspension of all nodes that the others of a data centre ask for changes."""
@@ -302,6 +319,7 @@
     KillNode(),
     StopNode(),
     PauseNode(),
+    SlowNode(),
     FreezeFeeds(),
     CutFromStore(),
 )
