Test that faults of the soak's store are limited to their path

Cause: the paths of the store double had no test of their own; a fault that does nothing would make the soak pass. Change: two tests of all faults of a path beside a calm one, and of lost and cut watches.

--- a/packages/basilhill_fakes/tests/test_soak.py
+++ b/packages/basilhill_fakes/tests/test_soak.py
@@ -1,9 +1,20 @@
 """Tests of a short fault soak of the node programs, and of its checks for violated invariants."""
 
+import asyncio
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import pytest
+from aiohttp import ServerDisconnectedError
+from aiohttp.test_utils import TestClient, TestServer
 from attrs import evolve
+from basilhill_fakes.platform_store import (
+    WATCH_PATH,
+    PathFault,
+    PlatformStoreState,
+    StorePath,
+    build_store,
+)
 from basilhill_fakes.queries.soak_invariants import find_soak_violations
 from basilhill_fakes.soak import run_soak
 from basilhill_fakes.soak_plans import PLANS
@@ -57,6 +68,57 @@
     assert len(lost) > 2 and len(result.history.versions) > 15
 
 
+@asynccontextmanager
+async def store_clients(*paths: StorePath):
+    """Start a store with a listener for each path; yield the store and a client for each."""
+    state = PlatformStoreState()
+    state.put("op/config", {})
+    async with AsyncExitStack() as stack:
+        clients = []
+        for path in paths:
+            server = TestServer(build_store(state, path))
+            clients.append(await stack.enter_async_context(TestClient(server)))
+        yield state, *clients
+
+
+async def watch(client: TestClient, state: PlatformStoreState) -> int:
+    """Return the status of a watch for the next change; TimeoutError without a response."""
+    query = {"prefix": "", "after": str(state.revision), "waitMs": "200"}
+    async with asyncio.timeout(0.5), client.get(WATCH_PATH, params=query) as response:
+        return response.status
+
+
+async def test_faults_of_the_store_are_limited_to_their_path():
+    path = StorePath()
+    async with store_clients(path, StorePath()) as (state, disturbed, calm):
+        for fault in PathFault:
+            path.begin(fault)
+            results = await asyncio.gather(
+                watch(disturbed, state), watch(calm, state), return_exceptions=True
+            )
+            path.end(fault)
+            expected = {PathFault.DOWN: 503, PathFault.SLOW: 200}
+            if fault is PathFault.SILENT:
+                assert type(results[0]) is TimeoutError
+            else:
+                assert results[0] == expected[fault]
+            assert results[1] == 200
+            assert await watch(disturbed, state) == 200
+
+
+async def test_response_to_a_waiting_watch_is_lost_and_new_connections_work():
+    path = StorePath()
+    async with store_clients(path) as (state, client):
+        for break_watches in (path.lose_responses, path.cut_watches):
+            waiting = asyncio.create_task(watch(client, state))
+            await asyncio.sleep(0.1)
+            break_watches()
+            state.put("op/config", {})
+            assert await watch(client, state) == 200
+            with pytest.raises((TimeoutError, ServerDisconnectedError)):
+                await waiting
+
+
 def new_attempt(number: int, **changes) -> Attempt:
     sent = Attempt(f"a{number}", 1, "POST", f"/write/a{number}", b"x", False, 10_000 + number)
     sent.ended_ms, sent.status = sent.sent_ms + 10, 200
