Take no age in the frames of an older node for a proof

Cause: a frame of an older node has the age of its last contact with the store, which a stale probe renews. A follower took it for the age of a proof and did not check. Change: a follower asks its sender for the version of its frames before it subscribes; only frames of version 1 renew the proof, beside others it checks the store itself.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -12,6 +12,7 @@
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
+    PING,
     Feed,
     FrameKind,
     Subscribe,
@@ -62,8 +63,11 @@
     failed_ms: dict[str, int] = field(factory=dict)
     # Set if the entry of the local backend server was removed: this VM may have lost the store.
     store_in_doubt: bool = False
-    # Called with the age in ms of the sender's proof that it knows all changes of the store.
-    contact: Callable[[int], None] = field(default=lambda _age_ms: None)
+    # Whether frames of the sender carry the age of a proof, which those of version 0 do not.
+    sender_proves: bool = False
+    # Called with the age in ms of what a frame says, and whether it is a proof that the sender knew
+    # all changes of the store then.
+    contact: Callable[[int, bool], None] = field(default=lambda _age_ms, _is_proof: None)
     # Called with the revision of a frame when all its changes are applied.
     applied: Callable[[int], None] = field(default=lambda _revision: None)
 
@@ -82,6 +86,7 @@
         """Follow the feed of the node on a host until it ends; return how it ended."""
         loop = asyncio.get_running_loop()
         self.live, self.ended_current, self.behind_since_ms = False, False, 0
+        self.sender_proves = False
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
@@ -112,6 +117,8 @@
         subscription = Subscribe(
             self.settings.node, self.active_configuration.version, self.view.revision
         )
+        # The response comes before the first frame of the feed, and has the version of the sender.
+        connection.send(PING)
         connection.send(
             encode_frame(
                 FrameKind.SUBSCRIBE,
@@ -143,6 +150,8 @@
             self.ended_current = was_current
             self.record(f"ended by the sender: {reason}")
             connection.close()
+        elif kind is FrameKind.PONG:
+            self.sender_proves = bool(fields)
         elif kind is FrameKind.HELLO:
             connection.peer = fields[0]
 
@@ -161,7 +170,7 @@
             self.live = True
             self.log.record("feed", "followed", source=source, revision=feed.revision)
         self.view.source = source
-        self.contact(feed.age_ms)
+        self.contact(feed.age_ms, self.sender_proves)
         was_listed = self.lists_local_server()
         if feed.complete:
             self.updater.replace(entries, 0, source)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -210,11 +210,12 @@
         """Record a proof that all changes made before a time are applied."""
         self.view.verified_ms = max(self.view.verified_ms, at_ms)
 
-    def record_feed(self, age_ms: int) -> None:
-        """Record a frame of another node, with the age of that node's proof in ms."""
-        verified_ms = self.clock.now_ms() - age_ms
-        self.record_verified(verified_ms)
-        self.record_contact(verified_ms)
+    def record_feed(self, age_ms: int, is_proof: bool) -> None:
+        """Record a frame of another node, with the age in ms of what it says."""
+        at_ms = self.clock.now_ms() - age_ms
+        if is_proof:
+            self.record_verified(at_ms)
+        self.record_contact(at_ms)
         self.enter(FollowStage.FOLLOWING)
 
     def record_access(self, has_access: bool) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -93,7 +93,8 @@
     """
 
     revision: int
-    # Time since the sender last received a response of the store, in ms.
+    # Age of the sender's proof that it knows all changes, in ms. At version 0 of the frames, it is
+    # the time since the sender received any response of the store, which proves nothing.
     age_ms: int
     complete: bool
     configuration: bytes
@@ -143,6 +144,10 @@
     return LENGTH_PREFIX.pack(len(data)) + data
 
 
+PING = encode_frame(FrameKind.PING, FRAMES_VERSION)
+PONG = encode_frame(FrameKind.PONG, FRAMES_VERSION)
+
+
 def encode_execute(execute: Execute, table: "HeaderTable", has_body: bool = True) -> bytes:
     """Return an EXECUTE frame; `has_body` is whether the body is in it or was sent ahead."""
     return encode_frame(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -18,20 +18,17 @@
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
-    FRAMES_VERSION,
+    PONG,
     Execute,
     FrameKind,
     Reply,
     Subscribe,
     decode_execute,
-    encode_frame,
     encode_reply,
 )
 from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.streams import StreamConnection
 
-PONG = encode_frame(FrameKind.PONG, FRAMES_VERSION)
-
 
 @define(eq=False)
 class IncomingStream:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -13,7 +13,7 @@
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
-    FRAMES_VERSION,
+    PING,
     Execute,
     FrameKind,
     Reply,
@@ -37,7 +37,6 @@
 # A stream without calls is closed after this time, so that the number of open streams does not grow
 # with the fleet.
 UNUSED_STREAM_MS = 20_000
-PING = encode_frame(FrameKind.PING, FRAMES_VERSION)
 
 
 @frozen
