--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -1,4 +1,4 @@
-"""Reading and watching of the configuration and server entries in the platform's store."""
+"""Choice of the source from which a node learns the changes of the platform's store."""
 
 import asyncio
 from random import Random
