--- a/packages/basilhill_fakes/tests/test_node_memory.py
+++ b/packages/basilhill_fakes/tests/test_node_memory.py
@@ -384,7 +384,7 @@
         await asyncio.sleep(1.5)
         with ProcessPoolExecutor(1, get_context("spawn")) as pool:
             loop = asyncio.get_running_loop()
-            vm = SoakVm(1, running.vm.address, "", None, Path(), None, None)
+            vm = SoakVm(1, running.vm.address, "", "", None, Path(), None, None)
             await loop.run_in_executor(pool, send_large, vm, [])
             # The servers of the VMs have been replaced meanwhile.
             running.statuses.clear()
