Fail requests whose response has an invalid status

Callers saw: a server in trouble sent the status 000, and its client got `HTTP/1.1 0 Status` with the signature and the body of the server, for GET, HEAD and POST, at the server's own node and through another node. The same held for 001, 099, 600 and 999 and after interim responses.

Cause: httptools accepts any three digits as a status and leaves their meaning to its user. The client of servers and of the store only looked for interim responses and delivered all others. A status below 500 then counted as a success: a server that sent 000 to everything got 20 of 20 requests beside a sound one.

Change: a response with a status outside 100 to 599 (RFC 9110, section 15, calls them invalid) fails its request as soon as its head is complete, like any other malformed response: the request may have run (502, or another server for an idempotent one), the failure counts against the server, and the connection is closed. The store uses the same client: such a response was a failure of the store before, but its connection was used again.

--- a/packages/basilhill/src/basilhill/outcomes.py
+++ b/packages/basilhill/src/basilhill/outcomes.py
@@ -5,6 +5,10 @@
 from attrs import field, frozen
 from expression import Result
 
+# Status codes of interim and final responses; all others are invalid (RFC 9110, section 15).
+INTERIM_STATUSES = range(100, 200)
+FINAL_STATUSES = range(200, 600)
+
 
 class ExecutionStatus(Enum):
     """Execution status: whether a request was answered, did not run or may have run."""
--- a/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
@@ -17,6 +17,7 @@
 
 from basilhill_fakes.plain_server import ATTEMPT_ID, PlainServer, build_server
 from basilhill_fakes.platform_store import PlatformStoreState, build_store
+from basilhill_fakes.stream_server import StreamHandler, serve_streams
 
 CLIENT_PORT, PEER_PORT, READY_PORT, METRICS_PORT, SERVER_PORT = 8304, 8300, 8302, 9464, 8301
 STORE_PORT = 8309
@@ -133,6 +134,11 @@
         await self.start_node(vm)
         return vm
 
+    async def replace_server(self, vm: SidecarVm, handle: StreamHandler) -> None:
+        """Serve the connections to the backend server of a VM with a handler of byte streams."""
+        await vm.runner.cleanup()
+        await self.exit_stack.enter_async_context(serve_streams(handle, vm.address, SERVER_PORT))
+
     def register(self, vm: SidecarVm, **changes) -> None:
         """Write the entry of a server into the store."""
         self.store.put(f"servers/{vm.server.server_id}", vm.entry(**changes))
--- a/packages/basilhill_fakes/src/basilhill_fakes/stream_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/stream_server.py
@@ -9,7 +9,9 @@
 
 
 @asynccontextmanager
-async def serve_streams(handle: StreamHandler) -> AsyncIterator[str]:
+async def serve_streams(
+    handle: StreamHandler, host: str = ADDRESS, port: int = 0
+) -> AsyncIterator[str]:
     """Serve connections with a handler; yield the address.
 
     A handler that outlives its event loop leaves an open StreamWriter, whose finalizer fails in a
@@ -24,9 +26,9 @@
             await handle(reader, writer)
         writer.close()
 
-    server = await asyncio.start_server(run, ADDRESS, 0)
+    server = await asyncio.start_server(run, host, port)
     try:
-        yield f"{ADDRESS}:{server.sockets[0].getsockname()[1]}"
+        yield f"{host}:{server.sockets[0].getsockname()[1]}"
     finally:
         server.close()
         for task in tasks:
--- /dev/null
+++ b/packages/basilhill_fakes/tests/test_broken_answers.py
@@ -0,0 +1,84 @@
+"""End-to-end tests that broken responses of backend servers do not reach clients."""
+
+import pytest
+from basilhill.commands.balancing import EJECT_AFTER_FAILURES
+from basilhill_fakes.plain_server import SIGNATURE
+from basilhill_fakes.raw_server import RawServer, raw_response
+from basilhill_fakes.sidecar_fleet import SidecarFleet, build_configuration, build_route
+
+READS = build_route("r-read", "/read/", "calendar")
+WRITES = build_route("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
+INVALID_STATUSES = ("000", "001", "099", "600", "999")
+METHODS = {"GET": "/read/x", "HEAD": "/read/x", "POST": "/write/x"}
+
+
+def answer_with(status: str):
+    """Return a function that builds the response with a status to an attempt."""
+    return lambda attempt: raw_response(attempt, status_line=f"HTTP/1.1 {status} Text")
+
+
+@pytest.fixture
+async def fleet():
+    async with SidecarFleet() as running:
+        running.store.put("op/config", build_configuration(3, READS, WRITES))
+        for service in ("calendar", "deposits", "shop"):
+            await running.add_vm(service)
+        await running.wait_converged(3)
+        yield running
+
+
+async def replace_servers(fleet: SidecarFleet, respond) -> RawServer:
+    """Replace the servers of both routes by one that sends raw responses."""
+    server = RawServer(respond)
+    for vm in fleet.vms[:2]:
+        await fleet.replace_server(vm, server.handle)
+    return server
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+@pytest.mark.parametrize("method", METHODS)
+async def test_response_with_an_invalid_status_does_not_reach_the_client(fleet, status, method):
+    """Guard against a status outside 100 to 599 that a client gets as an answer.
+
+    The server may have run the request, so the refusal must not promise otherwise.
+    """
+    server = await replace_servers(fleet, answer_with(status))
+    for vm in fleet.vms:
+        answer = await fleet.send_attempt(vm, METHODS[method], method)
+        assert answer.status == 502
+        assert SIGNATURE.lower() not in answer.headers
+        assert b"hello" not in answer.body
+        assert server.runs[answer.attempt] == 1
+
+
+@pytest.mark.parametrize("status", INVALID_STATUSES)
+async def test_connection_of_a_response_with_an_invalid_status_is_not_used_again(fleet, status):
+    """Guard against the rest of a broken response that the next caller on the connection gets."""
+    broken = answer_with(status)
+    server = await replace_servers(
+        fleet, lambda attempt: broken(attempt) if attempt == "broken" else raw_response(attempt)
+    )
+    for vm, attempt in zip([fleet.vms[0]] * 3, ("first", "broken", "last"), strict=True):
+        answer = await fleet.send_attempt(vm, "/read/x", attempt=attempt)
+        assert answer.status == (502 if attempt == "broken" else 200)
+    assert server.connections == 2
+
+
+async def test_idempotent_request_with_a_broken_response_is_retried_at_another_server(fleet):
+    """Guard against a failed call when only one of several servers sends broken responses."""
+    sound = await fleet.add_vm("calendar", "b")
+    await fleet.wait_converged(3)
+    server = await replace_servers(fleet, answer_with("000"))
+    answer = await fleet.send_attempt(fleet.vms[0], "/read/x")
+    assert (answer.status, answer.body) == (200, b"GET /read/x ")
+    assert server.runs == sound.server.runs == {answer.attempt: 1}
+
+
+async def test_server_with_broken_responses_is_avoided(fleet):
+    """Guard against broken responses that count as successes of their server."""
+    await fleet.add_vm("calendar", "b")
+    await fleet.wait_converged(3)
+    server = await replace_servers(fleet, answer_with("000"))
+    for _ in range(20):
+        await fleet.send_attempt(fleet.vms[2], "/read/x")
+    assert server.runs.total() == EJECT_AFTER_FAILURES
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 from basilhill.clocks import Clock
 from basilhill.memory import HeldMessage, MessageKind
-from basilhill.outcomes import Header
+from basilhill.outcomes import FINAL_STATUSES, INTERIM_STATUSES, Header
 
 from basilhill_node.sidecar.memory import MessageMemory
 from basilhill_node.sidecar.messages import (
@@ -198,8 +198,13 @@
             self.headers.append(parsed_header(name, value))
 
     def on_headers_complete(self) -> None:
-        """Complete a response to a HEAD request, which has no body."""
+        """Check the status, and complete a response to a HEAD request, which has no body."""
         self.head_complete = True
+        status = self.parser.get_status_code()
+        if status not in FINAL_STATUSES and status not in INTERIM_STATUSES:
+            # The parser accepts any three digits.
+            self.fail(f"malformed response: invalid status {status:03}")
+            return
         if self.bodiless:
             self.usable = False
             self.on_message_complete()
@@ -212,7 +217,7 @@
         """Deliver a complete response; skip one that belongs to an earlier request."""
         self.in_message = False
         status = self.parser.get_status_code()
-        if 100 <= status < 200:
+        if status in INTERIM_STATUSES:
             # The final response follows; until its head ends, further bytes count as head.
             self.head_complete = False
             return
