Take no invalid status from the reply of an older node

Callers see: beside a server in trouble runs a node of an earlier version, as during a rollout. It puts the status 000 of its server in a reply, and a node of this version passes it on to the client.

Change: a decoded answer counts as one only if its status is that of a final response (200 to 599); otherwise the outcome is the one that a node of this version reports for such a response. The load and the level in the reply count, header numbers stay in step, and the stream stays open for its other calls.

--- a/packages/basilhill/src/basilhill/outcomes.py
+++ b/packages/basilhill/src/basilhill/outcomes.py
@@ -3,7 +3,7 @@
 from enum import Enum
 
 from attrs import field, frozen
-from expression import Result
+from expression import Error, Ok, Result
 
 # Status codes of interim and final responses; all others are invalid (RFC 9110, section 15).
 INTERIM_STATUSES = range(100, 200)
@@ -103,5 +103,13 @@
     return Refusal(ExecutionStatus.MAY_HAVE_RUN, reason, text)
 
 
+def received_outcome(answer: Answer) -> Outcome:
+    """Return a received answer, or a refusal if its status is not that of a final response."""
+    if answer.status in FINAL_STATUSES:
+        return Ok(answer)
+    text = f"the backend server sent the invalid status {answer.status:03}"
+    return Error(may_have_run(Reason.CONNECTION_LOST, text))
+
+
 def execution_status_of(outcome: Outcome) -> ExecutionStatus:
     return ExecutionStatus.ANSWERED if outcome.is_ok() else outcome.error.execution_status
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -12,8 +12,15 @@
 import msgspec
 from attrs import define, field, frozen
 from basilhill.backends import BackendEntry
-from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal
-from expression import Error, Ok
+from basilhill.outcomes import (
+    Answer,
+    ExecutionStatus,
+    Header,
+    Reason,
+    Refusal,
+    received_outcome,
+)
+from expression import Error
 
 from basilhill_node.sidecar.messages import REPEATED_HEADER_BYTES
 from basilhill_node.sidecar.segments import Buffer
@@ -195,10 +202,11 @@
 
 
 def decode_reply(fields: list[Any], table: "HeaderTable") -> Reply:
+    """Return a reply; nodes of older versions pass on responses with an invalid status."""
     call_id, running, level, status, content = fields
     if status == 0:
         status, headers, body = content
-        outcome = Ok(Answer(status, tuple(table.decode(headers)), body))
+        outcome = received_outcome(Answer(status, tuple(table.decode(headers)), body))
     else:
         reason, text, retry_after_ms = content
         outcome = Error(Refusal(EXECUTION_STATUSES[status], Reason(reason), text, retry_after_ms))
--- a/packages/basilhill_node/tests/test_peer_streams.py
+++ b/packages/basilhill_node/tests/test_peer_streams.py
@@ -1,13 +1,24 @@
 """Tests of the streams to peer nodes when a peer is silent and when streams are unused."""
 
 import asyncio
+from functools import partial
 
+import pytest
 from basilhill.clocks import SystemClock
+from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason
 from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.sidecar import peer_streams
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.frames import Execute, FrameKind, FrameReader
+from basilhill_node.sidecar.frames import (
+    Execute,
+    FrameKind,
+    FrameReader,
+    HeaderTable,
+    Reply,
+    encode_reply,
+)
 from basilhill_node.sidecar.peer_streams import LostCall, PeerStreams
+from expression import Ok
 
 
 class NoUpdates:
@@ -61,6 +72,37 @@
         streams.close()
 
 
+async def answering_peer(answers: list[Answer], reader, writer) -> None:
+    """Reply to each call with the next of the answers, as a node of an older version does."""
+    frames, table = FrameReader(), HeaderTable()
+    while data := await reader.read(65_536):
+        for kind, fields in frames.feed(data):
+            if kind is FrameKind.EXECUTE:
+                writer.write(encode_reply(Reply(fields[0], Ok(answers.pop(0)), 3, 2.5), table))
+
+
+@pytest.mark.parametrize("status", [0, 1, 99, 100, 101, 199, 600, 999, -1])
+async def test_reply_of_an_older_node_with_an_invalid_status_is_no_answer(status):
+    """Guard against an older node that passes on the invalid status of its server.
+
+    The reply reports the load of the server as others do, and its stream stays open.
+    """
+    headers = (Header("a", "b"),)
+    answers = [Answer(found, headers, b"body") for found in (200, status, 200)]
+    async with serve_streams(partial(answering_peer, answers)) as address:
+        streams = new_streams()
+        stream = streams.stream(address)
+        async with asyncio.timeout(2):
+            first, broken, last = [await stream.call(call()) for _ in range(3)]
+        streams.close()
+    assert first.outcome == last.outcome == Ok(Answer(200, headers, b"body"))
+    assert broken.outcome.is_error()
+    refusal = broken.outcome.error
+    assert refusal.execution_status is ExecutionStatus.MAY_HAVE_RUN
+    assert refusal.reason is Reason.CONNECTION_LOST
+    assert (broken.running, broken.level) == (3, 2.5)
+
+
 async def test_only_streams_with_calls_in_flight_are_checked(monkeypatch):
     """Guard against periodic work that grows with the number of open streams of a node."""
     monkeypatch.setattr(peer_streams, "UNUSED_STREAM_MS", -1)
