Accept no invalid status at the node of the product's own interface

Callers saw: `basilhill-node` passed on the statuses 000, 001, 099, 600 and 999 of its backend server, and 101 with an empty body. A document or fleet list of the platform with such a status was applied, and a health report with one could make the node leave.

Cause: the same as in the sidecar. aiohttp accepts any three digits as a status, returns a 101 like a final response, and its check of the platform's responses looks for 400 and above only. A reply between nodes decoded to an answer with any status.

Change: both HTTP clients of this node open their sessions at one place, whose responses raise an error unless their status is that of a final response. It closes the connection, which aiohttp has put back into its pool if the whole response has arrived; a trial with the `raise_for_status` hook of aiohttp carried the next call on it. Replies of older nodes decode as those of the sidecar do.

--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -13,6 +13,7 @@
 from yarl import URL
 
 from basilhill_node.headers import CONTEXT, TIMEOUT, answer_headers, format_reference
+from basilhill_node.http_sessions import open_session
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -76,7 +77,7 @@
         self.body_limit = settings.body_limit
         self.health_url = self.base + settings.health_path
         self.health_timeout = aiohttp.ClientTimeout(total=settings.heartbeat_ms / 1000)
-        self.session = aiohttp.ClientSession(
+        self.session = open_session(
             connector=aiohttp.TCPConnector(limit=0),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
--- a/packages/basilhill_node/src/basilhill_node/encoding.py
+++ b/packages/basilhill_node/src/basilhill_node/encoding.py
@@ -14,10 +14,11 @@
     Reason,
     Refusal,
     ServiceLevel,
+    received_outcome,
 )
 from basilhill.poison_requests import CrashReport
 from basilhill.sections import DigestReport, SectionBatch, SectionVersion
-from expression import Error, Ok
+from expression import Error
 
 from basilhill_node.wire import peer_pb2 as wire
 
@@ -112,9 +113,11 @@
 
 
 def decode_outcome(message: wire.Reply) -> Outcome:
+    """Return an outcome; nodes of older versions pass on responses with an invalid status."""
     execution_status = EXECUTION_STATUSES[message.verdict]
     if execution_status is ExecutionStatus.ANSWERED:
-        return Ok(Answer(message.status, decode_headers(message.headers), message.body))
+        answer = Answer(message.status, decode_headers(message.headers), message.body)
+        return received_outcome(answer)
     reason = Reason(message.reason)
     return Error(Refusal(execution_status, reason, message.text, message.retry_after_ms))
 
--- a/packages/basilhill_node/src/basilhill_node/platform_client.py
+++ b/packages/basilhill_node/src/basilhill_node/platform_client.py
@@ -8,6 +8,8 @@
 from basilhill.settings import NodeSettings
 from expression import Error, Ok, Result
 
+from basilhill_node.http_sessions import open_session
+
 REVISION = "X-Revision"
 READ_TIMEOUT_S = 5.0
 WATCH_TIMEOUT_S = 30.0
@@ -46,7 +48,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.base = settings.platform_url
-        self.session = aiohttp.ClientSession()
+        self.session = open_session()
 
     async def read_document(self) -> Result[Revision, str]:
         """Return the current document, or the reason why it is not readable."""
