Refuse malformed heads at the node of the product's own interface

Callers saw: a response whose first header line begins with a blank was an answer. With ` Transfer-Encoding: chunked` that line decided what the body was, so the caller got `abc` for the bytes `3\r\nabc...` that the server sent; ` A: b` was passed on as `A: b`. Control characters in a value were passed on as they were, and after a coding they switched it off.

Cause: aiohttp parses responses leniently outside Python's development mode. The sidecar has another parser, which refuses all of these.

Change: the flag that makes aiohttp's parser strict is set where the sessions are opened.

--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -3,9 +3,14 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import _http_parser
 from aiohttp.connector import Connection
 from basilhill.outcomes import FINAL_STATUSES
 
+# Outside Python's development mode, aiohttp accepts a first header line that begins with a blank,
+# and control characters in values.
+_http_parser.DEBUG = True
+
 
 class InvalidStatusError(aiohttp.ClientError):
     """Response whose status is not that of a final response."""
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -93,6 +93,36 @@
         assert (outcome.ok.status, outcome.ok.body) == (status, BODY)
 
 
+CHUNKED = "Transfer-Encoding: chunked"
+CHUNKS = b"3\r\nabc\r\n0\r\n\r\n"
+MALFORMED_RESPONSES = {
+    "blank before the first name": raw_response("one", " A: b"),
+    "blank before the first name, interim": INTERIM + raw_response("one", " A: b"),
+    "blank before a coding": raw_response("one", f" {CHUNKED}", framing="A: b", body=CHUNKS),
+    "tab before the first name": raw_response("one", "\tA: b"),
+    "blank in a name": raw_response("one", "A b: c"),
+    "blank after a name": raw_response("one", "A : b"),
+    "blank after a length": raw_response("one", "Content-Length : 3"),
+    "blank after a coding": raw_response("one", "Transfer-Encoding : chunked", body=CHUNKS),
+    "tab in a name": raw_response("one", "A\tb: c"),
+    "line feed in a name": raw_response("one", "A\nb: c"),
+    "carriage return in a name": raw_response("one", "A\rb: c"),
+    "control character in a name": raw_response("one", "A\x01b: c"),
+    "zero byte in a name": raw_response("one", "A\0b: c"),
+    "delete in a name": raw_response("one", "A\x7fb: c"),
+    "no name": raw_response("one", ": c"),
+    "control character in a value": raw_response("one", "A: b\x01c"),
+    "zero byte in a value": raw_response("one", "A: b\0c"),
+    "control character after a coding": raw_response("one", framing=CHUNKED + "\x01", body=CHUNKS),
+}
+
+
+@pytest.mark.parametrize("form", MALFORMED_RESPONSES)
+async def test_malformed_head_is_no_answer(form):
+    """Guard against header lines that are passed on, or that change what the body is."""
+    assert_may_have_run(await outcome_of(MALFORMED_RESPONSES[form]))
+
+
 async def test_connection_of_a_response_with_an_invalid_status_is_not_used_again():
     """Guard against the rest of a broken response that the next call gets."""
     async with serving(raw_response("one", status_line="HTTP/1.1 000 A")) as (settings, counts):
