Refuse responses with a transfer coding other than chunks

Callers saw: a body that was not the server's. With `Transfer-Encoding: gzip, chunked` both nodes removed the chunks and passed the coded bytes on without the name of the coding. At the product's own node a body of any other coding (`gzip`, `chunked, gzip`) ended with its connection and counted as complete, so one that broke off would have counted too.

Cause: the parsers accept any coding, and the nodes only asked whether there is one.

Change: a response must have no transfer coding or `chunked` alone, else it fails like other malformed responses, at once: before, the sidecar waited for the end of the connection where chunks are not the last coding.

--- a/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
@@ -80,7 +80,23 @@
     }
 
 
+def unknown_codings(attempt: str) -> dict[str, bytes]:
+    """Return responses to an attempt, by form, with other transfer codings than one of chunks."""
+    codings = (
+        "gzip", "identity", "xchunked", "chunked;q=1", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: chunked",
+    )  # fmt: skip
+    return {
+        f"coding {coding!r}": raw_response(
+            attempt, framing=f"Transfer-Encoding: {coding}", body=CHUNKS
+        )
+        for coding in codings
+    }
+
+
 def malformed_responses(attempt: str) -> dict[str, bytes]:
     """Return all malformed responses to an attempt, by form."""
     found = malformed_names(attempt) | malformed_values(attempt) | malformed_lengths(attempt)
+    found |= unknown_codings(attempt)
     return found | {f"interim, {form}": INTERIM + found[form] for form in malformed_names(attempt)}
--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -12,27 +12,37 @@
 _http_parser.DEBUG = True
 
 
-class InvalidStatusError(aiohttp.ClientError):
-    """Response whose status is not that of a final response."""
+class BrokenResponseError(aiohttp.ClientError):
+    """Response that aiohttp accepts although it is no final response or its body is unknown."""
 
 
 class CheckedResponse(aiohttp.ClientResponse):
-    """Response with the status of a final response.
+    """Response with the status of a final response and no other transfer coding than chunks.
 
-    The parser of aiohttp accepts any three digits, and aiohttp returns a response with status 101.
+    The parser of aiohttp accepts any three digits and any coding, and aiohttp returns a response
+    with status 101.
     """
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
-        """Read the head of the response; raise InvalidStatusError and close the connection."""
+        """Read the head of the response; raise BrokenResponseError and close the connection."""
         protocol = connection.protocol
         await super().start(connection)
-        if self.status not in FINAL_STATUSES:
+        problem = self.problem()
+        if problem:
             # The connection is back in the pool if the whole response has arrived.
             protocol.close()
-            raise InvalidStatusError(f"invalid status {self.status:03}")
+            raise BrokenResponseError(problem)
         return self
 
+    def problem(self) -> str:
+        """Return what is wrong with the head, empty if nothing is."""
+        if self.status not in FINAL_STATUSES:
+            return f"invalid status {self.status:03}"
+        # The strict parser refuses a second header with this name.
+        coding = self.headers.get("Transfer-Encoding", "chunked")
+        return "" if coding.lower() == "chunked" else "unknown transfer coding"
+
 
 def open_session(**options: Any) -> aiohttp.ClientSession:
-    """Return a session with options of aiohttp; its requests raise InvalidStatusError."""
+    """Return a session with options of aiohttp; its requests raise BrokenResponseError."""
     return aiohttp.ClientSession(response_class=CheckedResponse, **options)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -198,12 +198,11 @@
             self.headers.append(parsed_header(name, value))
 
     def on_headers_complete(self) -> None:
-        """Check the status, and complete a response to a HEAD request, which has no body."""
+        """Check the head, and complete a response to a HEAD request, which has no body."""
         self.head_complete = True
-        status = self.parser.get_status_code()
-        if status not in FINAL_STATUSES and status not in INTERIM_STATUSES:
-            # The parser accepts any three digits.
-            self.fail(f"malformed response: invalid status {status:03}")
+        problem = head_problem(self.parser.get_status_code(), self.headers)
+        if problem:
+            self.fail(f"malformed response: {problem}")
             return
         if self.bodiless:
             self.usable = False
@@ -297,6 +296,18 @@
             self.transport.abort()
 
 
+def head_problem(status: int, headers: list[Header]) -> str:
+    """Return what is wrong with a head that the parser accepts, empty if nothing is.
+
+    The parser accepts any three digits as a status, and any transfer coding.
+    """
+    if status not in FINAL_STATUSES and status not in INTERIM_STATUSES:
+        return f"invalid status {status:03}"
+    codings = [header.value.lower() for header in headers if header.name == "transfer-encoding"]
+    # Clients get the body without its transfer codings, and this node removes chunks only.
+    return "" if codings in ([], ["chunked"]) else "unknown transfer coding"
+
+
 def has_length(headers: list[Header]) -> bool:
     """Return whether the headers define the length of the body."""
     return any(header.name in ("content-length", "transfer-encoding") for header in headers)
--- a/packages/basilhill_node/tests/test_broken_responses.py
+++ b/packages/basilhill_node/tests/test_broken_responses.py
@@ -6,7 +6,7 @@
 
 import pytest
 from basilhill.clocks import SystemClock
-from basilhill_fakes.malformed_responses import INTERIM, malformed_responses
+from basilhill_fakes.malformed_responses import CHUNKS, INTERIM, malformed_responses
 from basilhill_fakes.raw_server import raw_response
 from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
@@ -72,6 +72,13 @@
         assert (await send_request(ConnectionPool(address, SystemClock()))).status == status
 
 
+async def test_coding_of_chunks_in_any_case_is_delivered():
+    """Guard against a check of transfer codings that refuses the one that each client knows."""
+    sent = raw_response("one", framing="Transfer-Encoding: Chunked", body=CHUNKS)
+    async with serving(sent) as address:
+        assert (await send_request(ConnectionPool(address, SystemClock()))).body == b"abc"
+
+
 @pytest.mark.parametrize(("form", "response"), malformed_responses("one").items())
 async def test_malformed_response_fails(form, response):
     """Guard against header lines that are passed on, or that change what the body is."""
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -7,7 +7,7 @@
 from basilhill.calls import CallRequest, ParentReference
 from basilhill.outcomes import Answer, CallReply, ExecutionStatus, Header, Outcome, Reason
 from basilhill.settings import NodeSettings, normalise_settings
-from basilhill_fakes.malformed_responses import INTERIM, malformed_responses
+from basilhill_fakes.malformed_responses import CHUNKS, INTERIM, malformed_responses
 from basilhill_fakes.raw_server import BODY, raw_response
 from basilhill_fakes.stream_server import serve_streams
 from basilhill_node import encoding
@@ -93,6 +93,14 @@
         assert (outcome.ok.status, outcome.ok.body) == (status, BODY)
 
 
+async def test_coding_of_chunks_in_any_case_is_an_answer():
+    """Guard against a check of transfer codings that refuses the one that each client knows."""
+    outcome = await outcome_of(
+        raw_response("one", framing="Transfer-Encoding: Chunked", body=CHUNKS)
+    )
+    assert outcome.ok.body == b"abc"
+
+
 @pytest.mark.parametrize(("form", "response"), malformed_responses("one").items())
 async def test_malformed_response_is_no_answer(form, response):
     """Guard against header lines that are passed on, or that change what the body is."""
