Test the bytes that clients of real processes receive from broken servers

Cause: the tests of whole nodes run in one process and read with an HTTP client; the users saw the broken answers at sockets of real processes.

Change: three real nodes, a server that sends each malformed form and each invalid status between sound responses, GET and POST, the raw bytes at the client: 502 without a signature, sound responses delivered, each request run once. Nothing else.

--- a/packages/basilhill_fakes/tests/test_broken_answers.py
+++ b/packages/basilhill_fakes/tests/test_broken_answers.py
@@ -1,11 +1,24 @@
 """End-to-end tests that broken responses of backend servers do not reach clients."""
 
+import asyncio
+from contextlib import AsyncExitStack
+from random import Random
+
 import pytest
 from basilhill.commands.balancing import EJECT_AFTER_FAILURES
 from basilhill_fakes.malformed_responses import malformed_responses
-from basilhill_fakes.plain_server import SIGNATURE
-from basilhill_fakes.raw_server import RawServer, raw_response
-from basilhill_fakes.sidecar_fleet import SidecarFleet, build_configuration, build_route
+from basilhill_fakes.plain_server import ATTEMPT_ID, SIGNATURE
+from basilhill_fakes.raw_server import BODY, RawServer, raw_response
+from basilhill_fakes.sidecar_fleet import (
+    CLIENT_PORT,
+    HOST,
+    SERVER_PORT,
+    SidecarFleet,
+    build_configuration,
+    build_route,
+)
+from basilhill_fakes.soak_fleet import SoakFleet
+from basilhill_fakes.stream_server import serve_streams
 
 READS = build_route("r-read", "/read/", "calendar")
 WRITES = build_route("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
@@ -48,7 +61,7 @@
         answer = await fleet.send_attempt(vm, METHODS[method], method)
         assert answer.status == 502
         assert SIGNATURE.lower() not in answer.headers
-        assert b"hello" not in answer.body
+        assert BODY not in answer.body
         assert server.runs[answer.attempt] == 1
 
 
@@ -99,3 +112,55 @@
     for _ in range(20):
         await fleet.send_attempt(fleet.vms[2], "/read/x")
     assert server.runs.total() == EJECT_AFTER_FAILURES
+
+
+async def received_bytes(address: str, method: str, attempt: str) -> bytes:
+    """Send an attempt to a node on a connection of its own; return the bytes of the response."""
+    reader, writer = await asyncio.open_connection(address, CLIENT_PORT)
+    lines = (
+        f"{method} {METHODS[method]} HTTP/1.1", f"Host: {HOST}", f"{ATTEMPT_ID}: {attempt}",
+        "Basilhill-Deadline-Ms: 2000", "Content-Length: 0", "Connection: close",
+    )  # fmt: skip
+    writer.write("\r\n".join((*lines, "", "")).encode())
+    async with asyncio.timeout(3):
+        received = await reader.read()
+    writer.close()
+    return received
+
+
+async def test_clients_of_real_processes_receive_no_broken_response(tmp_path):
+    """Guard against bytes at the socket of a client that no parser in the process of a test sees.
+
+    Sound responses between the broken ones are delivered.
+    """
+    broken = (*malformed_responses(""), *INVALID_STATUSES)
+    forms = [form for found in broken for form in (found, "sound")]
+
+    def respond(attempt: str) -> bytes:
+        form = forms[int(attempt)]
+        if form == "sound":
+            return raw_response(attempt)
+        if form in INVALID_STATUSES:
+            return answer_with(form)(attempt)
+        return malformed_responses(attempt)[form]
+
+    server = RawServer(respond)
+    fleet = SoakFleet(tmp_path, Random(1), proxied=False)
+    async with AsyncExitStack() as stack:
+        stack.push_async_callback(fleet.stop)
+        await fleet.start(("calendar", "deposits", "shop"))
+        for vm in fleet.vms[:2]:
+            await vm.runner.cleanup()
+            served = serve_streams(server.handle, vm.outer_address, SERVER_PORT)
+            await stack.enter_async_context(served)
+        for method in ("GET", "POST"):
+            for index, form in enumerate(forms):
+                vm = fleet.vms[(index // 2) % len(fleet.vms)]
+                received = await received_bytes(vm.address, method, str(index))
+                head, _, body = received.partition(b"\r\n\r\n")
+                if form == "sound":
+                    assert head.startswith(b"HTTP/1.1 200 ") and body == BODY
+                else:
+                    assert head.startswith(b"HTTP/1.1 502 Bad Gateway\r\n"), (form, received)
+                    assert SIGNATURE.lower().encode() not in head.lower(), (form, received)
+    assert set(server.runs.values()) == {2}
