Test that a status 101 which nobody asked for is refused

Cause: the tests of invalid statuses had it at the product's own node only, where it was an answer. Change: the client of servers and the store has the case too; nothing else.

--- a/packages/basilhill_node/tests/test_broken_responses.py
+++ b/packages/basilhill_node/tests/test_broken_responses.py
@@ -15,7 +15,20 @@
 from basilhill_node.sidecar.messages import HttpResponse
 from basilhill_node.sidecar.store import StoreFailedError
 
-INVALID_STATUSES = ("000", "001", "099", "600", "999", "0200", "1000", "20", "-20", "2e2", "")
+INVALID_STATUSES = (
+    "000",
+    "001",
+    "099",
+    "101",
+    "600",
+    "999",
+    "0200",
+    "1000",
+    "20",
+    "-20",
+    "2e2",
+    "",
+)
 VALID_STATUSES = (200, 204, 299, 304, 404, 500, 599)
 
 
