--- a/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
@@ -30,7 +30,6 @@
     for form, character in NAME_CHARACTERS.items():
         found[f"{form} in a name"] = raw_response(attempt, f"A{character}b: c")
         found[f"{form} after a name"] = raw_response(attempt, f"Ab{character}: c")
-        # A line feed ends the line of a header without a colon.
         found[f"{form} before the first name"] = raw_response(attempt, f"{character}Ab: c")
         found[f"{form} before a later name"] = raw_response(attempt, "A: b", f"{character}Cd: e")
         found[f"{form} after a length"] = raw_response(attempt, f"Content-Length{character}: 3")
