Say in the refusal what is wrong with a broken response

Cause: at the product's own node the text had only the type of the error, so an operator could not tell an invalid status from a lost connection. Change: the text names the status or the coding. Result: the tests of invalid statuses check the text.

--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from basilhill_node.headers import CONTEXT, TIMEOUT, answer_headers, format_reference
-from basilhill_node.http_sessions import open_session
+from basilhill_node.http_sessions import BrokenResponseError, open_session
 
 PROBE_TIMEOUT_S = 1.0
 
@@ -106,6 +106,9 @@
             return Error(not_run(Reason.UNREACHABLE, "the backend server accepts no connection"))
         except aiohttp.ClientPayloadError:
             return Error(may_have_run(Reason.TRUNCATED, "the answer was cut off"))
+        except BrokenResponseError as error:
+            text = f"the backend server sent a broken response: {error}"
+            return Error(may_have_run(Reason.CONNECTION_LOST, text))
         except (aiohttp.ClientError, OSError) as error:
             text = f"the connection to the backend server broke: {type(error).__name__}"
             return Error(may_have_run(Reason.CONNECTION_LOST, text))
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -76,7 +76,9 @@
 async def test_response_with_an_invalid_status_is_no_answer(status, before):
     """Guard against a status of no final response that a caller gets as an answer."""
     response = raw_response("one", status_line=f"HTTP/1.1 {status} A")
-    assert_may_have_run(await outcome_of(before + response))
+    outcome = await outcome_of(before + response)
+    assert_may_have_run(outcome)
+    assert f"invalid status {status}" in outcome.error.text
 
 
 async def test_invalid_status_of_a_response_to_head_is_no_answer():
