Test that retries after broken responses stay within the budget

Cause: a broken response makes an idempotent request a retry now, so a service whose servers all send them could get twice its load. The retry budget holds already; nothing showed it for such responses.

Change: a test with the platform's bound; no other change.

Result: 100 requests at two servers that send 000: within the bound.

--- a/packages/basilhill_fakes/tests/test_broken_answers.py
+++ b/packages/basilhill_fakes/tests/test_broken_answers.py
@@ -23,6 +23,8 @@
 READS = build_route("r-read", "/read/", "calendar")
 WRITES = build_route("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
 INVALID_STATUSES = ("000", "001", "099", "600", "999")
+# Each may reach two servers, so retries without a budget would exceed it.
+REQUESTS = 100
 METHODS = {"GET": "/read/x", "HEAD": "/read/x", "POST": "/write/x"}
 
 
@@ -104,6 +106,21 @@
     assert server.runs == sound.server.runs == {answer.attempt: 1}
 
 
+async def test_retries_after_broken_responses_stay_within_the_budget(fleet):
+    """Guard against a second load on a service whose servers all send broken responses.
+
+    The bound is the platform's: a ratio of 0.2 of the requests, and a minimum of 48.
+    """
+    await fleet.add_vm("calendar", "b")
+    await fleet.wait_converged(3)
+    server = RawServer(answer_with("000"))
+    for vm in (fleet.vms[0], fleet.vms[3]):
+        await fleet.replace_server(vm, server.handle)
+    for _ in range(REQUESTS):
+        assert (await fleet.send_attempt(fleet.vms[2], "/read/x")).status == 502
+    assert 0 < server.runs.total() - REQUESTS <= 0.2 * REQUESTS + 48
+
+
 async def test_server_with_broken_responses_is_avoided(fleet):
     """Guard against broken responses that count as successes of their server."""
     await fleet.add_vm("calendar", "b")
