Name malformed responses by their form alone in the tests

Cause: each test had a parameter that it did not use, and the names of the cases ended with a number. Change: the tests look their response up by its form; the response of the health test is built in one step.

--- a/packages/basilhill_node/tests/test_broken_responses.py
+++ b/packages/basilhill_node/tests/test_broken_responses.py
@@ -15,6 +15,7 @@
 from basilhill_node.sidecar.messages import HttpResponse
 from basilhill_node.sidecar.store import StoreFailedError
 
+MALFORMED_RESPONSES = malformed_responses("one")
 INVALID_STATUSES = (
     "000",
     "001",
@@ -92,10 +93,10 @@
         assert (await send_request(ConnectionPool(address, SystemClock()))).body == b"abc"
 
 
-@pytest.mark.parametrize(("form", "response"), malformed_responses("one").items())
-async def test_malformed_response_fails(form, response):
+@pytest.mark.parametrize("form", MALFORMED_RESPONSES)
+async def test_malformed_response_fails(form):
     """Guard against header lines that are passed on, or that change what the body is."""
-    await assert_fails(response)
+    await assert_fails(MALFORMED_RESPONSES[form])
 
 
 async def test_invalid_status_fails_before_the_end_of_its_body():
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -15,6 +15,7 @@
 from basilhill_node.platform_client import REVISION, HttpPlatformClient
 from expression import Ok
 
+MALFORMED_RESPONSES = malformed_responses("one")
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
 
 
@@ -103,10 +104,10 @@
     assert outcome.ok.body == b"abc"
 
 
-@pytest.mark.parametrize(("form", "response"), malformed_responses("one").items())
-async def test_malformed_response_is_no_answer(form, response):
+@pytest.mark.parametrize("form", MALFORMED_RESPONSES)
+async def test_malformed_response_is_no_answer(form):
     """Guard against header lines that are passed on, or that change what the body is."""
-    assert_may_have_run(await outcome_of(response))
+    assert_may_have_run(await outcome_of(MALFORMED_RESPONSES[form]))
 
 
 async def test_connection_of_a_response_with_an_invalid_status_is_not_used_again():
@@ -121,11 +122,14 @@
 
 async def test_health_response_with_an_invalid_status_reports_nothing():
     """Guard against a node that leaves because of a broken response."""
+    body = b'{"state": "draining"}'
     health = raw_response(
-        "one", status_line="HTTP/1.1 000 A", framing="Content-Type: application/json",
-        body=b'{"state": "draining"}',
-    )  # fmt: skip
-    health = health.replace(b"\r\n\r\n", b"\r\nContent-Length: 21\r\n\r\n")
+        "one",
+        "Content-Type: application/json",
+        status_line="HTTP/1.1 000 A",
+        framing=f"Content-Length: {len(body)}",
+        body=body,
+    )
     async with serving(health) as (settings, _):
         backend = HttpBackendServer(settings)
         assert await backend.is_draining() is None
