--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -110,6 +110,22 @@
     assert_may_have_run(await outcome_of(MALFORMED_RESPONSES[form]))
 
 
+@pytest.mark.parametrize("coding", ["gzip", "chunked, gzip"])
+async def test_body_with_another_coding_that_breaks_off_is_no_answer(coding):
+    """Guard against part of a body that counts as complete because its connection has ended."""
+    part = raw_response("one", framing=f"Transfer-Encoding: {coding}", body=BODY[:2])
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(part)
+        await writer.drain()
+
+    async with serve_streams(handle) as address:
+        backend = HttpBackendServer(settings_of(address))
+        assert_may_have_run(await call(backend))
+        await backend.close()
+
+
 async def test_connection_of_a_response_with_an_invalid_status_is_not_used_again():
     """Guard against the rest of a broken response that the next call gets."""
     async with serving(raw_response("one", status_line="HTTP/1.1 000 A")) as (settings, counts):
