Refuse responses with a version other than HTTP/1

Callers saw: a response of a backend server whose status line says HTTP/0.9 or HTTP/2.0 arrived as HTTP/1.1 with the status, signature and body of the server, at the sidecar and at the product's own node.

The parsers (httptools, aiohttp) accept the version numbers 0.9 and 2.0 in a status line and leave their meaning to the caller, and neither client asked for it. On such a connection these are no messages that HTTP/1 defines (RFC 9112, section 2.3).

Change: the check of a complete head at both clients also covers the major version, before the status. Such a response counts as every other malformed one: the request may have run, 502 without signature, the connection is closed, the failure counts against the server.

Evidence: eight forms of status lines, new in malformed_responses, for all readers of answers. Not covered: RTSP/ and ICE/, whose names the parsers do not report.

--- a/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/malformed_responses.py
@@ -94,8 +94,17 @@
     }
 
 
+def malformed_status_lines(attempt: str) -> dict[str, bytes]:
+    """Return responses to an attempt, by form, whose status line does not begin as in HTTP/1.1."""
+    starts = ("HTTP/0.9", "HTTP/2.0", "HTTP/3.0", "HTTP/2", "HTTP/11.1", "http/1.1", "ICY", "")
+    return {
+        f"status line {start!r}": raw_response(attempt, status_line=f"{start} 200 OK")
+        for start in starts
+    }
+
+
 def malformed_responses(attempt: str) -> dict[str, bytes]:
     """Return all malformed responses to an attempt, by form."""
     found = malformed_names(attempt) | malformed_values(attempt) | malformed_lengths(attempt)
-    found |= unknown_codings(attempt)
+    found |= unknown_codings(attempt) | malformed_status_lines(attempt)
     return found | {f"interim, {form}": INTERIM + found[form] for form in malformed_names(attempt)}
--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -17,10 +17,10 @@
 
 
 class CheckedResponse(aiohttp.ClientResponse):
-    """Response with the status of a final response and no other transfer coding than chunks.
+    """Response of HTTP/1 with the status of a final response and no transfer coding but chunks.
 
-    The parser of aiohttp accepts any three digits and any coding, and aiohttp returns a response
-    with status 101.
+    The parser of aiohttp accepts the versions 0.9 and 2.0, any three digits and any coding, and
+    aiohttp returns a response with status 101.
     """
 
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
@@ -36,6 +36,8 @@
 
     def problem(self) -> str:
         """Return what is wrong with the head, empty if nothing is."""
+        if self.version.major != 1:
+            return f"invalid version HTTP/{self.version.major}.{self.version.minor}"
         if self.status not in FINAL_STATUSES:
             return f"invalid status {self.status:03}"
         # The strict parser refuses a second header with this name.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -200,7 +200,8 @@
     def on_headers_complete(self) -> None:
         """Check the head, and complete a response to a HEAD request, which has no body."""
         self.head_complete = True
-        problem = head_problem(self.parser.get_status_code(), self.headers)
+        parser = self.parser
+        problem = head_problem(parser.get_http_version(), parser.get_status_code(), self.headers)
         if problem:
             self.fail(f"malformed response: {problem}")
             return
@@ -296,11 +297,14 @@
             self.transport.abort()
 
 
-def head_problem(status: int, headers: list[Header]) -> str:
+def head_problem(version: str, status: int, headers: list[Header]) -> str:
     """Return what is wrong with a head that the parser accepts, empty if nothing is.
 
-    The parser accepts any three digits as a status, and any transfer coding.
+    The parser accepts the versions 0.9 and 2.0, any three digits as a status, and any transfer
+    coding.
     """
+    if not version.startswith("1."):
+        return f"invalid version HTTP/{version}"
     if status not in FINAL_STATUSES and status not in INTERIM_STATUSES:
         return f"invalid status {status:03}"
     codings = [header.value.lower() for header in headers if header.name == "transfer-encoding"]
