--- a/packages/basilhill/tests/test_levels.py
+++ b/packages/basilhill/tests/test_levels.py
@@ -245,3 +245,36 @@
     limiter.rate = None
     refit_rank_level(level, limiter)
     assert admitted_share(level.level, BOOKING) >= 0.5
+
+
+def lowest_share_around_a_pause(clients: int, pause_ms: int) -> float:
+    """Return the lowest admitted share beside clients that send one call after the other.
+
+    The server takes 2 ms for a call, and responds to none during its pause.
+    """
+    level, limiter = RankAdmissionLevel(HIGHEST, HIGHEST), ConcurrencyLimiter(SLOTS)
+    pause = range(3_000, 3_000 + pause_ms)
+    started: list[int] = []
+    shares = []
+    for now_ms in range(6_000):
+        ended = [] if now_ms in pause else [ms for ms in started if now_ms - ms >= 2]
+        for started_ms in ended:
+            started.remove(started_ms)
+            release_slot(limiter, now_ms - started_ms)
+        for _ in range(clients - len(started)):
+            count_work(level, BOOKING, limiter.service_ms)
+            request_slot(limiter, call_rank(BOOKING, 0), 60, now_ms)
+            started.append(now_ms)
+        if now_ms % WINDOW_MS == 0:
+            adjust_rank_level(level, limiter, now_ms)
+            shares.append(admitted_share(level.level, BOOKING))
+    return min(shares)
+
+
+@pytest.mark.parametrize("pause_ms", [0, 300, 1_200])
+def test_pause_of_a_server_with_free_slots_causes_no_refusals(pause_ms):
+    """Guard against refusals after a pause of a server that never uses more than half its slots.
+
+    The slot times of the calls that waited count in the expected work of the calls after them.
+    """
+    assert lowest_share_around_a_pause(SLOTS // 2, pause_ms) == 1.0
