Count a broken response as no crash of its server

Callers would see: at the product's own node, a request refused on all servers of a service ("suspect", not run) because two servers that run sent broken responses to it.

A probe alone would not help: the health response of such a server can be as broken as the others.

Change: http_sessions has one error for all broken responses. They get the reason of a response that is not complete, for which the server is probed before it counts as crashed, and a broken response to the probe shows that it runs. It counts as a failure of the server as before (ejection, retry at another server); the availability that a broken health response ends stays as it is.

The sidecar connects to the server first: handled already, its test is kept (test_request_is_served_after_broken_responses_of_two_servers).

--- a/packages/basilhill_fakes/src/basilhill_fakes/node_states.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/node_states.py
@@ -5,6 +5,7 @@
 from basilhill.clocks import SystemClock
 from basilhill.documents import Section
 from basilhill.loads import ServerLoad
+from basilhill.poison_requests import CrashReport
 from basilhill.queries.documents import build_document, parse_section
 from basilhill.settings import normalise_settings
 from basilhill_node.network import DirectNetwork
@@ -14,6 +15,16 @@
 LOCAL_NODE, PEER_NODE = "127.0.0.1:7401", "127.0.0.2:7401"
 
 
+class DiscardingPeers:
+    """Peers that discard poison request reports."""
+
+    def channel(self, node: str) -> "DiscardingPeers":
+        return self
+
+    async def send_poison_reports(self, reports: tuple[CrashReport, ...]) -> None:
+        return
+
+
 def new_node_state(
     section: str,
     backend: BackendServer,
--- a/packages/basilhill_fakes/tests/test_broken_answers.py
+++ b/packages/basilhill_fakes/tests/test_broken_answers.py
@@ -121,6 +121,22 @@
     assert 0 < server.runs.total() - REQUESTS <= 0.2 * REQUESTS + 48
 
 
+async def test_request_is_served_after_broken_responses_of_two_servers(fleet):
+    """Guard against broken responses that count as crashes caused by their request."""
+    await fleet.add_vm("calendar", "b")
+    await fleet.wait_converged(3)
+    broken = answer_with("000")
+    server = RawServer(
+        lambda attempt: broken(attempt) if attempt == "broken" else raw_response(attempt)
+    )
+    for vm in (fleet.vms[0], fleet.vms[3]):
+        await fleet.replace_server(vm, server.handle)
+    for attempt, status in (("broken", 502), ("sound", 200)):
+        answer = await fleet.send_attempt(fleet.vms[2], "/read/x", attempt=attempt)
+        assert answer.status == status
+    assert server.runs == {"broken": 2, "sound": 1}
+
+
 async def test_server_with_broken_responses_is_avoided(fleet):
     """Guard against broken responses that count as successes of their server."""
     await fleet.add_vm("calendar", "b")
--- a/packages/basilhill_node/src/basilhill_node/backend_servers.py
+++ b/packages/basilhill_node/src/basilhill_node/backend_servers.py
@@ -29,6 +29,10 @@
         """Return whether the backend server accepts requests."""
         ...
 
+    async def is_running(self) -> bool:
+        """Return whether the backend server responds, also with a broken response."""
+        ...
+
     async def is_draining(self) -> bool | None:
         """Return whether the server reports that it drains; None without a valid report."""
         ...
@@ -108,7 +112,7 @@
             return Error(may_have_run(Reason.TRUNCATED, "the answer was cut off"))
         except BrokenResponseError as error:
             text = f"the backend server sent a broken response: {error}"
-            return Error(may_have_run(Reason.CONNECTION_LOST, text))
+            return Error(may_have_run(Reason.TRUNCATED, text))
         except (aiohttp.ClientError, OSError) as error:
             text = f"the connection to the backend server broke: {type(error).__name__}"
             return Error(may_have_run(Reason.CONNECTION_LOST, text))
@@ -154,11 +158,26 @@
     async def probe(self) -> bool:
         """Return whether the backend server accepts requests."""
         try:
-            timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
-            async with self.session.get(self.health_url, timeout=timeout):
-                return True
+            await self.send_probe()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        return True
+
+    async def is_running(self) -> bool:
+        """Return whether the backend server responds, also with a broken response."""
+        try:
+            await self.send_probe()
+        except BrokenResponseError:
+            return True
         except (aiohttp.ClientError, OSError, TimeoutError):
             return False
+        return True
+
+    async def send_probe(self) -> None:
+        """Send a request to the health path; raise an error without a sound response."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S)
+        async with self.session.get(self.health_url, timeout=timeout):
+            pass
 
     async def is_draining(self) -> bool | None:
         """Return whether the server reports that it drains; None without a valid report."""
--- a/packages/basilhill_node/src/basilhill_node/commands/filter_poison_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/commands/filter_poison_requests.py
@@ -159,7 +159,7 @@
     """Return whether a call ended because the backend server crashed."""
     if reply.outcome.error.reason is Reason.CONNECTION_LOST:
         return True
-    return reply.outcome.error.reason is Reason.TRUNCATED and not await node.backend.probe()
+    return reply.outcome.error.reason is Reason.TRUNCATED and not await node.backend.is_running()
 
 
 async def publish_report(node: NodeState, report: CrashReport) -> None:
--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -13,7 +13,7 @@
 
 
 class BrokenResponseError(aiohttp.ClientError):
-    """Response that aiohttp accepts although it is no final response or its body is unknown."""
+    """Response with a head that is malformed, or that aiohttp accepts and HTTP/1 does not."""
 
 
 class CheckedResponse(aiohttp.ClientResponse):
@@ -26,7 +26,10 @@
     async def start(self, connection: Connection) -> aiohttp.ClientResponse:
         """Read the head of the response; raise BrokenResponseError and close the connection."""
         protocol = connection.protocol
-        await super().start(connection)
+        try:
+            await super().start(connection)
+        except aiohttp.ClientResponseError as error:
+            raise BrokenResponseError("malformed head") from error
         problem = self.problem()
         if problem:
             # The connection is back in the pool if the whole response has arrived.
