Order the tests of broken responses as a reader meets them

Cause: a zip of one VM three times hid which response each attempt gets, constants of one test stood between tests, and the check of a head had two names.

Change: a tuple of attempt and status, constants at the top, head_problem at both clients. No check changed.

--- a/packages/basilhill_fakes/tests/test_broken_answers.py
+++ b/packages/basilhill_fakes/tests/test_broken_answers.py
@@ -74,9 +74,9 @@
     server = await replace_servers(
         fleet, lambda attempt: broken(attempt) if attempt == "broken" else raw_response(attempt)
     )
-    for vm, attempt in zip([fleet.vms[0]] * 3, ("first", "broken", "last"), strict=True):
-        answer = await fleet.send_attempt(vm, "/read/x", attempt=attempt)
-        assert answer.status == (502 if attempt == "broken" else 200)
+    for attempt, status in (("first", 200), ("broken", 502), ("last", 200)):
+        answer = await fleet.send_attempt(fleet.vms[0], "/read/x", attempt=attempt)
+        assert answer.status == status
     assert server.connections == 2
 
 
--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -30,14 +30,14 @@
             await super().start(connection)
         except aiohttp.ClientResponseError as error:
             raise BrokenResponseError("malformed head") from error
-        problem = self.problem()
+        problem = self.head_problem()
         if problem:
             # The connection is back in the pool if the whole response has arrived.
             protocol.close()
             raise BrokenResponseError(problem)
         return self
 
-    def problem(self) -> str:
+    def head_problem(self) -> str:
         """Return what is wrong with the head, empty if nothing is."""
         if self.version.major != 1:
             return f"invalid version HTTP/{self.version.major}.{self.version.minor}"
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -27,6 +27,23 @@
 
 MALFORMED_RESPONSES = malformed_responses("one")
 INVALID_STATUSES = ("000", "001", "099", "101", "600", "999")
+SECTION = """
+[team.a.service.s]
+slots = 4
+connections = 10
+[team.a.service.s.call.x]
+method = "GET"
+path = "/x"
+idempotent = true
+timeout_ms = 1000
+usual_ms = 20
+"""
+BROKEN_RESPONSES = {
+    "invalid status": raw_response("one", status_line="HTTP/1.1 000 A"),
+    "invalid version": raw_response("one", status_line="HTTP/2.0 200 OK"),
+    "blank in a name": raw_response("one", "A b: c"),
+    "unknown coding": raw_response("one", framing="Transfer-Encoding: gzip", body=CHUNKS),
+}
 
 
 @asynccontextmanager
@@ -193,25 +210,6 @@
     assert reply.retries_spent == 2
 
 
-SECTION = """
-[team.a.service.s]
-slots = 4
-connections = 10
-[team.a.service.s.call.x]
-method = "GET"
-path = "/x"
-idempotent = true
-timeout_ms = 1000
-usual_ms = 20
-"""
-BROKEN_RESPONSES = {
-    "invalid status": raw_response("one", status_line="HTTP/1.1 000 A"),
-    "invalid version": raw_response("one", status_line="HTTP/2.0 200 OK"),
-    "blank in a name": raw_response("one", "A b: c"),
-    "unknown coding": raw_response("one", framing="Transfer-Encoding: gzip", body=CHUNKS),
-}
-
-
 @pytest.mark.parametrize("form", BROKEN_RESPONSES)
 async def test_request_with_a_broken_response_is_no_crash_suspect(form):
     """Guard against refusing a request on all servers because two of them send broken responses.
