Test the version of responses of the store and of the platform

Change: both tests of invalid statuses also send HTTP/0.9 and HTTP/2.0, and the one of the platform now asks for the very status or version in the error. No product code changed.

--- a/packages/basilhill_node/tests/test_broken_responses.py
+++ b/packages/basilhill_node/tests/test_broken_responses.py
@@ -104,12 +104,22 @@
     await assert_fails(raw_response("one", status_line="HTTP/1.1 000 A", body=b"h"))
 
 
-@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
-async def test_store_response_with_an_invalid_status_is_a_failure_of_the_store(status):
+@pytest.mark.parametrize(
+    "start",
+    [
+        "HTTP/1.1 000",
+        "HTTP/1.1 099",
+        "HTTP/1.1 600",
+        "HTTP/1.1 999",
+        "HTTP/0.9 200",
+        "HTTP/2.0 200",
+    ],
+)
+async def test_store_response_with_an_invalid_status_line_is_a_failure_of_the_store(start):
     """Guard against a broken connection to the store that is used again."""
     page = json.dumps({"items": [], "asOf": 5, "hasMore": False}).encode()
     framing = f"Content-Length: {len(page)}"
-    status_line = f"HTTP/1.1 {status} A"
+    status_line = f"{start} A"
     async with serving(
         raw_response("one", status_line=status_line, framing=framing, body=page)
     ) as address:
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -44,6 +44,12 @@
     "blank in a name": raw_response("one", "A b: c"),
     "unknown coding": raw_response("one", framing="Transfer-Encoding: gzip", body=CHUNKS),
 }
+# What is wrong with responses, by the first lines of their heads.
+PROBLEMS = {
+    **{f"HTTP/1.1 {status} A": f"invalid status {status}" for status in INVALID_STATUSES},
+    "HTTP/0.9 200 OK": "invalid version HTTP/0.9",
+    "HTTP/2.0 200 OK": "invalid version HTTP/2.0",
+}
 
 
 @asynccontextmanager
@@ -180,15 +186,18 @@
         await backend.close()
 
 
-@pytest.mark.parametrize("status", INVALID_STATUSES)
-async def test_platform_response_with_an_invalid_status_is_not_readable(status):
-    """Guard against a document or a fleet list that is taken from a broken response."""
+@pytest.mark.parametrize("start", PROBLEMS)
+async def test_broken_response_of_the_platform_is_not_readable(start):
+    """Guard against a document or a fleet list that is taken from a broken response.
+
+    The error tells the operator what is wrong with the response.
+    """
     body = b'{"vms": []}'
     response = raw_response(
         "one",
         f"{REVISION}: 7",
         "Content-Type: application/json",
-        status_line=f"HTTP/1.1 {status} A",
+        status_line=start,
         framing=f"Content-Length: {len(body)}",
         body=body,
     )
@@ -197,7 +206,7 @@
         async with asyncio.timeout(2):
             results = [await client.read_document(), await client.read_fleet()]
         await client.close()
-    assert all(result.is_error() and "invalid status" in result.error for result in results)
+    assert all(result.is_error() and PROBLEMS[start] in result.error for result in results)
 
 
 @pytest.mark.parametrize("status", [0, 1, 99, 101, 199, 600, 999, -1])
