Say what the parser refuses in a malformed head

Operators saw: the error of an unreadable platform says "malformed head" and no more; before it had the words of the parser.

Cause: gave all broken responses one error and left out the parser's message.

Change: the error has the first line of the message, such as "Invalid header token". The lines after it quote the head and stay out, since the text also reaches callers.

Evidence: test_broken_response_of_the_platform_is_not_readable with a header name that holds a blank failed before; 601 pass in test_http_sessions.py and test_broken_responses.py. First lines of the messages of all forms that the parser refuses were read (trial): fixed phrases, no bytes of a response.

--- a/packages/basilhill_node/src/basilhill_node/http_sessions.py
+++ b/packages/basilhill_node/src/basilhill_node/http_sessions.py
@@ -29,7 +29,9 @@
         try:
             await super().start(connection)
         except aiohttp.ClientResponseError as error:
-            raise BrokenResponseError("malformed head") from error
+            # The lines after the first one quote the head.
+            problem = error.message.partition("\n")[0].rstrip(":")
+            raise BrokenResponseError(f"malformed head: {problem}") from error
         problem = self.head_problem()
         if problem:
             # The connection is back in the pool if the whole response has arrived.
--- a/packages/basilhill_node/tests/test_http_sessions.py
+++ b/packages/basilhill_node/tests/test_http_sessions.py
@@ -49,6 +49,7 @@
     **{f"HTTP/1.1 {status} A": f"invalid status {status}" for status in INVALID_STATUSES},
     "HTTP/0.9 200 OK": "invalid version HTTP/0.9",
     "HTTP/2.0 200 OK": "invalid version HTTP/2.0",
+    "HTTP/1.1 200 OK\r\nA b: c": "malformed head: Invalid header token",
 }
 
 
