Identify workspaces by API keys and keep their quotas over all nodes

Change: the platform's adapter decodes tenants and credentials once. A request on a route that is not public needs a known key (401), its rank is the priority of its workspace before that of its route, and servers see the workspace and never the key. Quotas are divided into four shares, each lent by one keeper; origins start requests on trust while keepers report credit, within the platform's allowance. Workspaces divide what a level admits by their use of their quotas. Kinds download and upload; an unknown kind refuses the version. Measured: test_workspaces.py with whole nodes passes (17 tests); tests of basilhill and basilhill_node and test_sidecar.py pass (1,141).

--- a/packages/basilhill/src/basilhill/configuration.py
+++ b/packages/basilhill/src/basilhill/configuration.py
@@ -2,6 +2,8 @@
 
 from attrs import field, frozen
 
+from basilhill.workspaces import WorkspaceTable
+
 
 @frozen
 class WeightedService:
@@ -16,6 +18,7 @@
     """Policy for the requests of one host whose paths begin with a prefix.
 
     `attempts` bounds the servers that one request is sent to; priority 0 is the most urgent.
+    A request of a `public` route needs no API key.
     """
 
     name: str
@@ -27,6 +30,7 @@
     target_ms: int
     priority: int
     services: tuple[WeightedService, ...]
+    public: bool = False
 
 
 @frozen
@@ -41,8 +45,20 @@
 
 @frozen
 class Configuration:
-    """One version of the routes by host, those with the longest prefix first."""
+    """One version of the routes by host, those with the longest prefix first.
+
+    Without workspaces, requests need no API key.
+    """
 
     version: int
     routes: dict[str, tuple[Route, ...]]
     limits: RequestLimits = field(factory=RequestLimits)
+    workspaces: WorkspaceTable | None = None
+    # Number of ranks that the priorities of the routes take, from 0 to the greatest one.
+    route_ranks: int = field(init=False)
+
+    @route_ranks.default
+    def count_route_ranks(self) -> int:
+        """Return the number of ranks that the priorities of the routes take."""
+        priorities = (route.priority for routes in self.routes.values() for route in routes)
+        return 1 + max(priorities, default=0)
--- a/packages/basilhill/src/basilhill/outcomes.py
+++ b/packages/basilhill/src/basilhill/outcomes.py
@@ -33,6 +33,7 @@
     NO_SERVER = "no-server"
     OVERLOADED = "overloaded"
     PARENT_GONE = "parent-gone"
+    QUOTA_EXCEEDED = "quota-exceeded"
     REJECTED = "rejected"
     SERVER_REFUSED = "server-refused"
     SUSPECT = "suspect"
@@ -43,6 +44,7 @@
     TOO_LARGE = "too-large"
     TOO_SLOW = "too-slow"
     TRUNCATED = "truncated"
+    UNAUTHENTICATED = "unauthenticated"
     UNKNOWN_CALL = "unknown-call"
     UNREACHABLE = "unreachable"
 
--- a/packages/basilhill/src/basilhill/queries/configuration.py
+++ b/packages/basilhill/src/basilhill/queries/configuration.py
@@ -21,13 +21,6 @@
     return {route.name for routes in configuration.routes.values() for route in routes}
 
 
-def least_urgent_rank(configuration: Configuration) -> int:
-    """Return the greatest priority of the routes, 0 without routes."""
-    return max(
-        (route.priority for routes in configuration.routes.values() for route in routes), default=0
-    )
-
-
 def order_routes(routes: list[Route]) -> dict[str, tuple[Route, ...]]:
     """Return routes by host, those with the longest prefix first."""
     hosts: dict[str, list[Route]] = {}
--- a/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/sidecar_fleet.py
@@ -1,6 +1,7 @@
 """Small fleet of sidecar nodes in one process, with test doubles of servers and store."""
 
 import asyncio
+from collections.abc import Iterable
 from contextlib import AsyncExitStack
 from itertools import count
 from random import Random
@@ -9,6 +10,7 @@
 from aiohttp import web
 from attrs import define, field
 from basilhill.clocks import SystemClock
+from basilhill.credits import QuotaBounds
 from basilhill_node.platform.decoder import PlatformDecoder
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.store import PlatformStore
@@ -41,10 +43,15 @@
     return route | changes
 
 
-def build_configuration(version: int, *paths: dict) -> dict:
+def build_tenant(name: str, *keys: str, **changes) -> dict:
+    """Return a tenant in the format of the platform, without a limit."""
+    return {"name": name, "apiKeys": list(keys), "priority": 1} | changes
+
+
+def build_configuration(version: int, *paths: dict, tenants: Iterable[dict] = ()) -> dict:
     """Return a configuration in the format of the platform."""
     services = sorted({route["service"] for route in paths if "service" in route})
-    return {
+    configuration = {
         "version": f"{version:08x}",
         "services": [
             {"name": name, "healthPath": "/health", "maxConnections": 500} for name in services
@@ -57,6 +64,7 @@
         },
         "virtualHosts": [{"host": HOST, "paths": list(paths)}],
     }
+    return configuration | ({"tenants": list(tenants)} if tenants else {})
 
 
 @define(eq=False)
@@ -172,6 +180,7 @@
             retry_ratio=0.2,
             retry_window_ms=10_000,
             retry_minimum=48,
+            quota_bounds=QuotaBounds(5_000, 0.25, 20.0),
         )
 
     async def wait_until(self, condition) -> None:
--- a/packages/basilhill_node/src/basilhill_node/platform/configuration.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -19,9 +19,11 @@
     required_number,
     required_text,
 )
+from basilhill_node.platform.workspaces import read_workspaces
 
 MS_PER_S = 1000
-IDEMPOTENT = "idempotent"
+# Kinds of routes, and whether their requests may run more than once.
+KINDS = {"idempotent": True, "download": True, "non_idempotent": False, "upload": False}
 VERSION = re.compile(r"[0-9a-fA-F]{1,8}")
 
 
@@ -49,17 +51,21 @@
             header_ms=int(required_number(limits, "headerTimeoutS") * MS_PER_S),
             idle_ms=int(required_number(limits, "idleTimeoutS") * MS_PER_S),
         ),
+        workspaces=read_workspaces(table),
     )
 
 
 def read_route(host: str, path: dict[str, Any]) -> Route:
     """Return a route from an entry of `paths`, which is a path prefix with its policy."""
+    kind = path["kind"]
+    if kind not in KINDS:
+        raise ValueError(f"kind is {kind!r}, expected one of {tuple(KINDS)}")
     split = path.get("trafficSplit") or [{"service": path["service"], "weight": 1}]
     return Route(
         name=required_text(path, "name"),
         host=host,
         prefix=required_text(path, "prefix"),
-        idempotent=path["kind"] == IDEMPOTENT,
+        idempotent=KINDS[kind],
         # `attempts` counts the servers that one request may reach, including the first one.
         attempts=required_integer(path, "attempts") if "attempts" in path else 1,
         timeout_ms=int(required_number(path, "timeoutS") * MS_PER_S),
@@ -71,4 +77,5 @@
             for part in split
             if part["weight"] > 0
         ),
+        public=path.get("public") is True,
     )
--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -6,9 +6,11 @@
 
 from attrs import define, field
 from basilhill.outcomes import Answer, ExecutionStatus, Header, Reason, Refusal, not_run
+from basilhill.workspaces import Credentials
 from expression import Error, Ok, Result
 
 from basilhill_node.sidecar.dialect import (
+    CallerIdentity,
     MalformedMetadata,
     RequestMetadata,
     ServerMetadata,
@@ -28,20 +30,33 @@
 NOT_EXECUTED = "basilhill-not-executed"
 INSTANCE_ID = "basilhill-instance-id"
 CALLER_SERVICE = "basilhill-caller-service"
+TENANT = "basilhill-tenant"
+AUTHORIZATION = "authorization"
+KEY_SCHEME = "token"
+WWW_AUTHENTICATE = Header("www-authenticate", "Token")
 RETRY_AFTER = "retry-after"
 SERVER_LIMIT = "server-limit"
 SERVER_LEAVING = "server-leaving"
 ID_SEPARATOR = "."
 MISDIRECTED = 421
 # Headers that the node sets on requests to backend servers; values from clients are dropped.
-NODE_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE))
+NODE_HEADERS = frozenset((REQUEST_ID, DEADLINE, SERVER_ID, CALLER_SERVICE, TENANT))
+# Where requests need keys, no server gets one, whatever the route and the scheme.
+KEYED_HEADERS = NODE_HEADERS | {AUTHORIZATION}
 ECHOED_HEADERS = frozenset((REQUEST_ID,))
 LONGEST_DEADLINE_MS = 3_600_000
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 # Status of a request that may have run, by reason; the default is 502.
 UNCERTAIN_STATUS = {Reason.DEADLINE: 504}
 # Status of a request that did not run, by reason; the default is 503.
-NOT_RUN_STATUS = {Reason.UNKNOWN_CALL: 404, Reason.CUSTOMER_LIMIT: 429}
+NOT_RUN_STATUS = {
+    Reason.UNKNOWN_CALL: 404,
+    Reason.CUSTOMER_LIMIT: 429,
+    Reason.QUOTA_EXCEEDED: 429,
+    Reason.UNAUTHENTICATED: 401,
+}
+# Statuses after which the same request would be refused again.
+FINAL_REFUSALS = frozenset((401, 404))
 
 
 @define
@@ -65,11 +80,18 @@
         # without the rank of its parent.
         parent_id = request_id.rpartition(ID_SEPARATOR)[0] or None
         action_id = request_id.partition(ID_SEPARATOR)[0]
-        return RequestMetadata(request_id, deadline_ms, host, parent_id, action_id)
+        return RequestMetadata(
+            request_id, deadline_ms, host, parent_id, action_id, decode_credentials(request)
+        )
 
-    def client_headers(self, request: HttpRequest) -> list[Header]:
+    def client_headers(self, request: HttpRequest, identity: CallerIdentity) -> list[Header]:
         """Return the headers of a client's request that are forwarded to a server."""
-        return forwarded_headers(request.headers, NODE_HEADERS)
+        if not identity.is_checked:
+            return forwarded_headers(request.headers, NODE_HEADERS)
+        headers = forwarded_headers(request.headers, KEYED_HEADERS)
+        if identity.workspace:
+            headers.append(Header(TENANT, identity.workspace))
+        return headers
 
     def server_headers(self, headers: list[Header], metadata: ServerMetadata) -> list[Header]:
         """Return the headers of a request to a backend server."""
@@ -121,6 +143,19 @@
             status = UNCERTAIN_STATUS.get(refusal.reason, 502)
         else:
             status = NOT_RUN_STATUS.get(refusal.reason, 503)
-            if status != 404 and refusal.retry_after_ms:
+            if refusal.reason is Reason.UNAUTHENTICATED:
+                headers.append(WWW_AUTHENTICATE)
+            if status not in FINAL_REFUSALS and refusal.retry_after_ms:
                 headers.append(Header(RETRY_AFTER, f"{refusal.retry_after_ms / 1000:.3f}"))
         return HttpResponse(status, headers, refusal.text.encode())
+
+
+def decode_credentials(request: HttpRequest) -> Credentials:
+    """Return the API key of a request; other schemes than that of keys are ignored."""
+    values = [header.value for header in request.headers if header.name == AUTHORIZATION]
+    if len(values) > 1:
+        return Credentials(problem="the request has more than one Authorization header")
+    scheme, _, key = values[0].strip().partition(" ") if values else ("", "", "")
+    if scheme.lower() != KEY_SCHEME:
+        return Credentials()
+    return Credentials(key.strip())
--- a/packages/basilhill_node/src/basilhill_node/platform/input.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/input.py
@@ -44,3 +44,13 @@
     if type(value) is not int:
         raise ValueError(f"{name} is {value!r}, expected an integer")
     return value
+
+
+def optional_number(table: dict[str, Any], name: str) -> float:
+    """Return a number from 0 to `MAX_NUMBER`, 0 if it is missing; raise ValueError for others."""
+    return float(required_number(table, name)) if name in table else 0.0
+
+
+def optional_integer(table: dict[str, Any], name: str) -> int:
+    """Return an integer from 0 to `MAX_NUMBER`, 0 if it is missing; raise ValueError for others."""
+    return required_integer(table, name) if name in table else 0
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from attrs import define, field
+from basilhill.credits import QuotaBounds
 from expression import Error, Ok, Result
 
 from basilhill_node.platform.input import MAX_NUMBER, decode_input
@@ -114,5 +115,11 @@
         retry_ratio=float(reader.number("terms.bounds.retryBudgetRatio")),
         retry_window_ms=int(reader.number("terms.bounds.budgetWindowS") * MS_PER_S),
         retry_minimum=int(reader.number("terms.bounds.budgetMinRetries")),
+        # Platforms without quotas state no bounds of them.
+        quota_bounds=QuotaBounds(
+            window_ms=int(reader.number("terms.bounds.quotaWindowS", 0) * MS_PER_S),
+            overage=reader.number("terms.bounds.quotaOverage", 0),
+            slack=reader.number("terms.bounds.quotaSlack", 0),
+        ),
         memory_mb=int(reader.number("self.limits.memoryMb", DEFAULT_MEMORY_MB)),
     )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -16,7 +16,7 @@
 from basilhill.commands.balancing import remove_target
 from basilhill.commands.levels import set_highest
 from basilhill.queries.backends import server_at
-from basilhill.queries.configuration import least_urgent_rank
+from basilhill.queries.workspaces import least_urgent_rank
 
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.state import (
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -86,7 +86,7 @@
             opened.share,
             opened.request.method,
             opened.request.target,
-            self.dialect.client_headers(opened.request),
+            self.dialect.client_headers(opened.request, opened.identity),
             opened.request.body,
         )
         opened.call = execute
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -6,8 +6,10 @@
 from attrs import asdict, define, evolve
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
+from basilhill.commands.fair_shares import fair_chance, record_utilisation
 from basilhill.commands.levels import record_called
-from basilhill.configuration import Route
+from basilhill.configuration import Configuration, Route
+from basilhill.fair_shares import UtilisationSample
 from basilhill.outcomes import (
     CallReply,
     ExecutionStatus,
@@ -20,10 +22,14 @@
 from basilhill.queries.backends import deregistered_entries, ready_entries
 from basilhill.queries.balancing import choose_backend
 from basilhill.queries.configuration import choose_service, find_route
+from basilhill.queries.fair_shares import AdmissionChance
 from basilhill.queries.levels import admitted_share, route_level
-from expression import Error, Ok
+from basilhill.queries.workspaces import authenticate, request_rank
+from basilhill.workspaces import Workspace
+from expression import Error, Ok, Result
 
 from basilhill_node.metrics import Metrics
+from basilhill_node.sidecar.commands.borrow_credits import CreditBorrower
 from basilhill_node.sidecar.commands.execute_call import GATEWAY_TIMEOUT, CallExecutor
 from basilhill_node.sidecar.commands.send_call import (
     SERVER_ERROR,
@@ -31,7 +37,12 @@
     CallSender,
 )
 from basilhill_node.sidecar.commands.spend_retries import RetryBudget
-from basilhill_node.sidecar.dialect import Dialect, MalformedMetadata, RequestMetadata
+from basilhill_node.sidecar.dialect import (
+    CallerIdentity,
+    Dialect,
+    MalformedMetadata,
+    RequestMetadata,
+)
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.open_requests import OpenRequest, RoutingBasis
 from basilhill_node.sidecar.state import (
@@ -70,6 +81,7 @@
     executor: CallExecutor
     sender: CallSender
     retries: RetryBudget
+    credits: CreditBorrower
     dialect: Dialect
     metrics: Metrics
     clock: Clock
@@ -110,11 +122,44 @@
         if route is None:
             refusal = not_run(Reason.UNKNOWN_CALL, f"no route for {metadata.host}{request.path}")
             return self.finish(metadata, Error(refusal), arrived_ms, basis)
-        opened = self.open_request(request, metadata, route, arrived_ms)
-        refusal = self.retry_refusal(opened) or self.level_refusal(opened)
-        outcome = Error(refusal) if refusal else await self.dispatch(opened)
+        identified = self.identify(configuration, route, metadata)
+        if identified.is_error():
+            return self.finish(metadata, Error(identified.error), arrived_ms, basis)
+        opened = self.open_request(
+            request, metadata, configuration, route, identified.ok, arrived_ms
+        )
+        outcome = await self.serve_opened(opened)
         return self.finish(metadata, outcome, arrived_ms, basis, opened)
 
+    def identify(
+        self, configuration: Configuration, route: Route, metadata: RequestMetadata
+    ) -> Result[Workspace | None, Refusal]:
+        """Return the workspace of a request, or a refusal; calls of running requests have none."""
+        if metadata.parent_id in self.executor.state.running:
+            return Ok(None)
+        if (
+            configuration.workspaces is not None
+            and metadata.parent_id is not None
+            and metadata.credentials.key is None
+        ):
+            # The node has restarted, or the request that makes the call has ended.
+            text = f"request {metadata.parent_id} does not run here"
+            return Error(not_run(Reason.PARENT_GONE, text, CLOSING_RETRY_MS))
+        return authenticate(configuration, route, metadata.credentials)
+
+    async def serve_opened(self, opened: OpenRequest) -> Outcome:
+        """Return the outcome of a request with its inputs, within its retries, level and quota."""
+        refusal = (
+            self.retry_refusal(opened)
+            or self.level_refusal(opened)
+            or await self.credits.admit(opened)
+        )
+        if refusal is not None:
+            return Error(refusal)
+        outcome = await self.dispatch(opened)
+        self.credits.give_back(opened, outcome)
+        return outcome
+
     def routing_basis(self, now_ms: int) -> RoutingBasis:
         """Return what this node knows now of the configuration by which it routes."""
         active = self.active_configuration
@@ -123,7 +168,13 @@
         )
 
     def open_request(
-        self, request: HttpRequest, metadata: RequestMetadata, route: Route, arrived_ms: int
+        self,
+        request: HttpRequest,
+        metadata: RequestMetadata,
+        configuration: Configuration,
+        route: Route,
+        workspace: Workspace | None,
+        arrived_ms: int,
     ) -> OpenRequest:
         """Return the record of a request with its service, deadline, rank and admitted share."""
         number = self.origin.splits.get(route.name, 0)
@@ -136,16 +187,18 @@
         ends_ms = min(deadline_ms, arrived_ms + route.timeout_ms)
         parent = self.executor.state.running.get(metadata.parent_id) if metadata.parent_id else None
         if parent is None:
-            rank, depth, repeated = route.priority, 0, False
+            rank, depth, repeated = request_rank(configuration, route, workspace), 0, False
             level = route_level(self.origin.levels, route.name, arrived_ms)
-            share = admitted_share(level, rank)
+            admission = self.admission(workspace, rank, admitted_share(level, rank), arrived_ms)
             wait_limit_ms = int(route.target_ms * WAIT_LIMIT_SHARE)
         else:
             # A call made by an admitted request may wait until its deadline, since a refusal would
             # fail the whole customer action.
             record_called(self.origin.levels, parent.route, route.name)
             rank, depth, wait_limit_ms = parent.rank, parent.depth + 1, MAX_DEADLINE_MS
-            repeated, share = parent.repeated, parent.share
+            repeated, admission = parent.repeated, AdmissionChance(1.0, parent.share)
+        is_checked = configuration.workspaces is not None
+        identity = CallerIdentity(workspace.name if workspace else "", is_checked)
         return OpenRequest(
             request,
             metadata,
@@ -158,9 +211,25 @@
             depth,
             repeated,
             wait_limit_ms,
-            share,
+            admission.share,
+            admission.chance,
+            identity,
+            workspace,
         )
 
+    def admission(
+        self, workspace: Workspace | None, rank: int, share: float, now_ms: int
+    ) -> AdmissionChance:
+        """Return the chance of a customer request; workspaces share what their rank may have."""
+        if workspace is None:
+            return AdmissionChance(share, share)
+        sample = self.origin.utilisations.get(rank)
+        if sample is None:
+            sample = self.origin.utilisations[rank] = UtilisationSample()
+        utilisation = self.credits.utilisation(workspace)
+        record_utilisation(sample, utilisation)
+        return fair_chance(sample, utilisation, share, now_ms)
+
     def retry_refusal(self, opened: OpenRequest) -> Refusal | None:
         """Count a request; return a refusal for a repeated run's call beyond the retry budget."""
         if self.retries.count(opened):
@@ -172,9 +241,9 @@
         """Return a refusal if the admission level excludes a customer request, else None."""
         if opened.depth:
             return None
-        if self.origin.random.random() < opened.share:
+        if self.origin.random.random() < opened.chance:
             return None
-        text = f"servers have room for {opened.share:.2f} of the requests of rank {opened.rank}"
+        text = f"servers have room for {opened.chance:.2f} of the requests of rank {opened.rank}"
         return not_run(Reason.OVERLOADED, text, self.retry_after_ms(opened))
 
     def retry_after_ms(self, opened: OpenRequest) -> int:
@@ -225,7 +294,8 @@
                 "service": opened.service,
                 "rank": opened.rank,
                 "depth": opened.depth,
-                "admitted_share": round(opened.share, 2),
+                "admitted_share": round(opened.chance, 2),
+                "workspace": opened.identity.workspace,
                 "servers": sorted(opened.tried),
                 "reached": len(opened.reached),
                 "sends": opened.sends,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/dialect.py
@@ -3,8 +3,9 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import frozen
+from attrs import field, frozen
 from basilhill.outcomes import Answer, Header, Refusal
+from basilhill.workspaces import Credentials
 from expression import Result
 
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
@@ -21,6 +22,18 @@
     parent_id: str | None = None
     # Id of the customer action that this request belongs to.
     action_id: str = ""
+    credentials: Credentials = field(factory=Credentials)
+
+
+@frozen
+class CallerIdentity:
+    """Workspace of a request, empty without one.
+
+    `is_checked` is whether requests need API keys, so that none may reach a server.
+    """
+
+    workspace: str = ""
+    is_checked: bool = False
 
 
 @frozen
@@ -60,7 +73,7 @@
         """Return the metadata of a client's request, or why it is malformed."""
         ...
 
-    def client_headers(self, request: HttpRequest) -> list[Header]:
+    def client_headers(self, request: HttpRequest, identity: CallerIdentity) -> list[Header]:
         """Return the headers of a client's request that are forwarded to a server."""
         ...
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/messages.py
@@ -28,6 +28,7 @@
     200: "OK",
     204: "No Content",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -18,11 +18,13 @@
 from basilhill.queries.configuration import route_names
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
+from basilhill_node.sidecar.commands.borrow_credits import CreditBorrower
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.commands.execute_call import ADJUST_INTERVAL_S, CallExecutor
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
 from basilhill_node.sidecar.commands.follow_feed import FeedFollower
 from basilhill_node.sidecar.commands.follow_store import EXPIRY_INTERVAL_S, StoreFollower
+from basilhill_node.sidecar.commands.keep_credits import CreditKeeper
 from basilhill_node.sidecar.commands.publish_feed import HEARTBEAT_S, FeedPublisher
 from basilhill_node.sidecar.commands.read_store import StoreReader
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
@@ -76,6 +78,8 @@
     executor: CallExecutor
     peers: PeerStreams
     origin: Origin
+    keeper: CreditKeeper
+    credits: CreditBorrower
     listener: PeerListener
     follower: StoreFollower
     publisher: FeedPublisher
@@ -140,7 +144,12 @@
         state.active_configuration, state.directory, state.store, state.lifecycle, clock, log
     )
 
+    keeper = CreditKeeper(
+        state.credits, state.active_configuration, state.directory, state.lifecycle, clock, log
+    )
+
     def entries_changed(server_ids: set[str]) -> None:
+        keeper.entries_changed(server_ids)
         peer_updates.entries_changed(server_ids)
         publisher.entries_changed(server_ids)
 
@@ -182,6 +191,9 @@
         updater.record_leaving,
         updater.record_refuted,
     )
+    credits = CreditBorrower(
+        settings, state.credits, state.origin, state.lifecycle, keeper, peers, clock, log
+    )
     origin = Origin(
         settings,
         state.origin,
@@ -191,12 +203,20 @@
         executor,
         sender,
         retries,
+        credits,
         dialect,
         state.metrics,
         clock,
     )
     listener = PeerListener(
-        executor, state.origin.levels, peer_updates, publisher, clock, log, state.memory
+        executor,
+        state.origin.levels,
+        peer_updates,
+        publisher,
+        keeper,
+        clock,
+        log,
+        state.memory,
     )
     client_listener = HttpServer(
         origin.serve, lambda: state.active_configuration.limits, clock, log, state.memory
@@ -208,6 +228,8 @@
         executor,
         peers,
         origin,
+        keeper,
+        credits,
         listener,
         follower,
         publisher,
@@ -293,6 +315,8 @@
     directory = state.directory
     state.executor.misdirected_ids.intersection_update(directory.entries)
     retain_targets(state.origin.loads, directory.entries.keys() | directory.removed_entries.keys())
+    node.keeper.expire_unused()
+    node.credits.expire_unused()
     node.peers.drop_unused()
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -3,8 +3,9 @@
 from attrs import define, field, frozen
 from basilhill.configuration import Route
 from basilhill.outcomes import Answer, Refusal
+from basilhill.workspaces import Workspace
 
-from basilhill_node.sidecar.dialect import RequestMetadata
+from basilhill_node.sidecar.dialect import CallerIdentity, RequestMetadata
 from basilhill_node.sidecar.frames import Execute
 from basilhill_node.sidecar.messages import HttpRequest
 
@@ -36,7 +37,11 @@
     depth: int
     repeated: bool
     wait_limit_ms: int
+    # Admitted share of the demand of its rank, and the probability that this request is admitted.
     share: float
+    chance: float = 1.0
+    identity: CallerIdentity = field(factory=CallerIdentity)
+    workspace: Workspace | None = None
     # Ids of the servers: those the request was sent to, those it reached, and those that refused
     # it after it reached them.
     tried: set[str] = field(factory=set)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -15,6 +15,7 @@
 from basilhill_node.sidecar.body_transfers import BODY_KINDS, BodyPlace, BodyTransfers
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.commands.execute_call import CallExecutor
+from basilhill_node.sidecar.commands.keep_credits import CreditKeeper
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
@@ -23,7 +24,9 @@
     FrameKind,
     Reply,
     Subscribe,
+    decode_credit_request,
     decode_execute,
+    encode_credit_grant,
     encode_reply,
 )
 from basilhill_node.sidecar.memory import MessageMemory
@@ -47,6 +50,7 @@
     levels: RouteLevels
     peer_updates: PeerUpdateExchange
     publisher: FeedPublisher
+    keeper: CreditKeeper
     clock: Clock
     log: EventLog
     memory: MessageMemory = field(factory=MessageMemory.of_node)
@@ -91,6 +95,10 @@
         elif kind is FrameKind.PING:
             self.streams[connection].transfers.learn_version(fields)
             connection.send(PONG)
+        elif kind is FrameKind.CREDIT_REQUEST:
+            number, *fields = fields
+            grant = self.keeper.grant(decode_credit_request(fields))
+            connection.send(encode_credit_grant(number, grant))
         elif kind is FrameKind.SUBSCRIBE:
             self.publisher.subscribe(connection, Subscribe(*fields))
         else:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -6,6 +6,7 @@
 
 from attrs import define, evolve, field, frozen
 from basilhill.clocks import Clock
+from basilhill.credits import CreditGrant, CreditRequest
 from basilhill.memory import SMALL_MESSAGE_BYTES, MessageKind
 from expression import Ok
 
@@ -13,11 +14,14 @@
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
+    CREDIT_VERSION,
     PING,
     Execute,
     FrameKind,
     Reply,
+    decode_credit_grant,
     decode_reply,
+    encode_credit_request,
     encode_execute,
     encode_frame,
 )
@@ -63,25 +67,48 @@
     transfers: BodyTransfers | None = None
     ready: asyncio.Event = field(factory=asyncio.Event)
     waiters: dict[int, asyncio.Future[Reply | LostCall]] = field(factory=dict)
+    credit_waiters: dict[int, asyncio.Future[CreditGrant | None]] = field(factory=dict)
     task: asyncio.Task | None = None
     used_ms: int = 0
     unresponsive: bool = False
 
     async def call(self, execute: Execute) -> Reply | LostCall:
         """Send a call and wait for its reply; cancellation also cancels the call at the peer."""
+        if not await self.connect():
+            return LostCall(False, f"no connection to {self.address}")
+        connection = self.connection
+        if connection is None or self.unresponsive or not connection.can_send():
+            return LostCall(False, f"{self.address} is silent or does not read")
+        return await self.exchange(connection, execute)
+
+    async def connect(self) -> bool:
+        """Open the stream and wait until it is ready; return whether it is."""
         opened_by = self.open()
         while not self.ready.is_set():
             if opened_by.done():
-                return LostCall(False, f"no connection to {self.address}")
+                return False
             waiting = asyncio.get_running_loop().create_task(self.ready.wait())
             try:
                 await asyncio.wait({waiting, opened_by}, return_when=asyncio.FIRST_COMPLETED)
             finally:
                 waiting.cancel()
+        return True
+
+    async def request_credit(self, request: CreditRequest) -> CreditGrant | None:
+        """Return the grant of the peer, None if the stream is lost or the peer lends no credit."""
+        if not await self.connect():
+            return None
+        await self.transfers.version_known.wait()
         connection = self.connection
-        if connection is None or self.unresponsive or not connection.can_send():
-            return LostCall(False, f"{self.address} is silent or does not read")
-        return await self.exchange(connection, execute)
+        if connection is None or self.transfers.peer_version < CREDIT_VERSION:
+            return None
+        number = next(self.ids)
+        waiter = self.credit_waiters[number] = asyncio.get_running_loop().create_future()
+        try:
+            connection.send(encode_credit_request(number, request))
+            return await waiter
+        finally:
+            del self.credit_waiters[number]
 
     def open(self) -> asyncio.Task:
         """Open the stream unless it is open, and return its task."""
@@ -169,6 +196,9 @@
             for waiter in self.waiters.values():
                 if not waiter.done():
                     waiter.set_result(LostCall(True, f"lost {self.address}"))
+            for waiter in self.credit_waiters.values():
+                if not waiter.done():
+                    waiter.set_result(None)
 
     def check(self, now_ms: int) -> None:
         """Send PING to a peer with calls in flight that sends no frames; close a lost stream."""
@@ -197,6 +227,11 @@
             waiter = self.waiters.get(reply.call_id)
             if waiter is not None and not waiter.done():
                 waiter.set_result(self.with_body(reply))
+        elif kind is FrameKind.CREDIT_GRANT:
+            number, *fields = fields
+            waiter = self.credit_waiters.get(number)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decode_credit_grant(fields))
         elif kind in BODY_KINDS:
             if kind is not FrameKind.BODY_OFFER or fields[0] in self.waiters:
                 self.transfers.handle(kind, fields)
@@ -250,7 +285,7 @@
         """Close unused streams and drop the closed ones."""
         now_ms = self.clock.now_ms()
         for address, stream in tuple(self.streams.items()):
-            if stream.waiters or stream.task is None:
+            if stream.waiters or stream.credit_waiters or stream.task is None:
                 continue
             if stream.task.done():
                 del self.streams[address]
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -11,6 +11,8 @@
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock
 from basilhill.configuration import Configuration, RequestLimits
+from basilhill.credits import CreditAccount, CreditShare, KeeperRing, QuotaBounds
+from basilhill.fair_shares import UtilisationSample
 from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevels
 from basilhill.outcomes import Refusal
 from basilhill.poison_requests import PoisonRequestTable
@@ -51,6 +53,8 @@
     retry_ratio: float
     retry_window_ms: int
     retry_minimum: int
+    # Bounds for the requests of workspaces beyond their quotas.
+    quota_bounds: QuotaBounds = field(factory=QuotaBounds)
     # Memory that the process may take, in MB.
     memory_mb: int = DEFAULT_MEMORY_MB
 
@@ -128,6 +132,8 @@
     splits: dict[str, int] = field(factory=dict)
     split_offset: float = 0.0
     quotas: dict[str, RetryQuota] = field(factory=dict)
+    # Utilisations of the workspaces that send requests, by rank.
+    utilisations: dict[int, UtilisationSample] = field(factory=dict)
     open_requests: int = 0
     # Timeouts of the requests that wait for servers. A node that must stop expires them, so that
     # the clients still get a response.
@@ -135,6 +141,23 @@
     random: Random = field(factory=Random)
 
 
+@define(eq=False)
+class CreditState:
+    """Credit of the workspaces that this node sees.
+
+    `shares` by workspace and number are those this node keeps, written by `keep_credits`; accounts
+    by workspace are those of this node as an origin, written by `borrow_credits`.
+    """
+
+    ring: KeeperRing = field(factory=KeeperRing)
+    # Addresses of the listed servers by id, from which the ring is made.
+    addresses: dict[str, str] = field(factory=dict)
+    shares: dict[tuple[str, int], CreditShare] = field(factory=dict)
+    accounts: dict[str, CreditAccount] = field(factory=dict)
+    # Times until which keepers that gave no response are not asked.
+    silent_until_ms: dict[str, int] = field(factory=dict)
+
+
 @frozen
 class RunningCall:
     """Attributes of a running request that the calls it makes inherit."""
@@ -201,4 +224,5 @@
     executor: ExecutorState
     lifecycle: NodeLifecycle
     memory: MessageMemory
+    credits: CreditState = field(factory=CreditState)
     metrics: Metrics = field(factory=Metrics)
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -10,7 +10,7 @@
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import decode_item, decode_page
-from basilhill_node.sidecar.dialect import ServerMetadata, ServerStatement
+from basilhill_node.sidecar.dialect import CallerIdentity, ServerMetadata, ServerStatement
 from basilhill_node.sidecar.frames import (
     FrameKind,
     FrameReader,
@@ -234,7 +234,7 @@
         ],
     )
     headers = dialect.server_headers(
-        dialect.client_headers(request), ServerMetadata("id", 250, "i-1", "own")
+        dialect.client_headers(request, CallerIdentity()), ServerMetadata("id", 250, "i-1", "own")
     )
     assert header_value(headers, "basilhill-caller-service") == "own"
     assert [header.name for header in headers][:1] == ["accept"]
