--- a/packages/basilhill/src/basilhill/queries/credits.py
+++ b/packages/basilhill/src/basilhill/queries/credits.py
@@ -26,8 +26,11 @@
 
 
 def bucket_depth(quota: RequestQuota) -> float:
-    """Return the most credit that one share accumulates."""
-    return max(1.0, quota.burst / SHARES)
+    """Return the most credit that one share accumulates.
+
+    One request more than its part of the burst, since parts of a request are of no use.
+    """
+    return 1.0 + quota.burst / SHARES
 
 
 def share_per_s(quota: RequestQuota) -> float:
@@ -58,7 +61,8 @@
     """
     window_s = bounds.window_ms / MS_PER_S
     allowed = bounds.slack + bounds.overage * (quota.per_s * window_s + quota.burst)
-    return TRUST_PART * max(0.0, allowed - quota.per_s * LENT_S)
+    deeper = SHARES * bucket_depth(quota) - quota.burst
+    return TRUST_PART * max(0.0, allowed - quota.per_s * LENT_S - deeper)
 
 
 def trust_allowance(
--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_fleet.py
@@ -9,6 +9,7 @@
 
 import orjson
 from attrs import define, field
+from basilhill.credits import QuotaBounds
 from basilhill_node.platform.decoder import PlatformDecoder
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.store import (
@@ -32,6 +33,7 @@
 
 STORE_LATENCY_S = 0.004
 READS = build_route("r-read", "/read/", "calendar")
+QUOTA_BOUNDS = QuotaBounds(window_ms=5_000, overage=0.25, slack=20.0)
 
 T = TypeVar("T")
 
@@ -201,6 +203,8 @@
     # Servers that leave by id, with the time of the acknowledgement, in seconds.
     leaving: dict[str, float] = field(factory=dict)
     version: int = 0
+    # Tenants of the next versions.
+    tenants: tuple[dict, ...] = ()
     # Bytes of all versions.
     contents: dict[int, bytes] = field(factory=dict)
     # Time of the last disturbance of the store, in seconds.
@@ -252,7 +256,8 @@
     def change_configuration(self, *routes: dict) -> None:
         """Write the next version to the store, which acknowledges it at once."""
         self.version += 1
-        data = orjson.dumps(build_configuration(self.version, *(routes or (READS,))))
+        routes = routes or (READS,)
+        data = orjson.dumps(build_configuration(self.version, *routes, tenants=self.tenants))
         self.contents[self.version] = data
         self.store.put("op/config", data)
         self.acknowledged.append((self.loop.time(), self.version))
@@ -316,4 +321,5 @@
         retry_ratio=0.2,
         retry_window_ms=10_000,
         retry_minimum=48,
+        quota_bounds=QUOTA_BOUNDS,
     )
