Keep quota shares near their users; check the platform's configurations; soak keys and quotas

Change: each share belongs to a data centre in turn, and origins ask the shares of their own first; an origin looks for a share that trusts before a request has to wait. basilhill check and diff read the platform's format. The soak has a plan with keys that rotate and quotas that change.

--- a/packages/basilhill/src/basilhill/commands/credits.py
+++ b/packages/basilhill/src/basilhill/commands/credits.py
@@ -14,6 +14,7 @@
     CreditGrant,
     CreditRequest,
     CreditShare,
+    KeeperDirectory,
     KeeperRing,
 )
 from basilhill.queries.cohorts import hash_of
@@ -32,16 +33,22 @@
 POINTS = 4
 # Half-life of the average of the demand for a share.
 DEMAND_MS = 2_000
+# A share that is short of credit is asked after the others for this time.
+SHORT_MS = 500
 # Bounds of the utilisation, which rests on few requests for a small quota.
 UTILISATION_RANGE = (0.05, 20.0)
 
 
-def add_keeper(ring: KeeperRing, address: str, now_ms: int) -> None:
-    """Add a node to the ring, unless it is a member."""
+def add_keeper(keepers: KeeperDirectory, data_centre: str, address: str, now_ms: int) -> None:
+    """Add a node to the ring of its data centre, unless it is a member."""
+    ring = keepers.rings.get(data_centre)
+    if ring is None:
+        ring = keepers.rings[data_centre] = KeeperRing()
+        insort(keepers.data_centres, data_centre)
     if address in ring.addresses:
         return
     ring.addresses.add(address)
-    ring.changed_ms = now_ms
+    keepers.changed_ms = now_ms
     for point in ring_points(address):
         # Of two nodes with the same point, all nodes choose the same one.
         if point not in ring.nodes:
@@ -49,12 +56,16 @@
         ring.nodes[point] = min(address, ring.nodes.get(point, address))
 
 
-def remove_keeper(ring: KeeperRing, address: str, now_ms: int) -> None:
-    """Remove a node from the ring, if it is a member."""
-    if address not in ring.addresses:
+def remove_keeper(keepers: KeeperDirectory, data_centre: str, address: str, now_ms: int) -> None:
+    """Remove a node from the ring of its data centre, if it is a member."""
+    ring = keepers.rings.get(data_centre)
+    if ring is None or address not in ring.addresses:
         return
     ring.addresses.remove(address)
-    ring.changed_ms = now_ms
+    keepers.changed_ms = now_ms
+    if not ring.addresses:
+        del keepers.rings[data_centre]
+        keepers.data_centres.remove(data_centre)
     for point in ring_points(address):
         if ring.nodes.get(point) == address:
             del ring.nodes[point]
@@ -129,6 +140,7 @@
     """Record the response of a keeper, except the credit that it lent."""
     account.owed -= request.spent
     account.trusted = grant.trusted
+    account.short_until_ms[request.share] = 0 if grant.trusted else now_ms + SHORT_MS
     account.utilisation = grant.utilisation
     if request.wanted and not grant.lent:
         account.available_ms[request.share] = now_ms + grant.wait_ms
--- a/packages/basilhill/src/basilhill/credits.py
+++ b/packages/basilhill/src/basilhill/credits.py
@@ -87,18 +87,36 @@
     used_ms: int = 0
     # Times of the newest requests, for the credit that the next ones will need.
     recent_ms: deque[int] = field(factory=lambda: deque(maxlen=16))
-    # Share that is asked next, and the times at which shares that had no credit have some again.
-    next_share: int = 0
+    # Shares in the order in which they are asked, those of near keepers first.
+    order: list[int] = field(factory=lambda: list(range(SHARES)))
+    # Times until which shares are short, and at which those without credit have some again.
+    short_until_ms: list[int] = field(factory=lambda: [0] * SHARES)
     available_ms: list[int] = field(factory=lambda: [0] * SHARES)
 
 
 @define(eq=False)
 class KeeperRing:
-    """Nodes that keep the shares of quotas, ordered by the hashes of their addresses."""
+    """Nodes of one data centre that keep shares, ordered by the hashes of their addresses."""
 
     points: list[int] = field(factory=list)
     # Address of the node at each point.
     nodes: dict[int, str] = field(factory=dict)
     addresses: set[str] = field(factory=set)
-    # Time of the last change, after which a node may be the keeper of shares that others lent from.
+
+
+@define(eq=False)
+class KeeperDirectory:
+    """Rings of the data centres that have nodes, in the order of their names.
+
+    `changed_ms` is the time of the last change, from which on a node may be the keeper of shares
+    that others lent from before.
+    """
+
+    rings: dict[str, KeeperRing] = field(factory=dict)
+    data_centres: list[str] = field(factory=list)
     changed_ms: int = 0
+
+    @property
+    def size(self) -> int:
+        """Return the number of nodes."""
+        return sum(len(ring.addresses) for ring in self.rings.values())
--- a/packages/basilhill/src/basilhill/queries/credits.py
+++ b/packages/basilhill/src/basilhill/queries/credits.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_right
 
-from basilhill.credits import SHARES, CreditAccount, CreditShare, KeeperRing, QuotaBounds
+from basilhill.credits import SHARES, CreditAccount, CreditShare, KeeperDirectory, QuotaBounds
 from basilhill.queries.cohorts import hash_fraction, hash_of
 from basilhill.workspaces import RequestQuota
 
@@ -17,10 +17,18 @@
 TRUSTED_LEVEL = 0.5
 
 
-def keeper_of(ring: KeeperRing, workspace: str, share: int) -> str | None:
+def share_data_centre(keepers: KeeperDirectory, workspace: str, share: int) -> str | None:
+    """Return the data centre of a share, None without nodes; shares are spread over all."""
+    names = keepers.data_centres
+    return names[(hash_of(workspace) + share) % len(names)] if names else None
+
+
+def keeper_of(keepers: KeeperDirectory, workspace: str, share: int) -> str | None:
     """Return the address of the node that keeps a share, None without nodes."""
-    if not ring.points:
+    data_centre = share_data_centre(keepers, workspace, share)
+    if data_centre is None:
         return None
+    ring = keepers.rings[data_centre]
     index = bisect_right(ring.points, hash_of(f"{share}/{workspace}")) % len(ring.points)
     return ring.nodes[ring.points[index]]
 
@@ -87,9 +95,14 @@
 
 
 def askable_shares(account: CreditAccount, now_ms: int, wait_limit_ms: int) -> list[int]:
-    """Return the shares that may have credit within a wait, the next one in turn first."""
-    order = [(account.next_share + number) % SHARES for number in range(SHARES)]
-    return [one for one in order if account.available_ms[one] - now_ms <= wait_limit_ms]
+    """Return the shares that may have credit within a wait, in order, those that are short last."""
+    askable = [one for one in account.order if account.available_ms[one] - now_ms <= wait_limit_ms]
+    return sorted(askable, key=lambda one: account.short_until_ms[one] > now_ms)
+
+
+def reported_share(account: CreditAccount, now_ms: int) -> int:
+    """Return the share that requests on trust are charged to: the first that is not short."""
+    return min(account.order, key=lambda one: max(now_ms, account.short_until_ms[one]))
 
 
 def credit_wait_ms(account: CreditAccount, now_ms: int) -> int:
--- a/packages/basilhill_cli/src/basilhill_cli/main.py
+++ b/packages/basilhill_cli/src/basilhill_cli/main.py
@@ -19,6 +19,12 @@
 from basilhill_cli import tables
 from basilhill_cli.commands.plot_run import plot_run
 from basilhill_cli.nodes import NodeReport, fetch_reports, resolve_nodes
+from basilhill_cli.platform_files import (
+    CheckedConfiguration,
+    check_configuration,
+    decode_file,
+    read_bytes,
+)
 from basilhill_cli.queries import logs as logs_queries
 from basilhill_cli.queries import summaries
 from basilhill_cli.queries.differences import compare_policies
@@ -46,6 +52,14 @@
     list[Path] | None,
     Parameter(name="--log", negative="", help="Node log file, - for standard input; repeatable."),
 ]
+Platform = Annotated[
+    bool,
+    Parameter(name="--platform", negative="", help="Files are in the format of the platform."),
+]
+InForce = Annotated[
+    Path | None,
+    Parameter(name="--in-force", help="Version in force, to compare with; needs --platform."),
+]
 Json = Annotated[bool, Parameter(name="--json", negative="", help="Print JSON instead of tables.")]
 
 
@@ -82,8 +96,14 @@
 
 
 @app.command
-def check(document: Path, *, as_json: Json = False) -> int:
+def check(
+    document: Path, *, platform: Platform = False, in_force: InForce = None, as_json: Json = False
+) -> int:
     """List all problems in a document; exit with 1 if a section would be refused."""
+    if platform:
+        return check_platform_file(document, in_force, as_json)
+    if in_force is not None:
+        return report_failure("--in-force needs --platform; compare documents with basilhill diff")
     read = read_document(document)
     if read.is_error():
         return report_failure(read.error)
@@ -101,9 +121,38 @@
     return FINDING if checked.refused else SUCCESS
 
 
+def check_platform_file(file: Path, in_force: Path | None, as_json: bool) -> int:
+    """Print the findings about a configuration and what it changes; return the exit status."""
+    read, before = read_bytes(file), None
+    if read.is_error():
+        return report_failure(read.error)
+    if in_force is not None:
+        decoded = read_bytes(in_force).bind(decode_file)
+        if decoded.is_error():
+            return report_failure(f"{in_force}: {decoded.error}")
+        before = decoded.ok
+    checked = check_configuration(read.ok, before)
+    conclusion = "refused" if checked.refused else "accepted"
+    value = configuration_value(checked) | {"accepted": not checked.refused}
+    print_output(value, as_json, *configuration_tables(checked), f"{file}: {conclusion}")
+    return FINDING if checked.refused else SUCCESS
+
+
+def configuration_value(checked: CheckedConfiguration) -> dict[str, Any]:
+    findings = [asdict(one) | {"severity": one.severity.value} for one in checked.findings]
+    return {"problems": findings, "changes": [asdict(change) for change in checked.changes]}
+
+
+def configuration_tables(checked: CheckedConfiguration) -> list[Table]:
+    found = [tables.finding_table(checked.findings)] if checked.findings else []
+    return found + ([tables.change_table(checked.changes)] if checked.changes else [])
+
+
 @app.command
-def diff(old: Path, new: Path, *, as_json: Json = False) -> int:
+def diff(old: Path, new: Path, *, platform: Platform = False, as_json: Json = False) -> int:
     """Show the changes for each team; exit with 1 if the new document would be refused."""
+    if platform:
+        return check_platform_file(new, old, as_json)
     documents = [read_document(file) for file in (old, new)]
     for read in documents:
         if read.is_error():
--- a/packages/basilhill_cli/src/basilhill_cli/tables.py
+++ b/packages/basilhill_cli/src/basilhill_cli/tables.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from basilhill.documents import Problem
+from basilhill.queries.configuration_checks import Finding
+from basilhill.queries.configuration_differences import ValueChange
 from rich.console import Console
 from rich.table import Table
 from rich.text import Text
@@ -37,6 +39,16 @@
     return build_table("changes", ("team", "key", "old", "new"), rows)
 
 
+def finding_table(found: list[Finding]) -> Table:
+    rows = [(one.entry, one.severity.value, one.text) for one in found]
+    return build_table("problems", ("entry", "severity", "problem"), rows)
+
+
+def change_table(found: list[ValueChange]) -> Table:
+    rows = [(one.entry, one.key or "-", one.old or "-", one.new or "-") for one in found]
+    return build_table("changes", ("entry", "key", "old", "new"), rows)
+
+
 def status_table(nodes: list[dict[str, Any]]) -> Table:
     columns = ("node", "service", "data centre", "state", "level", "running", "queued", "limit")
     rows = [
--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -9,6 +9,7 @@
 
 ATTEMPT_ID = "Basilhill-Attempt-Id"
 SIGNATURE = "Basilhill-Response-Signature"
+TENANT = "Basilhill-Tenant"
 MAX_BODY_BYTES = 64 << 20
 
 
@@ -88,6 +89,14 @@
         text = f"{request.method} {request.path_qs} ".encode() + body
         return web.Response(status=self.status, body=text, headers=headers)
 
+    def headers_of(self, attempt: str) -> dict[str, str]:
+        """Return the headers of the newest arrival of an attempt, with names in lower case."""
+        for headers in reversed(self.headers):
+            lower = {name.lower(): value for name, value in headers.items()}
+            if lower.get(ATTEMPT_ID.lower()) == attempt:
+                return lower
+        return {}
+
     async def make_call(self, attempt: str) -> bool:
         """Make the internal call of a run, if any; return whether it succeeded."""
         if self.calls is None:
--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
@@ -14,6 +14,11 @@
     neglected_routes,
     version_regressions,
 )
+from basilhill_fakes.queries.soak_workspaces import (
+    exceeded_quotas,
+    wrong_refusals,
+    wrong_workspaces,
+)
 from basilhill_fakes.soak_records import Attempt, Run, SoakHistory
 
 # Time bound that the platform specifies for the end of a drain.
@@ -40,6 +45,9 @@
         *late_configurations(history, attempts),
         *version_regressions(history, attempts),
         *neglected_routes(history),
+        *wrong_workspaces(history, attempts),
+        *wrong_refusals(history),
+        *exceeded_quotas(history, attempts),
         *missing_recovery(history),
     ]
 
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak.py
@@ -22,6 +22,9 @@
 FAULT_GAP_S = (0.1, 2.0)
 # The platform requires that all routes are served again within this time after the last fault.
 RECOVERY_BOUND_S = 15.0
+# Parts of the requests with an unknown key or none, and with any key that was ever valid.
+UNKNOWN_KEY_SHARE = 0.05
+OLD_KEY_SHARE = 0.2
 
 
 @frozen
@@ -64,6 +67,7 @@
     proxied: bool = True
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
     node_paths: tuple[str, ...] = ()
+    tenants: tuple[dict, ...] = ()
 
 
 DEFAULT_PLAN = SoakPlan()
@@ -102,6 +106,7 @@
         routes=plan.routes,
         proxied=plan.proxied,
         node_paths=plan.node_paths,
+        tenants={tenant["name"]: tenant for tenant in plan.tenants},
     )
     fleet.store.stale_s = Random(f"{seed}/stale").uniform(*plan.stale_s)
     background: list[asyncio.Task] = []
@@ -136,10 +141,22 @@
     requests = (*plan.requests, *plan.optional_requests)
     async with aiohttp.ClientSession(connector=connector) as session:
         while True:
-            await fleet.send_attempt(session, vm, *random.choice(requests))
+            key = choose_key(fleet, random)
+            await fleet.send_attempt(session, vm, *random.choice(requests), key)
             await asyncio.sleep(random.uniform(0, 2 * plan.think_time_s))
 
 
+def choose_key(fleet: SoakFleet, random: Random) -> str:
+    """Return a key of the newest version, or sometimes one of an older version or of none."""
+    if not fleet.tenants:
+        return ""
+    draw, versions = random.random(), fleet.history.versions
+    if draw < UNKNOWN_KEY_SHARE:
+        return random.choice(("", "key-unknown"))
+    version = versions[-1] if draw > OLD_KEY_SHARE else random.choice(versions)
+    return random.choice(sorted(version.keys))
+
+
 async def wait_recovered(fleet: SoakFleet, plan: SoakPlan) -> int | None:
     """Return the time at which all nodes serve all routes, None if the bound passes first."""
     try:
@@ -157,7 +174,8 @@
 ) -> None:
     """Repeat a request until it succeeds."""
     while True:
-        attempt = await fleet.send_attempt(session, vm, method, path)
+        keys = sorted(fleet.history.versions[-1].keys)
+        attempt = await fleet.send_attempt(session, vm, method, path, keys[0] if keys else "")
         if attempt.status == 200:
             return
         await asyncio.sleep(MEAN_THINK_TIME_S)
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_changes.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_changes.py
@@ -9,6 +9,8 @@
 from basilhill_fakes.soak_fleet import SoakFleet
 
 TIMEOUTS_S = (1.5, 2, 3)
+# Part of the new keys that another tenant had.
+MOVED_KEY_SHARE = 0.3
 
 
 class Change(Protocol):
@@ -63,6 +65,36 @@
         fleet.change_route(prefix, timeoutS=random.choice(TIMEOUTS_S))
 
 
+@define
+class RotateKey:
+    """Replacement of a key of a tenant by a new one, which may be the key of another tenant."""
+
+    def apply(self, fleet: SoakFleet, random: Random) -> None:
+        name = random.choice(sorted(fleet.tenants))
+        keys = fleet.tenants[name]["apiKeys"][1:]
+        others = sorted(set(fleet.tenants) - {name})
+        giver = random.choice(others)
+        if random.random() < MOVED_KEY_SHARE and len(fleet.tenants[giver]["apiKeys"]) > 1:
+            moved, *kept = fleet.tenants[giver]["apiKeys"]
+            fleet.tenants[giver] = fleet.tenants[giver] | {"apiKeys": kept}
+        else:
+            moved = f"key-{random.getrandbits(64):016x}"
+        fleet.tenants[name] = fleet.tenants[name] | {"apiKeys": [*keys, moved]}
+        fleet.write_configuration()
+
+
+@define
+class ChangeQuota:
+    """Change of the quota of a tenant, also to a quarter."""
+
+    rates: tuple[float, ...]
+
+    def apply(self, fleet: SoakFleet, random: Random) -> None:
+        name, rate = random.choice(sorted(fleet.tenants)), random.choice(self.rates)
+        fleet.tenants[name] = fleet.tenants[name] | {"ratePerS": rate, "burst": rate}
+        fleet.write_configuration()
+
+
 @frozen
 class ChangeRhythm:
     """Changes one by one, then a group of changes, then a pause, again and again."""
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -16,9 +16,16 @@
 from basilhill.clocks import SystemClock
 
 from basilhill_fakes.fault_proxy import FaultProxy
-from basilhill_fakes.plain_server import ATTEMPT_ID, SIGNATURE, PlainServer, build_server
+from basilhill_fakes.plain_server import (
+    ATTEMPT_ID,
+    SIGNATURE,
+    TENANT,
+    PlainServer,
+    build_server,
+)
 from basilhill_fakes.platform_store import PlatformStoreState, StorePath, build_store
 from basilhill_fakes.sidecar_fleet import HOST, build_configuration, build_route
+from basilhill_fakes.simulated_fleet import QUOTA_BOUNDS
 from basilhill_fakes.soak_records import Arrival, Attempt, Run, SoakHistory, Version
 
 PEER_PORT, SERVER_PORT, READY_PORT, CLIENT_PORT, STORE_PORT = 8300, 8301, 8302, 8304, 8309
@@ -84,6 +91,8 @@
     version: int = 0
     # Routes of the configuration by path prefix.
     routes: dict[str, dict] = field(default=(READS, WRITES, MOVES), converter=routes_by_prefix)
+    # Tenants of the configuration by name.
+    tenants: dict[str, dict] = field(factory=dict)
     # Whether proxies that can disturb it carry the traffic to nodes and backend servers.
     proxied: bool = True
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
@@ -111,9 +120,17 @@
         """Write the routes as a new version into the store."""
         self.version += 1
         routes = self.routes.values()
-        self.store.put("op/config", build_configuration(self.version, *routes))
+        tenants = self.tenants.values()
+        self.store.put("op/config", build_configuration(self.version, *routes, tenants=tenants))
         services = {route["prefix"]: route["service"] for route in routes}
-        self.history.versions.append(Version(self.version, services, self.clock.now_ms()))
+        keys = {key: tenant["name"] for tenant in tenants for key in tenant["apiKeys"]}
+        quotas = {
+            tenant["name"]: (tenant["ratePerS"], tenant["burst"])
+            for tenant in tenants
+            if tenant.get("ratePerS")
+        }
+        version = Version(self.version, services, self.clock.now_ms(), keys, quotas)
+        self.history.versions.append(version)
 
     def change_route(self, prefix: str, **changes) -> None:
         """Write a version in which the route of a prefix has other values."""
@@ -153,7 +170,17 @@
 
         def record(attempt_id: str, path: str, body: bytes) -> None:
             now_ms = self.clock.now_ms()
-            run = Run(attempt_id, server.server_id, server.service, path, body, now_ms)
+            headers = server.headers_of(attempt_id)
+            run = Run(
+                attempt_id,
+                server.server_id,
+                server.service,
+                path,
+                body,
+                now_ms,
+                headers.get(TENANT.lower(), ""),
+                str(headers),
+            )
             self.history.runs.append(run)
 
         return record
@@ -189,6 +216,9 @@
             "retryBudgetRatio": retry_ratio,
             "budgetWindowS": 10,
             "budgetMinRetries": 48,
+            "quotaWindowS": QUOTA_BOUNDS.window_ms / 1000,
+            "quotaOverage": QUOTA_BOUNDS.overage,
+            "quotaSlack": QUOTA_BOUNDS.slack,
         }
         settings = {
             "self": {
@@ -239,7 +269,7 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     async def send_attempt(
-        self, session: aiohttp.ClientSession, vm: SoakVm, method: str, path: str
+        self, session: aiohttp.ClientSession, vm: SoakVm, method: str, path: str, key: str = ""
     ) -> Attempt:
         """Send one client attempt and record its response or failure."""
         attempt_id = f"a{next(self.ids)}"
@@ -247,9 +277,11 @@
         path = f"{path}{attempt_id}"
         sent_ms = self.clock.now_ms()
         idempotent = method == "GET"
-        attempt = Attempt(attempt_id, vm.number, method, path, body, idempotent, sent_ms)
+        attempt = Attempt(attempt_id, vm.number, method, path, body, idempotent, sent_ms, key=key)
         self.history.attempts.append(attempt)
         headers = {"Host": HOST, ATTEMPT_ID: attempt_id, "Basilhill-Deadline-Ms": str(DEADLINE_MS)}
+        if key:
+            headers["Authorization"] = f"Token {key}"
         url = f"http://{vm.address}:{CLIENT_PORT}{path}"
         try:
             async with (
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -2,14 +2,16 @@
 
 from attrs import evolve
 
-from basilhill_fakes.sidecar_fleet import build_route
+from basilhill_fakes.sidecar_fleet import build_route, build_tenant
 from basilhill_fakes.soak import FaultSequence, SoakPlan
 from basilhill_fakes.soak_changes import (
     AddOrDropRoute,
+    ChangeQuota,
     ChangeRhythm,
     ChangeTimeout,
     MoveAllRoutes,
     MoveToOtherService,
+    RotateKey,
 )
 from basilhill_fakes.soak_faults import (
     LEAVING_FAULTS,
@@ -69,8 +71,24 @@
     )
 
 
+# Requests per second of the tenants with a quota; all clients together want about twice as many.
+RATES = (5, 10, 40)
+TENANTS = tuple(
+    build_tenant(name, f"key-{name}-1", f"key-{name}-2", ratePerS=rate, burst=rate)
+    for name, rate in zip(("small", "middle", "large"), RATES, strict=True)
+) + (
+    build_tenant("unlimited", "key-unlimited-1", "key-unlimited-2"),
+)
+
 PLANS = {
     "default": SoakPlan(),
+    "workspaces": SoakPlan(
+        tenants=TENANTS,
+        rhythm=ChangeRhythm(
+            (RotateKey(), RotateKey(), ChangeQuota(RATES)), step_s=(0.5, 3.0), pause_s=4.0
+        ),
+        sequences=(FaultSequence((*NODE_FAULTS, *STORE_FAULTS), (0.2, 3.0)),) * 3,
+    ),
     "leaving-degustari": deployment_plan(DEGUSTARI, think_time_s=0.12),
     "leaving-jermanova": deployment_plan(
         {"catalogue": 4, "warehouse": 3, "checkout": 4, "ledger": 3}, think_time_s=0.08
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
@@ -20,6 +20,8 @@
     signature: str = ""
     # Server that states in the response that it leaves, empty without the statement.
     leaving_server: str = ""
+    # API key that the client sent, empty without one.
+    key: str = ""
 
 
 @frozen
@@ -32,6 +34,9 @@
     path: str
     body: bytes = field(repr=False)
     started_ms: int
+    # Workspace that the server was told, and all headers that it saw.
+    workspace: str = ""
+    headers: str = field(default="", repr=False)
 
 
 @frozen
@@ -72,6 +77,9 @@
     number: int
     services: dict[str, str]
     at_ms: int
+    # Workspaces by API key, and quotas by workspace: requests per second and burst.
+    keys: dict[str, str] = field(factory=dict)
+    quotas: dict[str, tuple[float, float]] = field(factory=dict)
 
 
 @define(eq=False)
--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -3,7 +3,14 @@
 from collections import Counter
 
 from attrs import define, field
-from basilhill.outcomes import CallReply, ExecutionStatus, Reason, Refusal, execution_status_of
+from basilhill.outcomes import (
+    CallReply,
+    ExecutionStatus,
+    Outcome,
+    Reason,
+    Refusal,
+    execution_status_of,
+)
 from hdrh.histogram import HdrHistogram
 
 # 8 us steps and 4-byte counters need 12 kB per kind of action; 1 us and 8 bytes would need 26 kB.
@@ -13,6 +20,7 @@
 # Bits for two significant decimal digits, the precision of the histograms.
 SIGNIFICANT_BITS = 8
 SERVER_ERROR = 500
+ANSWERED = ExecutionStatus.ANSWERED.value
 PERCENTILES = (50, 90, 99, 99.9)
 
 
@@ -59,6 +67,8 @@
 
     actions: dict[str, ActionMetrics] = field(factory=dict)
     refusals: Counter[Reason] = field(factory=Counter)
+    # Requests by workspace and result, which is a reason for those without an answer.
+    workspaces: Counter[tuple[str, str]] = field(factory=Counter)
 
     def record_action(self, action: str, reply: CallReply, duration_us: int) -> None:
         """Count one finished customer action and its duration in microseconds."""
@@ -75,6 +85,11 @@
         metrics.unrecorded_us[round_to_precision(min(max(1, duration_us), HIGHEST_US))] += 1
         metrics.latency_sum_us += duration_us
 
+    def record_workspace(self, workspace: str, outcome: Outcome) -> None:
+        """Count one finished request of a workspace."""
+        result = ANSWERED if outcome.is_ok() else outcome.error.reason.value
+        self.workspaces[workspace, result] += 1
+
     def record_refusal(self, refusal: Refusal) -> None:
         """Count one request that was refused before it became a customer action."""
         self.refusals[refusal.reason] += 1
--- a/packages/basilhill_node/src/basilhill_node/platform/configuration.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -61,6 +61,8 @@
     if kind not in KINDS:
         raise ValueError(f"kind is {kind!r}, expected one of {tuple(KINDS)}")
     split = path.get("trafficSplit") or [{"service": path["service"], "weight": 1}]
+    if not any(required_number(part, "weight") > 0 for part in split):
+        raise ValueError(f"the weights of {path.get('name')!r} add up to nothing")
     return Route(
         name=required_text(path, "name"),
         host=host,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/borrow_credits.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/borrow_credits.py
@@ -18,6 +18,8 @@
     askable_shares,
     credit_wait_ms,
     keeper_of,
+    reported_share,
+    share_data_centre,
     trust_allowance,
     wanted_credit,
 )
@@ -87,11 +89,16 @@
         account = self.state.accounts.get(workspace.name)
         if account is None:
             account = self.state.accounts[workspace.name] = CreditAccount(workspace.quota)
-            # Origins begin with different shares, so that the shares are used alike.
-            account.next_share = self.origin.random.randrange(SHARES)
+            account.order = self.shares_by_distance(workspace.name)
         account.quota = workspace.quota
         return account
 
+    def shares_by_distance(self, workspace: str) -> list[int]:
+        """Return the shares kept in this data centre, then the others, each part in any order."""
+        order = self.origin.random.sample(range(SHARES), SHARES)
+        own, keepers = self.settings.data_centre, self.state.keepers
+        return sorted(order, key=lambda one: share_data_centre(keepers, workspace, one) != own)
+
     def trust_allowance(self, workspace: Workspace, now_ms: int) -> int:
         """Return the requests that may start before a keeper acknowledges them.
 
@@ -100,7 +107,7 @@
         bounds = self.settings.quota_bounds
         if now_ms - self.lifecycle.started_ms < bounds.window_ms:
             return 0
-        nodes = len(self.state.ring.addresses)
+        nodes = self.state.keepers.size
         return trust_allowance(workspace.quota, bounds, workspace.name, self.settings.node, nodes)
 
     def report(self, workspace: Workspace, account: CreditAccount) -> None:
@@ -113,18 +120,29 @@
         """Report requests on trust to keepers until all are acknowledged."""
         try:
             while account.owed:
-                wanted = wanted_credit(account, self.clock.now_ms()) // 2
-                request = self.new_request(workspace, account, account.owed, wanted, 0)
+                now_ms = self.clock.now_ms()
+                wanted, share = wanted_credit(account, now_ms) // 2, reported_share(account, now_ms)
+                request = self.new_request(workspace, account, share, account.owed, wanted, 0)
                 grant = await self.ask(account, request)
                 if grant is None:
+                    account.short_until_ms[share] = self.clock.now_ms() + SILENT_MS
                     await asyncio.sleep(REPORT_AGAIN_S)
                 else:
                     self.keep(account, grant)
+                    await self.find_trust(workspace, account)
         except Exception as error:
             self.log.record("credit", "report failed", problem=repr(error))
         finally:
             account.settling = False
 
+    async def find_trust(self, workspace: Workspace, account: CreditAccount) -> None:
+        """Ask the other keepers whether they trust, before the next request has to."""
+        for share in askable_shares(account, self.clock.now_ms(), 0):
+            if account.trusted:
+                return
+            if account.short_until_ms[share] <= self.clock.now_ms():
+                await self.ask(account, self.new_request(workspace, account, share, 0, 0, 0))
+
     async def borrow(
         self, opened: OpenRequest, workspace: Workspace, account: CreditAccount
     ) -> Refusal | None:
@@ -133,9 +151,8 @@
         answered = False
         for share in askable_shares(account, self.clock.now_ms(), self.left_ms(until_ms)):
             wanted = 1 + wanted_credit(account, self.clock.now_ms()) // 2
-            account.next_share = share
             left_ms = self.left_ms(until_ms)
-            request = self.new_request(workspace, account, 0, wanted, left_ms)
+            request = self.new_request(workspace, account, share, 0, wanted, left_ms)
             grant = await self.ask(account, request)
             if take_lent_credit(account, self.clock.now_ms()):
                 # Another request has borrowed more than it needed in the meantime.
@@ -177,19 +194,18 @@
         self,
         workspace: Workspace,
         account: CreditAccount,
+        share: int,
         spent: int,
         wanted: int,
         wait_limit_ms: int,
     ) -> CreditRequest:
-        """Return a request to the keeper of the share whose turn it is."""
+        """Return a request to the keeper of a share, with what was refused since the last one."""
         refused, account.refused = account.refused, 0
-        share = account.next_share
-        account.next_share = (share + 1) % SHARES
         return CreditRequest(workspace.name, share, spent, wanted, refused, wait_limit_ms)
 
     async def ask(self, account: CreditAccount, request: CreditRequest) -> CreditGrant | None:
         """Return the grant of the keeper of a share, None if it does not respond in time."""
-        address = keeper_of(self.state.ring, request.workspace, request.share)
+        address = keeper_of(self.state.keepers, request.workspace, request.share)
         if address is None:
             return None
         if address == self.settings.backend_address.rpartition(":")[0]:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/keep_credits.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/keep_credits.py
@@ -22,7 +22,7 @@
 
 @define(eq=False)
 class CreditKeeper:
-    """Keeper of quota shares, and of the ring that says who keeps which."""
+    """Keeper of quota shares, and of the directory that says who keeps which."""
 
     state: CreditState
     active_configuration: ActiveConfiguration
@@ -40,7 +40,7 @@
         key = request.workspace, request.share
         share = self.state.shares.get(key)
         if share is None:
-            since_ms = max(self.lifecycle.started_ms, self.state.ring.changed_ms)
+            since_ms = max(self.lifecycle.started_ms, self.state.keepers.changed_ms)
             share = self.state.shares[key] = open_share(quota, since_ms, now_ms)
         refill_share(share, quota, now_ms)
         grant = grant_credit(share, request)
@@ -65,19 +65,22 @@
     def entries_changed(self, server_ids: set[str]) -> None:
         """Add and remove the nodes of changed servers."""
         for server_id in server_ids:
-            before = self.state.addresses.pop(server_id, None)
+            before = self.state.places.pop(server_id, None)
             if before is not None:
-                self.update_member(before)
+                self.update_member(*before)
             entry = self.directory.entries.get(server_id)
             if entry is not None:
-                self.state.addresses[server_id] = entry.address
-                self.update_member(entry.address)
+                self.state.places[server_id] = entry.data_centre, entry.address
+                self.update_member(entry.data_centre, entry.address)
 
-    def update_member(self, address: str) -> None:
+    def update_member(self, data_centre: str, address: str) -> None:
         """Add or remove the node of the servers at an address; leaving servers do not count."""
-        listed = self.directory.newest_by_address.get(address, ())
-        change = add_keeper if any(not one.draining for one in listed) else remove_keeper
-        change(self.state.ring, address.rpartition(":")[0], self.clock.now_ms())
+        is_member = any(
+            not one.draining and one.data_centre == data_centre
+            for one in self.directory.newest_by_address.get(address, ())
+        )
+        change = add_keeper if is_member else remove_keeper
+        change(self.state.keepers, data_centre, address.rpartition(":")[0], self.clock.now_ms())
 
     def expire_unused(self) -> None:
         """Drop the shares that nobody has asked for credit."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -264,6 +264,8 @@
         retries = max(0, opened.sends - 1) if opened else 0
         route = opened.route.name if opened else NO_ROUTE
         self.metrics.record_action(route, CallReply(outcome, retries), took_ms * 1000)
+        if opened is not None and opened.workspace is not None:
+            self.metrics.record_workspace(opened.workspace.name, outcome)
         if outcome.is_ok():
             answer = outcome.ok
             event = "answered" if answer.status < SERVER_ERROR else "server failed"
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -26,6 +26,9 @@
     "message_bytes_limit": "Bytes beyond which messages are read one after the other",
     "messages_paused": "Incomplete messages whose reading waits for memory",
     "backend_connections": "Connections opened to the own backend server so far",
+    "quota_shares": "Shares of quotas that this node keeps and was asked for",
+    "quota_shares_short": "Those of them that are short of credit",
+    "quota_on_trust": "Requests of this node that no keeper has acknowledged yet",
 }
 
 
@@ -53,6 +56,9 @@
         "message_bytes_limit": account.limit_bytes,
         "messages_paused": sum(message.paused for message in account.reading),
         "backend_connections": state.executor.pool.opened,
+        "quota_shares": len(state.credits.shares),
+        "quota_shares_short": sum(one.reported_short for one in state.credits.shares.values()),
+        "quota_on_trust": sum(one.owed for one in state.credits.accounts.values()),
     }
 
 
@@ -63,6 +69,7 @@
     from prometheus_client.core import GaugeMetricFamily
 
     from basilhill_node.queries.action_metrics import action_counters, latency_summary
+    from basilhill_node.queries.workspace_metrics import workspace_counters
 
     class Collector:
         """Collector that passes the metrics of this node to the library."""
@@ -73,6 +80,7 @@
                 yield GaugeMetricFamily(f"basilhill_{name}", help_text, value=float(value))
             yield from action_counters(state.metrics)
             yield latency_summary(state.metrics)
+            yield workspace_counters(state.metrics)
 
     registry = CollectorRegistry()
     registry.register(Collector())
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -11,7 +11,7 @@
 from basilhill.balancing import LoadTable
 from basilhill.clocks import Clock
 from basilhill.configuration import Configuration, RequestLimits
-from basilhill.credits import CreditAccount, CreditShare, KeeperRing, QuotaBounds
+from basilhill.credits import CreditAccount, CreditShare, KeeperDirectory, QuotaBounds
 from basilhill.fair_shares import UtilisationSample
 from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel, RouteLevels
 from basilhill.outcomes import Refusal
@@ -149,9 +149,9 @@
     by workspace are those of this node as an origin, written by `borrow_credits`.
     """
 
-    ring: KeeperRing = field(factory=KeeperRing)
-    # Addresses of the listed servers by id, from which the ring is made.
-    addresses: dict[str, str] = field(factory=dict)
+    keepers: KeeperDirectory = field(factory=KeeperDirectory)
+    # Data centres and addresses of the listed servers by id, from which the keepers follow.
+    places: dict[str, tuple[str, str]] = field(factory=dict)
     shares: dict[tuple[str, int], CreditShare] = field(factory=dict)
     accounts: dict[str, CreditAccount] = field(factory=dict)
     # Times until which keepers that gave no response are not asked.
