Choose servers by expected delay, near ones first, in a time that does not grow with the service

Cause: calls left the data centre at three tenths more load, whatever they weigh and though no delay was saved; a server that refuses half of its calls was found by each origin for itself; a choice listed all servers of the service. Change: a call leaves when the delay it saves exceeds a cost from a setting and its size; metrics and the line of the request say why. The node beside a server reports its slots as used by the share of calls that the server refuses; a choice remembers the last server; reports lose their weight with age; load counts the speed of a server. Retries of calls go before those of direct requests. Servers are listed again only after the directory changed.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -44,3 +44,5 @@
     refuted: set[str] = field(factory=set)
     # Listed servers that get no calls because another one has their address.
     replaced: set[str] = field(factory=set)
+    # Number of changes, by which lists made from the directory are known to be current.
+    generation: int = 0
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -20,6 +20,7 @@
     before = directory.entries.get(entry.server_id)
     if before is not None and before.started_ms != entry.started_ms:
         directory.refuted.discard(entry.server_id)
+    directory.generation += 1
     directory.entries[entry.server_id] = entry
     directory.retained_until_ms.pop(entry.server_id, None)
     directory.removed_entries.pop(entry.server_id, None)
@@ -71,6 +72,7 @@
         return False
     if len(directory.newest_by_address[entry.address]) == 1:
         return False
+    directory.generation += 1
     directory.refuted.add(server_id)
     update_replaced(directory, entry.address)
     return True
@@ -82,6 +84,7 @@
     directory.retained_until_ms.pop(server_id, None)
     if entry is None:
         return False
+    directory.generation += 1
     directory.services[entry.service].remove(entry)
     remove_address(directory, entry)
     directory.refuted.discard(server_id)
@@ -101,6 +104,7 @@
     entry = listed or directory.removed_entries.get(server_id)
     if entry is None:
         return False
+    directory.generation += 1
     directory.leaving[server_id] = entry.started_ms
     if listed is None:
         directory.removed_entries[server_id] = evolve(entry, draining=True)
@@ -112,6 +116,13 @@
     return True
 
 
+def set_detached(directory: BackendDirectory, addresses: set[str]) -> None:
+    """Record the addresses of the servers whose node cannot reach the store."""
+    if addresses != directory.detached_addresses:
+        directory.generation += 1
+        directory.detached_addresses = addresses
+
+
 def replace_entries(
     directory: BackendDirectory, entries: Iterable[BackendEntry], retained_until_ms: int = 0
 ) -> tuple[set[str], set[str]]:
--- a/packages/basilhill/src/basilhill/commands/balancing.py
+++ b/packages/basilhill/src/basilhill/commands/balancing.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Collection
 
-from basilhill.balancing import LoadTable, TargetLoad
-from basilhill.queries.balancing import slowness_of
+from basilhill.backends import BackendDirectory
+from basilhill.balancing import Candidates, Choice, LoadTable, ServerPool, TargetLoad
+from basilhill.queries.backends import ready_entries
+from basilhill.queries.balancing import lowest_failure_rate, slowness_of
 
 EJECT_AFTER_FAILURES = 4
 EJECTION_MS = 2_000
@@ -18,6 +20,41 @@
 FAILURE_WEIGHT = 0.05
 # Weight of the newest outcome in the failure rate of a route across all servers.
 ROUTE_FAILURE_WEIGHT = 0.05
+# Weight of the newest call in the usual size of the messages of a route.
+SIZE_WEIGHT = 0.1
+# Time for which the lowest failure rate of a service is used.
+RATED_MS = 100
+
+
+def find_candidates(
+    loads: LoadTable, directory: BackendDirectory, service: str, now_ms: int
+) -> Candidates:
+    """Return the servers of a service, listed again only after the directory has changed."""
+    candidates = loads.candidates.get(service)
+    if candidates is None:
+        candidates = loads.candidates[service] = Candidates()
+    if candidates.generation != directory.generation:
+        candidates.generation = directory.generation
+        ready = ready_entries(directory, service)
+        own = loads.data_centre
+        candidates.local = ServerPool([one for one in ready if one.data_centre == own])
+        candidates.remote = ServerPool([one for one in ready if one.data_centre != own])
+    if now_ms - candidates.rated_ms >= RATED_MS:
+        candidates.rated_ms = now_ms
+        candidates.lowest_rate = lowest_failure_rate(directory, loads, service)
+    return candidates
+
+
+def record_choice(candidates: Candidates, choice: Choice) -> None:
+    """Remember the server of a choice for the next one."""
+    pool = candidates.remote if choice.crossing else candidates.local
+    pool.last = choice.entry
+
+
+def record_size(loads: LoadTable, route: str, size: int) -> None:
+    """Update the usual size of a request and its response, in bytes."""
+    before = loads.usual_bytes.get(route, float(size))
+    loads.usual_bytes[route] = before + SIZE_WEIGHT * (size - before)
 
 
 def find_or_add_target(loads: LoadTable, server_id: str) -> TargetLoad:
@@ -36,9 +73,10 @@
     target.in_flight -= 1
 
 
-def record_report(target: TargetLoad, running: int) -> None:
+def record_report(target: TargetLoad, running: int, now_ms: int = 0) -> None:
     """Store the number of running and queued calls that a server reported."""
     target.reported = running
+    target.reported_ms = now_ms
     target.in_flight_at_report = target.in_flight
 
 
--- a/packages/basilhill/src/basilhill/commands/slots.py
+++ b/packages/basilhill/src/basilhill/commands/slots.py
@@ -5,11 +5,13 @@
 from attrs import frozen
 
 from basilhill.commands.rate_limits import refill_tokens, return_token, take_token
-from basilhill.queries.slots import expected_slot_wait_ms, has_free_slot
+from basilhill.queries.slots import expected_slot_wait_ms, has_free_slot, shed_rate_at
 from basilhill.slots import ConcurrencyLimiter, SlotDecision, SlotRequest
 
 # Weight of the newest call in the mean slot time.
 SERVICE_TIME_WEIGHT = 0.05
+# Weight of the newest call in the share of calls that the server refuses.
+SHED_WEIGHT = 0.1
 
 
 @frozen
@@ -66,6 +68,13 @@
     limiter.service_ms += SERVICE_TIME_WEIGHT * (slot_time_ms - limiter.service_ms)
 
 
+def record_shed(limiter: ConcurrencyLimiter, shed: bool, now_ms: int) -> None:
+    """Update the share of the calls that the server refuses although it had a free slot."""
+    before = shed_rate_at(limiter, now_ms)
+    limiter.shed_rate = before + SHED_WEIGHT * (float(shed) - before)
+    limiter.shed_ms = now_ms
+
+
 def return_slot(limiter: ConcurrencyLimiter) -> None:
     """Free a slot that was not used, without an update of the mean slot time."""
     limiter.in_flight -= 1
--- a/packages/basilhill/src/basilhill/queries/balancing.py
+++ b/packages/basilhill/src/basilhill/queries/balancing.py
@@ -1,21 +1,48 @@
-"""Choose the backend server of a call."""
+"""Choose the backend server of a call.
 
+Pattern of load: servers of one service that differ in speed and in their share of failures, data
+centres with too few servers of their own, and large bodies. A choice compares a few servers,
+whatever the size of the service.
+"""
+
+from collections.abc import Iterator
 from random import Random
+from typing import Protocol
 
 from basilhill.backends import BackendDirectory, BackendEntry
-from basilhill.balancing import LoadTable, TargetLoad
-from basilhill.queries.backends import ready_entries
+from basilhill.balancing import (
+    Candidates,
+    Choice,
+    CrossingCost,
+    LoadTable,
+    ServerPool,
+    TargetLoad,
+)
 
-# Load added to servers of other data centres, as a share of their slots, because traffic between
-# data centres costs money and adds latency.
-REMOTE_LOAD = 0.3
 # Servers compared for one call. Two suffice to spread load and to avoid that all nodes choose the
 # same server; three select one of the faster servers more often.
 SERVERS_COMPARED = 3
+# Up to this many servers of a data centre all are compared.
+SMALL_SERVICE = 6
+# Load from which on calls wait: servers queue or slow down when nearly all slots are in use.
+WAITING_LOAD = 0.7
+# Response time of a route that has had no response yet, in ms.
+UNKNOWN_USUAL_MS = 50.0
+# Delay of a server that still has free slots, as a multiple of the usual response time.
+FREE_DELAY = 0.2
+BYTES_PER_MB = 1 << 20
+NO_LOCAL_SERVER = "no server here"
+SHORTER_DELAY = "shorter delay"
 # Load added per multiple of the usual response time above 1, as a share of the slots.
 SLOWNESS_LOAD = 0.15
+# Slowness below this counts as the spread of response times when data centres are compared.
+SPREAD_SLOWNESS = 2.0
+# Bounds of the speed of a server relative to the usual one.
+FASTEST = 0.4
 # Half-life of the slowness of a server without new responses, so that it gets calls again.
 SLOWNESS_HALF_LIFE_MS = 2_000
+# Half-life of the load that a server reported, without a newer report.
+REPORT_HALF_LIFE_MS = 10_000
 # A cold server has about half the throughput of a warm one with the same slots.
 COLD_FACTOR = 2.0
 # Above this failure rate of the best server of a service, failures are not retried.
@@ -28,19 +55,24 @@
 FAILURE_FACTOR = 8.0
 
 
-def usable_entries(
-    directory: BackendDirectory,
-    loads: LoadTable,
-    service: str,
-    now_ms: int,
-    excluded: frozenset[str] = frozenset(),
-) -> list[BackendEntry]:
-    """Return the servers that may get new calls; degraded ones only if there is no other."""
-    present = [
-        entry for entry in ready_entries(directory, service) if entry.server_id not in excluded
-    ]
-    healthy = [entry for entry in present if not is_degraded(loads, entry, now_ms)]
-    return healthy or present
+class UsableEntries(Protocol):
+    """Selection of the servers that may get a call."""
+
+    def __call__(
+        self,
+        entries: list[BackendEntry],
+        loads: LoadTable,
+        now_ms: int,
+        excluded: frozenset[str],
+    ) -> Iterator[BackendEntry]:
+        """Yield the servers that may get a call."""
+        ...
+
+
+def is_degraded(loads: LoadTable, entry: BackendEntry, now_ms: int) -> bool:
+    """Return whether a server is ejected or excluded after a refusal."""
+    target = loads.targets.get(entry.server_id)
+    return target is not None and max(target.ejected_until_ms, target.refused_until_ms) > now_ms
 
 
 def lowest_failure_rate(directory: BackendDirectory, loads: LoadTable, service: str) -> float:
@@ -67,12 +99,6 @@
     return loads.failure_rates.get(route, 0.0) > COMMON_ROUTE_FAILURE_RATE
 
 
-def is_degraded(loads: LoadTable, entry: BackendEntry, now_ms: int) -> bool:
-    """Return whether a server is ejected or excluded after a refusal."""
-    target = loads.targets.get(entry.server_id)
-    return target is not None and max(target.ejected_until_ms, target.refused_until_ms) > now_ms
-
-
 def load_of(loads: LoadTable, entry: BackendEntry, now_ms: int, lowest_rate: float = 0.0) -> float:
     """Return the expected calls per slot of a server after one more call.
 
@@ -83,9 +109,26 @@
     target = loads.targets.get(entry.server_id)
     if target is None:
         return factor / max(1, entry.slots)
+    slowness = slowness_of(target, now_ms)
+    factor *= max(FASTEST, slowness)
     factor *= 1 + FAILURE_FACTOR * max(0.0, target.failure_rate - lowest_rate)
-    load = (estimated_calls(target) + 1) * factor / max(1, entry.slots)
-    return load + SLOWNESS_LOAD * max(0.0, slowness_of(target, now_ms) - 1)
+    load = (estimated_calls(target, now_ms) + 1) * factor / max(1, entry.slots)
+    return load + SLOWNESS_LOAD * max(0.0, slowness - 1)
+
+
+def delay_of(loads: LoadTable, entry: BackendEntry, now_ms: int, lowest_rate: float) -> float:
+    """Return the expected delay of a call at a server, as a multiple of the usual response time.
+
+    The time lost by a failure counts as that of several calls.
+    """
+    target = loads.targets.get(entry.server_id)
+    if target is None:
+        return 0.0
+    factor = COLD_FACTOR if entry.warm_until_ms > now_ms else 1.0
+    load = (estimated_calls(target, now_ms) + 1) * factor / max(1, entry.slots)
+    failures = FAILURE_FACTOR * max(0.0, target.failure_rate - lowest_rate)
+    slowness = max(0.0, slowness_of(target, now_ms) - SPREAD_SLOWNESS)
+    return max(0.0, load - WAITING_LOAD) + slowness + failures
 
 
 def slowness_of(target: TargetLoad, now_ms: int) -> float:
@@ -99,38 +142,111 @@
     return 1.0 + (target.slowness - 1.0) * 0.5 ** (age_ms / SLOWNESS_HALF_LIFE_MS)
 
 
-def estimated_calls(target: TargetLoad) -> int:
-    """Return the calls at a server: those last reported plus the calls sent since by this node."""
-    return max(target.in_flight, target.reported + target.in_flight - target.in_flight_at_report)
+def estimated_calls(target: TargetLoad, now_ms: int) -> float:
+    """Return the calls at a server: those last reported plus the calls sent since by this node.
+
+    A report loses its weight with its age, so that a server that was full gets calls again.
+    """
+    weight = 0.5 ** (max(0, now_ms - target.reported_ms) / REPORT_HALF_LIFE_MS)
+    sent_since = target.in_flight - target.in_flight_at_report
+    return max(target.in_flight, target.reported * weight + sent_since)
+
+
+def crossing_cost_ms(loads: LoadTable, cost: CrossingCost, route: str, body_bytes: int) -> float:
+    """Return the time that a call must save to leave the data centre, in ms."""
+    size = max(body_bytes, loads.usual_bytes.get(route, 0.0))
+    return cost.base_ms + cost.ms_per_mb * size / BYTES_PER_MB
 
 
 def choose_backend(
-    directory: BackendDirectory,
+    candidates: Candidates,
     loads: LoadTable,
-    service: str,
+    route: str,
+    cost_ms: float,
     now_ms: int,
     random: Random,
     excluded: frozenset[str] = frozenset(),
-) -> BackendEntry | None:
-    """Return the least loaded of a few random servers; prefer those of the local data centre."""
-    usable = usable_entries(directory, loads, service, now_ms, excluded)
-    lowest_rate = lowest_failure_rate(directory, loads, service)
-    local = [entry for entry in usable if entry.data_centre == loads.data_centre]
-    remote = [entry for entry in usable if entry.data_centre != loads.data_centre]
-
-    best, least = None, 0.0
-    for distance, entries in ((0.0, local), (REMOTE_LOAD, remote)):
-        if best is not None and least <= distance:
-            break
-        for entry in sample_entries(entries, random):
-            cost = load_of(loads, entry, now_ms, lowest_rate) + distance
-            if best is None or cost < least:
-                best, least = entry, cost
-    return best
+) -> Choice | None:
+    """Return the least loaded of a few servers, which leaves the data centre only if that pays.
+
+    Calls stay while all data centres are as full: no delay would be saved.
+    """
+    rate = candidates.lowest_rate
+    for usable in (healthy_entries, responsive_entries, present_entries):
+
+        def best(pool: ServerPool, usable: UsableEntries = usable) -> BackendEntry | None:
+            found = compared_entries(pool, usable, loads, now_ms, random, excluded)
+            random.shuffle(found)
+            return min(found, key=lambda one: load_of(loads, one, now_ms, rate), default=None)
+
+        local = best(candidates.local)
+        delay = 0.0 if local is None else delay_of(loads, local, now_ms, rate)
+        usual_ms = loads.usual_ms.get(route, UNKNOWN_USUAL_MS)
+        if local is not None and delay * usual_ms <= cost_ms:
+            return Choice(local)
+        remote = best(candidates.remote)
+        if remote is not None:
+            remote_delay = delay_of(loads, remote, now_ms, rate)
+            if local is None:
+                if remote_delay > FREE_DELAY and usable is healthy_entries:
+                    # Local servers that have just refused a call may be no fuller.
+                    continue
+                return Choice(remote, NO_LOCAL_SERVER)
+            saved_ms = (delay - remote_delay) * usual_ms
+            if saved_ms > cost_ms:
+                return Choice(remote, SHORTER_DELAY, saved_ms)
+        if local is not None:
+            return Choice(local)
+    return None
+
+
+def compared_entries(
+    pool: ServerPool,
+    usable: UsableEntries,
+    loads: LoadTable,
+    now_ms: int,
+    random: Random,
+    excluded: frozenset[str],
+) -> list[BackendEntry]:
+    """Return the usable ones of a few servers; of all only if none of the few is usable."""
+    sample = sample_entries(pool.entries, random)
+    if pool.last is not None and len(sample) < len(pool.entries) and pool.last not in sample:
+        sample.append(pool.last)
+    found = list(usable(sample, loads, now_ms, excluded))
+    if not found and len(sample) < len(pool.entries):
+        return list(usable(pool.entries, loads, now_ms, excluded))
+    return found
+
+
+def healthy_entries(
+    entries: list[BackendEntry], loads: LoadTable, now_ms: int, excluded: frozenset[str]
+) -> Iterator[BackendEntry]:
+    """Yield the servers that are neither excluded nor degraded."""
+    for entry in entries:
+        if entry.server_id not in excluded and not is_degraded(loads, entry, now_ms):
+            yield entry
+
+
+def responsive_entries(
+    entries: list[BackendEntry], loads: LoadTable, now_ms: int, excluded: frozenset[str]
+) -> Iterator[BackendEntry]:
+    """Yield the servers that are neither excluded nor ejected, also those that refused a call."""
+    for entry in entries:
+        target = loads.targets.get(entry.server_id)
+        ejected = target is not None and target.ejected_until_ms > now_ms
+        if entry.server_id not in excluded and not ejected:
+            yield entry
+
+
+def present_entries(
+    entries: list[BackendEntry], loads: LoadTable, now_ms: int, excluded: frozenset[str]
+) -> Iterator[BackendEntry]:
+    """Yield the servers that are not excluded, also degraded ones."""
+    return (entry for entry in entries if entry.server_id not in excluded)
 
 
 def sample_entries(entries: list[BackendEntry], random: Random) -> list[BackendEntry]:
-    """Return up to SERVERS_COMPARED random servers."""
-    if len(entries) <= SERVERS_COMPARED:
+    """Return up to SERVERS_COMPARED random servers, or all of a few."""
+    if len(entries) <= SMALL_SERVICE:
         return entries
     return random.sample(entries, SERVERS_COMPARED)
--- a/packages/basilhill/src/basilhill/queries/slots.py
+++ b/packages/basilhill/src/basilhill/queries/slots.py
@@ -9,6 +9,10 @@
 # Calls admitted per call that a rate limit allows. Random gaps between calls would leave tokens
 # unused otherwise, and few calls can wait for a token.
 RATE_HEADROOM = 1.25
+# Half-life of the share of refused calls without new ones, so that the server gets calls again.
+SHED_HALF_LIFE_MS = 5_000
+# A server that refuses this share of its calls reports all its slots as in use.
+FULL_SHED_RATE = 0.5
 
 
 def has_free_slot(limiter: ConcurrencyLimiter) -> bool:
@@ -36,13 +40,23 @@
 def reported_calls(limiter: ConcurrencyLimiter, now_ms: int) -> int:
     """Return the running and waiting calls that a server reports to the origins.
 
-    A server without tokens reports all its slots as in use, so that calls go to other servers.
+    A server without tokens, or one that refuses calls although it has free slots, reports more
+    slots as in use, so that calls go to other servers.
     """
     running, waiting = limiter.in_flight, len(limiter.waiting)
+    used_share = min(1.0, shed_rate_at(limiter, now_ms) / FULL_SHED_RATE)
     if limiter.rate is not None:
-        used_share = 1.0 - tokens_at(limiter.rate, now_ms) / bucket_depth(limiter.rate)
-        running = max(running, round(limiter.slots * used_share))
-    return running + waiting
+        used_share = max(
+            used_share, 1.0 - tokens_at(limiter.rate, now_ms) / bucket_depth(limiter.rate)
+        )
+    return max(running, round(limiter.slots * used_share)) + waiting
+
+
+def shed_rate_at(limiter: ConcurrencyLimiter, now_ms: int) -> float:
+    """Return the share of calls that the server refuses, which decays without calls."""
+    if not limiter.shed_rate:
+        return 0.0
+    return limiter.shed_rate * 0.5 ** ((now_ms - limiter.shed_ms) / SHED_HALF_LIFE_MS)
 
 
 def queue_drain_ms(limiter: ConcurrencyLimiter) -> float:
--- a/packages/basilhill/src/basilhill/retry_quota.py
+++ b/packages/basilhill/src/basilhill/retry_quota.py
@@ -4,7 +4,10 @@
 
 from attrs import define, field
 
-from basilhill.levels import HIGHEST_LEVEL, RankAdmissionLevel
+from basilhill.levels import RankAdmissionLevel
+
+# Level that admits the retries of all ranks.
+HIGHEST_RETRY_LEVEL = 1_000_000.0
 
 
 @define(eq=False)
@@ -22,5 +25,5 @@
     # Moving average of the share of calls that the servers refused.
     refusal_rate: float = 0.0
     level: RankAdmissionLevel = field(
-        factory=lambda: RankAdmissionLevel(HIGHEST_LEVEL, HIGHEST_LEVEL)
+        factory=lambda: RankAdmissionLevel(HIGHEST_RETRY_LEVEL, HIGHEST_RETRY_LEVEL)
     )
--- a/packages/basilhill/src/basilhill/slots.py
+++ b/packages/basilhill/src/basilhill/slots.py
@@ -50,3 +50,6 @@
     sequence: int = 0
     heard: bool = True
     rate: RateLimit | None = None
+    # Moving average of the share of calls that the server refused, and the time of the last one.
+    shed_rate: float = 0.0
+    shed_ms: int = 0
--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -69,6 +69,9 @@
     refusals: Counter[Reason] = field(factory=Counter)
     # Requests by workspace and result, which is a reason for those without an answer.
     workspaces: Counter[tuple[str, str]] = field(factory=Counter)
+    # Calls to other data centres and the bytes of their bodies, by reason.
+    crossings: Counter[str] = field(factory=Counter)
+    crossing_bytes: Counter[str] = field(factory=Counter)
 
     def record_action(self, action: str, reply: CallReply, duration_us: int) -> None:
         """Count one finished customer action and its duration in microseconds."""
@@ -85,6 +88,11 @@
         metrics.unrecorded_us[round_to_precision(min(max(1, duration_us), HIGHEST_US))] += 1
         metrics.latency_sum_us += duration_us
 
+    def record_crossing(self, reason: str, body_bytes: int) -> None:
+        """Count a call to a server of another data centre."""
+        self.crossings[reason] += 1
+        self.crossing_bytes[reason] += body_bytes
+
     def record_workspace(self, workspace: str, outcome: Outcome) -> None:
         """Count one finished request of a workspace."""
         result = ANSWERED if outcome.is_ok() else outcome.error.reason.value
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from attrs import define, field
+from basilhill.balancing import CrossingCost
 from basilhill.credits import QuotaBounds
 from expression import Error, Ok, Result
 
@@ -16,6 +17,7 @@
 # Fixed, since `deploy/system.toml` declares it. The ports that the platform assigns change daily.
 METRICS_PORT = 9464
 HIGHEST_PORT = 65_535
+DEFAULT_COST = CrossingCost()
 PORT = re.compile(r"[0-9]{1,5}")
 
 
@@ -121,5 +123,9 @@
             overage=reader.number("terms.bounds.quotaOverage", 0),
             slack=reader.number("terms.bounds.quotaSlack", 0),
         ),
+        crossing_cost=CrossingCost(
+            base_ms=reader.number("crossing.baseMs", DEFAULT_COST.base_ms),
+            ms_per_mb=reader.number("crossing.msPerMb", DEFAULT_COST.ms_per_mb),
+        ),
         memory_mb=int(reader.number("self.limits.memoryMb", DEFAULT_MEMORY_MB)),
     )
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 from basilhill.backends import BackendDirectory, BackendEntry
 from basilhill.clocks import Clock
+from basilhill.commands.backends import set_detached
 from basilhill.commands.poison_requests import apply_crash_report
 from basilhill.poison_requests import CrashReport, PoisonRequestTable
 
@@ -135,7 +136,7 @@
         }
         if not self.store.has_access:
             detached_addresses.add(self.settings.backend_address)
-        self.directory.detached_addresses = detached_addresses
+        set_detached(self.directory, detached_addresses)
 
     def broadcast_hello(self) -> None:
         """Send HELLO to all peers after the store became reachable or unreachable.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -10,6 +10,7 @@
 from basilhill.commands.rate_limits import refill_tokens, state_limit
 from basilhill.commands.response_times import record_end, record_start
 from basilhill.commands.slots import (
+    record_shed,
     release_slot,
     request_slot,
     return_slot,
@@ -251,6 +252,8 @@
         outcome = self.dialect.decode_answer(response)
         if outcome.is_ok() or outcome.error.reason is not Reason.MISDIRECTED:
             self.record_statement(call, response.headers, sent_ms)
+        shed = outcome.is_error() and outcome.error.reason is Reason.SERVER_REFUSED
+        record_shed(self.state.slots, shed, self.clock.now_ms())
         if outcome.is_error():
             connection.record_refusal(call.request_id)
             if outcome.error.reason is Reason.MISDIRECTED:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -15,6 +15,7 @@
     record_response,
     record_response_time,
     record_route_outcome,
+    record_size,
 )
 from basilhill.commands.levels import record_level
 from basilhill.outcomes import ExecutionStatus, Outcome, Reason, may_have_run, not_run
@@ -114,7 +115,7 @@
             outcome = await self.executor.execute(execute, is_local=True)
             now_ms = self.clock.now_ms()
             target = find_or_add_target(self.origin.loads, entry.server_id)
-            record_report(target, reported_calls(self.executor.state.slots, now_ms))
+            record_report(target, reported_calls(self.executor.state.slots, now_ms), now_ms)
             level = tree_level(levels, route, self.executor.state.level.level, now_ms)
             record_level(levels, route, entry.server_id, level, now_ms)
             return outcome
@@ -124,8 +125,10 @@
             if reply.sent:
                 return Error(may_have_run(Reason.CONNECTION_LOST, reply.text))
             return Error(not_run(Reason.UNREACHABLE, reply.text))
-        record_report(find_or_add_target(self.origin.loads, entry.server_id), reply.running)
-        record_level(levels, route, entry.server_id, reply.level, self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        target = find_or_add_target(self.origin.loads, entry.server_id)
+        record_report(target, reply.running, now_ms)
+        record_level(levels, route, entry.server_id, reply.level, now_ms)
         return reply.outcome
 
     def record_outcome(
@@ -144,6 +147,8 @@
             record_response(target, failed)
             record_route_outcome(self.origin.loads, opened.route.name, failed)
             if status < SERVER_ERROR:
+                size = len(opened.request.body) + len(outcome.ok.body)
+                record_size(self.origin.loads, opened.route.name, size)
                 record_response_time(self.origin.loads, target, opened.route.name, took_ms, now_ms)
             return
         reason = outcome.error.reason
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -5,7 +5,9 @@
 
 from attrs import asdict, define, evolve
 from basilhill.backends import BackendDirectory, BackendEntry
+from basilhill.balancing import Choice
 from basilhill.clocks import Clock
+from basilhill.commands.balancing import find_candidates, record_choice
 from basilhill.commands.fair_shares import fair_chance, record_utilisation
 from basilhill.commands.levels import record_called
 from basilhill.configuration import Configuration, Route
@@ -20,7 +22,7 @@
     not_run,
 )
 from basilhill.queries.backends import deregistered_entries, ready_entries
-from basilhill.queries.balancing import choose_backend
+from basilhill.queries.balancing import choose_backend, crossing_cost_ms
 from basilhill.queries.configuration import choose_service, find_route
 from basilhill.queries.fair_shares import AdmissionChance
 from basilhill.queries.levels import admitted_share, route_level
@@ -303,6 +305,7 @@
                 "sends": opened.sends,
                 "refusals": opened.refused,
                 "slow_servers": opened.slow,
+                "crossing": opened.crossing,
                 "left_ms": opened.ends_ms - self.clock.now_ms(),
             }
         self.executor.log.record("serve", event, metadata.request_id, **result_fields)
@@ -375,14 +378,24 @@
 
     def choose(self, opened: OpenRequest, excluded: frozenset[str]) -> BackendEntry | None:
         """Return the best server of the service that is not excluded, None if there is none."""
-        return choose_backend(
-            self.directory,
-            self.origin.loads,
-            opened.service,
-            self.clock.now_ms(),
-            self.origin.random,
-            excluded,
+        now_ms, loads, route = self.clock.now_ms(), self.origin.loads, opened.route.name
+        candidates = find_candidates(loads, self.directory, opened.service, now_ms)
+        body_bytes = len(opened.request.body)
+        cost_ms = crossing_cost_ms(loads, self.settings.crossing_cost, route, body_bytes)
+        choice = choose_backend(
+            candidates, loads, route, cost_ms, now_ms, self.origin.random, excluded
         )
+        if choice is None:
+            return None
+        record_choice(candidates, choice)
+        self.record_crossing(opened, choice)
+        return choice.entry
+
+    def record_crossing(self, opened: OpenRequest, choice: Choice) -> None:
+        """Count a call that leaves the data centre, and keep the reason for the log."""
+        if choice.crossing:
+            opened.crossing = f"{choice.crossing}, {choice.saved_ms:.0f} ms"
+            self.metrics.record_crossing(choice.crossing, len(opened.request.body))
 
     def final_outcome(self, opened: OpenRequest, last_refusal: Refusal) -> Outcome:
         """Return the outcome of a request that is not sent to any further server."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/spend_retries.py
@@ -12,6 +12,7 @@
 from basilhill.queries.balancing import failure_is_common
 from basilhill.queries.cohorts import hash_fraction
 from basilhill.queries.levels import admitted_share
+from basilhill.queries.ranks import retry_rank
 from basilhill.retry_quota import RetryQuota
 
 from basilhill_node.sidecar.open_requests import OpenRequest
@@ -59,7 +60,7 @@
         """
         quota = self.quota(opened.service)
         count_request(quota, opened.arrived_ms)
-        count_expected_retries(quota, opened.rank, opened.arrived_ms)
+        count_expected_retries(quota, retry_rank(opened.rank, opened.depth), opened.arrived_ms)
         return not opened.repeated or spend_retry_quota(quota, opened.arrived_ms)
 
     def record(self, opened: OpenRequest, refused: bool) -> None:
@@ -88,7 +89,8 @@
         While servers refuse more calls than the quota can retry, retries go to the most urgent
         customer actions, and to all calls of an action or none: one lost call fails the action.
         """
-        share = admitted_share(self.quota(opened.service).level.level, opened.rank)
+        rank = retry_rank(opened.rank, opened.depth)
+        share = admitted_share(self.quota(opened.service).level.level, rank)
         if hash_fraction(opened.metadata.action_id) >= share:
             return False
         return opened.sends < MAX_SENDS and self.spend(opened)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -52,6 +52,8 @@
     sends: int = 0
     refused: int = 0
     slow: int = 0
+    # Why the last call left the data centre, empty if it did not.
+    crossing: str = ""
     # Call that is in progress at a server, None before the first one.
     call: Execute | None = None
     uncertain: Refusal | None = None
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+from basilhill.queries.slots import shed_rate_at
+
 from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import STORE, SidecarState
 
@@ -18,6 +20,7 @@
     "open_requests": "Requests of which this node is the origin",
     "slots": "Slots of the own backend server",
     "slots_in_flight": "Slots in use",
+    "shed_rate": "Share of the calls that the own server refuses although it has a free slot",
     "slots_queued": "Calls that wait for a slot",
     "rate_limit_per_s": "Calls per second that the own server takes, -1 if it states no limit",
     "admission_level": "Ranks below it are admitted by the own server",
@@ -48,6 +51,7 @@
         "open_requests": state.origin.open_requests,
         "slots": slots.slots,
         "slots_in_flight": slots.in_flight,
+        "shed_rate": shed_rate_at(slots, state.clock.now_ms()),
         "slots_queued": len(slots.waiting),
         "rate_limit_per_s": slots.rate.per_s if slots.rate else -1,
         "admission_level": state.executor.level.level,
@@ -69,6 +73,7 @@
     from prometheus_client.core import GaugeMetricFamily
 
     from basilhill_node.queries.action_metrics import action_counters, latency_summary
+    from basilhill_node.queries.crossing_metrics import crossing_counters
     from basilhill_node.queries.workspace_metrics import workspace_counters
 
     class Collector:
@@ -81,6 +86,7 @@
             yield from action_counters(state.metrics)
             yield latency_summary(state.metrics)
             yield workspace_counters(state.metrics)
+            yield from crossing_counters(state.metrics)
 
     registry = CollectorRegistry()
     registry.register(Collector())
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -8,7 +8,7 @@
 
 from attrs import define, field, frozen
 from basilhill.backends import BackendDirectory
-from basilhill.balancing import LoadTable
+from basilhill.balancing import CrossingCost, LoadTable
 from basilhill.clocks import Clock
 from basilhill.configuration import Configuration, RequestLimits
 from basilhill.credits import CreditAccount, CreditShare, KeeperDirectory, QuotaBounds
@@ -55,6 +55,7 @@
     retry_minimum: int
     # Bounds for the requests of workspaces beyond their quotas.
     quota_bounds: QuotaBounds = field(factory=QuotaBounds)
+    crossing_cost: CrossingCost = field(factory=CrossingCost)
     # Memory that the process may take, in MB.
     memory_mb: int = DEFAULT_MEMORY_MB
 
