Count every byte that clients make a node hold, and bound their connections

Cause: crowds of large requests took a node past the memory of its machine. Complete bodies could hold one and a half times the account's limit beside the largest incomplete one; bodies up to 64 KB, heads and unsent responses up to 256 KB were not counted; an announced length above the limit was read; connections were not bounded. Change: all incomplete requests and complete messages above 4 KB are counted, headers with their objects; complete messages may hold a quarter of the limit before the first incomplete one waits; a response that needs memory refuses paused requests (503, not run); announced lengths are checked with the head; a response counts until its client has taken it; beyond half of the descriptors or five connections per MB the connection that has waited longest for its client is closed. A counter and log lines by cause. Checks changed: test_announced_messages_are_granted... allowed a request beside complete messages that fill the account; it now waits for them.

--- a/packages/basilhill/src/basilhill/memory.py
+++ b/packages/basilhill/src/basilhill/memory.py
@@ -4,10 +4,15 @@
 
 from attrs import define, field
 
-# Shorter messages are not counted: their number is bounded by that of the connections.
+# Longer bodies between nodes are sent ahead of their frames, once they are granted.
 SMALL_MESSAGE_BYTES = 64 << 10
+# Shorter messages are not counted: their number is bounded by that of the connections.
+UNCOUNTED_BYTES = 4 << 10
+# Memory of a header beside its bytes.
+HEADER_COST_BYTES = 200
 # Complete messages may hold this multiple of the limit before the first incomplete one waits too.
-COMPLETE_LIMIT_FACTOR = 1.5
+# The memory beyond the limit is for that one alone.
+COMPLETE_LIMIT_FACTOR = 0.25
 
 
 class MessageKind(IntEnum):
@@ -34,7 +39,7 @@
 
 @define(eq=False)
 class MemoryAccount:
-    """Bytes of all large messages that a node holds, and the incomplete ones.
+    """Bytes of all messages above `UNCOUNTED_BYTES` that a node holds, and the incomplete ones.
 
     Beyond `limit_bytes` only the first incomplete message is read further or granted. It waits too
     while complete messages, which end without it, hold more than `COMPLETE_LIMIT_FACTOR` times the
--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -52,5 +52,16 @@
     return readable
 
 
+def evictable(account: MemoryAccount) -> list[HeldMessage]:
+    """Return the paused requests that may be refused to make room for a response, newest first.
+
+    A response shows the outcome of work that has run, and these requests have not begun.
+    """
+    if account.held_bytes <= account.limit_bytes:
+        return []
+    requests = [one for one in account.reading if one.paused and one.kind is MessageKind.REQUEST]
+    return sorted(requests, key=reading_order, reverse=True)
+
+
 def is_paused(message: HeldMessage) -> bool:
     return message.paused
--- a/packages/basilhill/tests/test_memory.py
+++ b/packages/basilhill/tests/test_memory.py
@@ -143,4 +143,7 @@
     release_message(account, responses[2])
     for message in responses[:2]:
         hold_complete(account, message, message.size)
+        assert readable_again(account) == []
+    for message in responses[:2]:
+        release_message(account, message)
     assert readable_again(account) == [later]
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -93,6 +93,9 @@
     routes: dict[str, dict] = field(default=(READS, WRITES, MOVES), converter=routes_by_prefix)
     # Tenants of the configuration by name.
     tenants: dict[str, dict] = field(factory=dict)
+    # Limits of a process: memory in MB and open descriptors, those of the node without an entry.
+    process_limits: dict[str, int] = field(factory=dict)
+    server_type: type[PlainServer] = PlainServer
     # Whether proxies that can disturb it carry the traffic to nodes and backend servers.
     proxied: bool = True
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
@@ -142,7 +145,7 @@
         number = len(self.vms) + 1
         address = f"{self.prefix}.{number}"
         outer = f"{self.prefix}.{number + 100}" if self.proxied else address
-        server = PlainServer(f"i-{number}", service)
+        server = self.server_type(f"i-{number}", service)
         server.started = self.build_run_recorder(server)
         server.reached = self.build_arrival_recorder(server, number)
         vm = SoakVm(
@@ -227,6 +230,7 @@
                 "zone": vm.zone,
                 "service": vm.server.service,
                 "appAddr": f"{vm.outer_address}:{SERVER_PORT}",
+                "limits": self.process_limits,
             },
             "network": {"listen": {name: f"{vm.address}:{port}" for name, port in ports.items()}},
             "platform": {"platform": {"address": f"{vm.store_address}:{STORE_PORT}"}},
--- a/packages/basilhill_node/src/basilhill_node/metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/metrics.py
@@ -69,6 +69,8 @@
     refusals: Counter[Reason] = field(factory=Counter)
     # Requests by workspace and result, which is a reason for those without an answer.
     workspaces: Counter[tuple[str, str]] = field(factory=Counter)
+    # Refused and closed connections of clients by cause.
+    client_refusals: Counter[str] = field(factory=Counter)
     # Calls to other data centres and the bytes of their bodies, by reason.
     crossings: Counter[str] = field(factory=Counter)
     crossing_bytes: Counter[str] = field(factory=Counter)
--- a/packages/basilhill_node/src/basilhill_node/platform/settings.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/settings.py
@@ -11,7 +11,7 @@
 
 from basilhill_node.platform.input import MAX_NUMBER, decode_input
 from basilhill_node.sidecar.memory import DEFAULT_MEMORY_MB
-from basilhill_node.sidecar.state import SidecarSettings
+from basilhill_node.sidecar.state import DEFAULT_DESCRIPTORS, SidecarSettings
 
 MS_PER_S = 1000
 # Fixed, since `deploy/system.toml` declares it. The ports that the platform assigns change daily.
@@ -127,5 +127,6 @@
             base_ms=reader.number("crossing.baseMs", DEFAULT_COST.base_ms),
             ms_per_mb=reader.number("crossing.msPerMb", DEFAULT_COST.ms_per_mb),
         ),
+        descriptors=int(reader.number("self.limits.maxFds", DEFAULT_DESCRIPTORS)),
         memory_mb=int(reader.number("self.limits.memoryMb", DEFAULT_MEMORY_MB)),
     )
--- a/packages/basilhill_node/src/basilhill_node/queries/action_metrics.py
+++ b/packages/basilhill_node/src/basilhill_node/queries/action_metrics.py
@@ -32,6 +32,16 @@
     yield from (statuses, reasons, failed, retries)
 
 
+def client_refusal_counter(node_metrics: Metrics) -> CounterMetricFamily:
+    """Return the refused and closed connections of clients by cause."""
+    family = CounterMetricFamily(
+        "basilhill_client_refusals", "Refused or closed client connections", labels=["cause"]
+    )
+    for cause, count in node_metrics.client_refusals.items():
+        family.add_metric([cause], count)
+    return family
+
+
 def latency_summary(node_metrics: Metrics) -> SummaryMetricFamily:
     """Return the response times per kind of customer action, in seconds."""
     family = SummaryMetricFamily(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/body_transfers.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/body_transfers.py
@@ -52,6 +52,9 @@
         self.granted = True
         self.connection.send(encode_frame(FrameKind.BODY_GRANT, self.call_id))
 
+    def abandon(self) -> None:
+        """Keep waiting: a body that is not granted takes no memory."""
+
     def add(self, part: bytes) -> None:
         """Add a part; raise MalformedFrameError if it was not granted."""
         if not self.granted or len(self.body) + len(part) > self.size:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -1,14 +1,14 @@
 """HTTP/1.1 server for clients, with strict framing, ordered pipelining and limits."""
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 
 import httptools
 from attrs import define, field
 from basilhill.clocks import Clock
 from basilhill.configuration import RequestLimits
-from basilhill.memory import HeldMessage, MessageKind
+from basilhill.memory import HEADER_COST_BYTES, HeldMessage, MessageKind
 from basilhill.outcomes import Header
 
 from basilhill_node.sidecar.event_log import EventLog
@@ -31,8 +31,13 @@
 TIMEOUT_CHECK_S = 0.25
 # Retry delay for a client whose body the node had no memory for, in seconds.
 MEMORY_RETRY_S = 1
-# A connection with more unsent bytes sends no further responses until its client reads.
-WRITE_HIGH_BYTES = 256 << 10
+RETRY_LATER = Header("retry-after", str(MEMORY_RETRY_S))
+NO_MEMORY = "the node has no memory for the body"
+# Causes of refusals in the counter, by status.
+REFUSAL_CAUSES = {408: "too slow", 413: "too large", 431: "too large", 503: "memory"}
+# A connection with unsent bytes sends no further responses until its client reads, and the account
+# of memory counts its response until then.
+WRITE_HIGH_BYTES = 0
 BACKLOG = 4096
 # Bytes of the colon, the space and the line end of a header.
 HEADER_LINE_BYTES = 4
@@ -72,7 +77,13 @@
     clock: Clock
     log: EventLog
     memory: MessageMemory = field(factory=MessageMemory.of_node)
+    # Connections beyond this number replace those that have waited longest for their client.
+    max_connections: int | None = None
+    # Refused and closed connections by cause.
+    refusals: Counter[str] = field(factory=Counter)
     connections: set["ServerConnection"] = field(factory=set)
+    # Connections without a request in service, those without progress for the longest time first.
+    waiting: dict["ServerConnection", None] = field(factory=dict)
     leaving: bool = False
     server: asyncio.Server | None = None
     timeout_task: asyncio.Task | None = None
@@ -91,6 +102,23 @@
         for connection in tuple(self.connections):
             connection.enforce_timeouts(now_ms, limits)
 
+    def make_room(self) -> bool:
+        """Close the longest waiting connection if there are too many; return whether one is."""
+        if self.max_connections is None or len(self.connections) < self.max_connections:
+            return True
+        oldest = next(iter(self.waiting), None)
+        self.refuse("connections", f"more than {self.max_connections} connections are open")
+        if oldest is None:
+            return False
+        oldest.end()
+        return True
+
+    def refuse(self, cause: str, problem: str, **inputs: int) -> None:
+        """Count and log a refusal or the close of a connection."""
+        self.refusals[cause] += 1
+        if self.log.should_log("front", "rejected", cause):
+            self.log.record("front", "rejected", reason=cause, problem=problem, **inputs)
+
     def leave(self) -> None:
         """Close idle connections now and the other ones after their last response."""
         self.leaving = True
@@ -152,7 +180,11 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         transport.set_write_buffer_limits(high=WRITE_HIGH_BYTES)
+        if not self.server.make_room():
+            self.reading_done = True
+            transport.abort()
         self.server.connections.add(self)
+        self.server.waiting[self] = None
         self.task = asyncio.get_running_loop().create_task(self.run())
 
     def data_received(self, data: Buffer) -> None:
@@ -173,10 +205,29 @@
         if self.pending_bytes > self.header_limit + len(data):
             self.reject(431, "a line of the head, a chunk or the trailers is too long")
         if self.reading and not self.reading_done:
-            self.server.memory.resize(self.held_request, len(self.body), self)
+            self.server.memory.resize(self.held_request, self.held_bytes(), self)
+        if self in self.server.waiting:
+            # Moves to the end.
+            del self.server.waiting[self]
+            self.server.waiting[self] = None
         if not self.reading_done and len(self.exchanges) >= PIPELINE_LIMIT:
             self.update_reading()
 
+    def held_bytes(self) -> int:
+        """Return the memory that the incomplete request takes."""
+        head_bytes = self.header_bytes + len(self.headers) * HEADER_COST_BYTES
+        return len(self.body) + head_bytes + self.pending_bytes
+
+    def abandon(self) -> None:
+        """Refuse the incomplete request, whose memory a response needs."""
+        self.reject(503, NO_MEMORY, RETRY_LATER)
+
+    def end(self) -> None:
+        """Close the connection at once; its client may send again what was not read."""
+        self.reading_done = True
+        self.server.waiting.pop(self, None)
+        self.transport.abort()
+
     def update_reading(self) -> None:
         """Pause or resume reading, as memory and the number of pipelined requests require."""
         if self.transport.is_closing():
@@ -193,6 +244,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the requests of a client that has closed its connection."""
         self.server.connections.discard(self)
+        self.server.waiting.pop(self, None)
         self.reading_done = True
         self.task.cancel()
         self.server.memory.release(self.held_request)
@@ -242,9 +294,16 @@
         """Send 100 Continue if the client waits for it before it sends the body."""
         self.pending_bytes = 0
         self.head_complete = True
+        if self.announced_bytes() > self.body_limit:
+            self.reject(413, "the body is too large")
         if any(header.name == "expect" for header in self.headers) and not self.reading_done:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def announced_bytes(self) -> int:
+        """Return the length of the body that the head states, 0 without one."""
+        lengths = [one.value for one in self.headers if one.name == "content-length"]
+        return max((int(one) for one in lengths if one.strip().isdigit()), default=0)
+
     def on_body(self, part: bytes) -> None:
         """Add a part of the body; reject the request if the body is too large."""
         self.pending_bytes = 0
@@ -282,6 +341,7 @@
     # The task of the connection.
 
     def enqueue(self, exchange: Exchange) -> None:
+        self.server.waiting.pop(self, None)
         self.exchanges.append(exchange)
         self.arrived.set()
 
@@ -296,8 +356,9 @@
             return
         self.reading_done = True
         self.body = bytearray()
+        self.headers = []
         self.server.memory.release(self.held_request)
-        self.server.log.record("front", "rejected", status=status, problem=text)
+        self.server.refuse(REFUSAL_CAUSES.get(status, "malformed"), text, status=status)
         response = HttpResponse(status, list(headers), text.encode())
         self.enqueue(Exchange(False, False, response=response))
 
@@ -332,6 +393,8 @@
             await self.writable.wait()
         finally:
             self.release(exchange)
+        if not self.exchanges and not self.transport.is_closing():
+            self.server.waiting[self] = None
 
     def send(self, exchange: Exchange, response: HttpResponse) -> None:
         """Send a response, after which the connection may be closed."""
@@ -374,8 +437,7 @@
             return
         inactive_ms = now_ms - self.last_activity_ms
         if self.reading and self.held_request.paused and inactive_ms > limits.header_ms:
-            retry_after = Header("retry-after", str(MEMORY_RETRY_S))
-            self.reject(503, "the node has no memory for the body", retry_after)
+            self.reject(503, NO_MEMORY, RETRY_LATER)
         elif self.awaits_request() and inactive_ms > limits.header_ms:
             self.reject(408, "the request did not arrive in time")
         elif not self.exchanges and now_ms - self.idle_since_ms() > limits.idle_ms:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -10,8 +10,8 @@
     resize_incomplete,
     resume_message,
 )
-from basilhill.memory import SMALL_MESSAGE_BYTES, HeldMessage, MemoryAccount
-from basilhill.queries.memory import readable_again
+from basilhill.memory import UNCOUNTED_BYTES, HeldMessage, MemoryAccount, MessageKind
+from basilhill.queries.memory import evictable, readable_again
 
 BYTES_PER_MB = 1 << 20
 # Memory of a node whose platform states none.
@@ -28,6 +28,10 @@
         """Pause or resume reading, as the message in progress requires, or grant the body."""
         ...
 
+    def abandon(self) -> None:
+        """Refuse the message in progress, whose memory a response needs."""
+        ...
+
 
 @define(eq=False)
 class MessageMemory:
@@ -43,13 +47,22 @@
 
     def resize(self, message: HeldMessage, size: int, reader: PausableReader) -> None:
         """Record the size of an incomplete message; pause its reader if memory is short."""
-        if size <= SMALL_MESSAGE_BYTES:
+        if size <= UNCOUNTED_BYTES and not message.size:
             return
         was_paused = message.paused
         self.readers[message] = reader
         resize_incomplete(self.account, message, size)
         if message.paused is not was_paused:
             reader.update_reading()
+        if message.kind is MessageKind.RESPONSE:
+            self.make_room()
+
+    def make_room(self) -> None:
+        """Refuse paused requests while a response is read beyond the limit."""
+        for message in evictable(self.account):
+            if self.account.held_bytes <= self.account.limit_bytes:
+                return
+            self.readers[message].abandon()
 
     def announce(self, message: HeldMessage, size: int, reader: PausableReader) -> None:
         """Record a large message whose sender waits; its reader grants it once there is room."""
@@ -59,7 +72,7 @@
 
     def hold(self, message: HeldMessage, size: int) -> None:
         """Record the size of a complete message, which is held until it is released."""
-        if size <= SMALL_MESSAGE_BYTES:
+        if size <= UNCOUNTED_BYTES and not message.size:
             return
         hold_complete(self.account, message, size)
         self.readers.pop(message, None)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -219,7 +219,13 @@
         state.memory,
     )
     client_listener = HttpServer(
-        origin.serve, lambda: state.active_configuration.limits, clock, log, state.memory
+        origin.serve,
+        lambda: state.active_configuration.limits,
+        clock,
+        log,
+        state.memory,
+        settings.client_connections,
+        state.metrics.client_refusals,
     )
     ready = HttpServer(readiness_handler(state), RequestLimits, clock, log, state.memory)
     metrics = HttpServer(metrics_handler(state), RequestLimits, clock, log, state.memory)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -123,6 +123,10 @@
 
     async def reply(self, incoming: IncomingStream, call: Execute) -> None:
         """Run a call and send its reply with the load and the admission level."""
+        held = HeldMessage(MessageKind.REQUEST)
+        if len(call.body) <= SMALL_MESSAGE_BYTES:
+            # Larger bodies were sent ahead and are counted since then.
+            self.memory.hold(held, len(call.body))
         try:
             outcome = await self.executor.execute(call)
         except Exception as error:
@@ -131,6 +135,7 @@
         finally:
             # The reply may wait for its grant.
             call.body = b""
+            self.memory.release(held)
             incoming.transfers.release(call.call_id)
         place = await self.send_body(incoming, call.call_id, outcome)
         if place is BodyPlace.LOST:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -72,7 +72,11 @@
     from prometheus_client import CollectorRegistry, generate_latest
     from prometheus_client.core import GaugeMetricFamily
 
-    from basilhill_node.queries.action_metrics import action_counters, latency_summary
+    from basilhill_node.queries.action_metrics import (
+        action_counters,
+        client_refusal_counter,
+        latency_summary,
+    )
     from basilhill_node.queries.crossing_metrics import crossing_counters
     from basilhill_node.queries.workspace_metrics import workspace_counters
 
@@ -86,6 +90,7 @@
             yield from action_counters(state.metrics)
             yield latency_summary(state.metrics)
             yield workspace_counters(state.metrics)
+            yield client_refusal_counter(state.metrics)
             yield from crossing_counters(state.metrics)
 
     registry = CollectorRegistry()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -28,6 +28,11 @@
 # Slots assumed for the local backend server until its entry is read; servers have 13 or more.
 INITIAL_SLOTS = 10
 POISON_REQUEST_TTL_MS = 60_000
+# Descriptors of a process whose platform states no limit, and those that are not for sockets.
+DEFAULT_DESCRIPTORS = 4_096
+RESERVED_DESCRIPTORS = 200
+# A connection takes some 20 KB before it carries anything, so that all take a tenth of the memory.
+CONNECTIONS_PER_MB = 5
 # Source of state that this node has read from the store itself.
 STORE = "store"
 
@@ -58,6 +63,14 @@
     crossing_cost: CrossingCost = field(factory=CrossingCost)
     # Memory that the process may take, in MB.
     memory_mb: int = DEFAULT_MEMORY_MB
+    # Open descriptors that the process may have, of which the platform reserves some for files.
+    descriptors: int = DEFAULT_DESCRIPTORS
+
+    @property
+    def client_connections(self) -> int:
+        """Return how many connections of clients may be open at the same time."""
+        sockets = max(0, self.descriptors - RESERVED_DESCRIPTORS)
+        return max(1, min(sockets // 2, self.memory_mb * CONNECTIONS_PER_MB))
 
 
 @define(eq=False)
