Return the memory of large messages to the system, and refuse paused requests for granted responses

Cause: a crowd of whole bodies reached 110.2 MB of 110: a response that a peer sent ahead was granted beside paused requests; glibc kept freed bodies of 24 MB on its heap (108.0 MB for bodies over the limit in chunks). Change: granting a response refuses paused requests, as reading one does; blocks from 1 MB on have mappings of their own.

--- a/packages/basilhill_fakes/tests/test_crowds.py
+++ b/packages/basilhill_fakes/tests/test_crowds.py
@@ -124,6 +124,8 @@
         await serve_ordinary_request(fleet, fleet.vms[0], "POST", "/write/")
         await serve_ordinary_request(fleet, fleet.vms[1], "GET", "/read/")
         await crowd.leave()
+        # Shown by pytest -s, for docs/MEASUREMENTS.md.
+        print(f"\n{name}: {sampler.peak_mb:.1f} MB, {sampler.peak_descriptors} descriptors")
         assert [vm.process.returncode for vm in fleet.vms] == [None, None]
         assert sampler.peak_mb <= MEMORY_MB
         assert sampler.peak_descriptors <= DESCRIPTORS
--- a/packages/basilhill_node/src/basilhill_node/platform/program.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/program.py
@@ -12,6 +12,7 @@
 from basilhill_node.platform.http import PlatformDialect
 from basilhill_node.platform.settings import decode_settings
 from basilhill_node.platform.store import PlatformStore
+from basilhill_node.sidecar.allocator import return_large_blocks
 from basilhill_node.sidecar.commands.reload_settings import SettingsReloader
 from basilhill_node.sidecar.event_log import encode_json_line
 from basilhill_node.sidecar.node import build_sidecar, run_sidecar
@@ -46,4 +47,5 @@
     except OSError as error:
         print(f"basilhill: cannot read the settings file: {error}", file=sys.stderr)
         return EXIT_UNUSABLE
+    return_large_blocks()
     return uvloop.run(run(Path(path), data))
--- a/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -62,7 +62,9 @@
         for message in evictable(self.account):
             if self.account.held_bytes <= self.account.limit_bytes:
                 return
-            self.readers[message].abandon()
+            # A refusal releases memory, which can end or resume others.
+            if message.paused and message in self.readers:
+                self.readers[message].abandon()
 
     def announce(self, message: HeldMessage, size: int, reader: PausableReader) -> None:
         """Record a large message whose sender waits; its reader grants it once there is room."""
@@ -87,5 +89,9 @@
 
     def resume_readers(self) -> None:
         for message in readable_again(self.account):
+            if not message.paused or message not in self.readers:
+                continue
             resume_message(self.account, message)
             self.readers[message].update_reading()
+            if message.kind is MessageKind.RESPONSE:
+                self.make_room()
