Divide the long modules of requests, connections and frames

Change: dispatch to servers, connections of clients, exchanges, handlers, frames about credit and the soak of workspaces have files of their own; nothing else is changed.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -28,8 +28,12 @@
         """Pause or resume reading, as the message in progress requires, or grant the body."""
         ...
 
+
+class RefusableReader(PausableReader, Protocol):
+    """Reader of a request, which can be refused before it is complete."""
+
     def abandon(self) -> None:
-        """Refuse the message in progress, whose memory a response needs."""
+        """Refuse the request in progress, whose memory a response needs."""
         ...
 
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Callable
 
 from attrs import define, field
 from basilhill.backends import BackendDirectory
@@ -14,11 +13,11 @@
 from basilhill.commands.poison_requests import expire_crash_records
 from basilhill.commands.response_times import retain_routes
 from basilhill.configuration import RequestLimits
-from basilhill.outcomes import Header
 from basilhill.queries.configuration import route_names
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.borrow_credits import CreditBorrower
+from basilhill_node.sidecar.commands.dispatch_request import RequestDispatcher
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
 from basilhill_node.sidecar.commands.execute_call import ADJUST_INTERVAL_S, CallExecutor
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
@@ -33,16 +32,14 @@
 from basilhill_node.sidecar.commands.spend_retries import RetryBudget
 from basilhill_node.sidecar.dialect import Dialect
 from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.handlers import metrics_handler, readiness_handler
 from basilhill_node.sidecar.http_client import ConnectionPool
 from basilhill_node.sidecar.http_server import HttpServer
 from basilhill_node.sidecar.memory import MessageMemory
-from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.peer_listener import PeerListener
 from basilhill_node.sidecar.peer_streams import CHECK_INTERVAL_S, PeerStreams
 from basilhill_node.sidecar.periodic import repeat
 from basilhill_node.sidecar.process_signals import handled_signals
-from basilhill_node.sidecar.queries.exposition import exposition
-from basilhill_node.sidecar.queries.readiness import is_ready
 from basilhill_node.sidecar.state import (
     ActiveConfiguration,
     ExecutorState,
@@ -194,14 +191,15 @@
     credits = CreditBorrower(
         settings, state.credits, state.origin, state.lifecycle, keeper, peers, clock, log
     )
+    dispatcher = RequestDispatcher(
+        settings, state.origin, state.directory, sender, retries, state.metrics, clock
+    )
     origin = Origin(
-        settings,
         state.origin,
         state.active_configuration,
         state.store,
-        state.directory,
         executor,
-        sender,
+        dispatcher,
         retries,
         credits,
         dialect,
@@ -245,24 +243,6 @@
     )
 
 
-def readiness_handler(state: SidecarState) -> Callable:
-    """Return the handler of the platform's readiness checks, which responds with 200 or 503."""
-
-    async def handle(_request: HttpRequest) -> HttpResponse:
-        return HttpResponse(200 if is_ready(state.lifecycle, state.active_configuration) else 503)
-
-    return handle
-
-
-def metrics_handler(state: SidecarState) -> Callable:
-
-    async def handle(_request: HttpRequest) -> HttpResponse:
-        content_type = Header("content-type", "text/plain; version=0.0.4; charset=utf-8")
-        return HttpResponse(200, [content_type], exposition(state))
-
-    return handle
-
-
 async def run_sidecar(node: Sidecar, reloader: SettingsReloader | None = None) -> None:
     """Run a node until SIGTERM or SIGINT, then shut it down gracefully."""
     handlers = {signal.SIGTERM: node.stopped.set, signal.SIGINT: node.stopped.set}
@@ -341,7 +321,7 @@
         node.client_listener.leave()
         await asyncio.sleep(DRAIN_POLL_S)
     cut_off = state.origin.open_requests
-    node.origin.expire_all()
+    node.origin.dispatcher.expire_all()
     await asyncio.sleep(FINAL_RESPONSES_MS / 1000)
     unsent_bytes = node.client_listener.unsent_bytes() + node.listener.unsent_bytes()
     state.log.record("node", "stopped", cut_off=cut_off, unsent_bytes=unsent_bytes)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_listener.py
@@ -17,6 +17,7 @@
 from basilhill_node.sidecar.commands.execute_call import CallExecutor
 from basilhill_node.sidecar.commands.keep_credits import CreditKeeper
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
+from basilhill_node.sidecar.credit_frames import decode_credit_request, encode_credit_grant
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
     PONG,
@@ -24,9 +25,7 @@
     FrameKind,
     Reply,
     Subscribe,
-    decode_credit_request,
     decode_execute,
-    encode_credit_grant,
     encode_reply,
 )
 from basilhill_node.sidecar.memory import MessageMemory
--- a/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/peer_streams.py
@@ -12,6 +12,7 @@
 
 from basilhill_node.sidecar.body_transfers import BODY_KINDS, BodyPlace, BodyTransfers
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
+from basilhill_node.sidecar.credit_frames import decode_credit_grant, encode_credit_request
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
     CREDIT_VERSION,
@@ -19,9 +20,7 @@
     Execute,
     FrameKind,
     Reply,
-    decode_credit_grant,
     decode_reply,
-    encode_credit_request,
     encode_execute,
     encode_frame,
 )
