--- a/packages/basilhill/src/basilhill/queries/credits.py
+++ b/packages/basilhill/src/basilhill/queries/credits.py
@@ -84,10 +84,6 @@
     return int(part + hash_fraction(f"{workspace}@{node}"))
 
 
-def has_lent_credit(account: CreditAccount, now_ms: int) -> bool:
-    return account.lent > 0 and now_ms <= account.lent_until_ms
-
-
 def wanted_credit(account: CreditAccount, now_ms: int) -> int:
     """Return the credit that the requests of the next half of `LENT_S` will need."""
     horizon_ms = LENT_S * MS_PER_S / 2
