Serve calls without a key on public routes whatever their parent

Cause: a call of a server whose node has restarted was refused on a public route, which needs no key. Change: only routes that are not public ask for the parent of a call without a key. Measured: test_workspaces.py passes (17), with the case added.

--- a/packages/basilhill_fakes/tests/test_workspaces.py
+++ b/packages/basilhill_fakes/tests/test_workspaces.py
@@ -106,6 +106,7 @@
     (headers,) = seen_headers(fleet)
     assert "basilhill-tenant" not in headers and KEY not in str(headers)
     assert (await fleet.send_attempt(fleet.vms[0], "/read/x", attempt="gone.1")).status == 503
+    assert (await fleet.send_attempt(fleet.vms[0], "/open/x", attempt="gone.2")).status == 200
 
 
 async def test_node_without_a_configuration_refuses_with_503(fleet):
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/serve_request.py
@@ -121,6 +121,7 @@
             return Ok(None)
         if (
             configuration.workspaces is not None
+            and not route.public
             and metadata.parent_id is not None
             and metadata.credentials.key is None
         ):
