--- a/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/plain_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from attrs import define, field
@@ -35,6 +35,8 @@
     # Node address, Host header and path of the internal call that each run makes through that node.
     calls: tuple[str, str, str] | None = None
     session: object | None = None
+    # Makes the internal call of a run instead; returns whether it succeeded.
+    call: Callable[[str], Awaitable[bool]] | None = None
     running: int = 0
     max_running: int = 0
     arrivals: Counter[str] = field(factory=Counter)
@@ -99,6 +101,8 @@
 
     async def make_call(self, attempt: str) -> bool:
         """Make the internal call of a run, if any; return whether it succeeded."""
+        if self.call is not None:
+            return await self.call(attempt)
         if self.calls is None:
             return True
         address, host, path = self.calls
--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
@@ -100,9 +100,8 @@
 
 def runs_after_drain(history: SoakHistory) -> Iterator[str]:
     """Yield runs that a server started after the drain bound while no disruption overlapped."""
-    drained_at_ms = {c.name: c.at_ms for c in history.acknowledged_changes if c.kind == "drain"}
     for run in history.runs:
-        at_ms = drained_at_ms.get(run.server_id)
+        at_ms = left_ms(history, run.server_id, run.started_ms, ("drain",))
         if at_ms is None or run.started_ms <= at_ms + DRAIN_BOUND_MS:
             continue
         if is_undisturbed(history, at_ms - CONTACT_BOUND_MS, run.started_ms):
@@ -126,6 +125,7 @@
             at_ms is not None
             and attempt.sent_ms > at_ms + DRAIN_BOUND_MS
             and not was_interrupted(history, attempt.vm, at_ms, arrival.at_ms)
+            and not has_restarted(history, arrival.server_id, at_ms, arrival.at_ms)
         ):
             yield f"DRAIN: {arrival} from {attempt.vm}, which passed on the statement at {at_ms}"
 
@@ -133,20 +133,44 @@
 def arrivals_after_leaving(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
     """Yield requests that reached a server after the store accepted that it leaves.
 
-    Disruptions of the store and of the nodes on the path excuse them, those of other nodes do not.
+    The store must have been calm when it accepted that, and the nodes on the path and the store
+    for the time of reconnection before the client sent the request.
     """
-    left_ms = {
-        change.name: change.at_ms
-        for change in history.acknowledged_changes
-        if change.kind in ("drain", "removal")
-    }
     for arrival in history.arrivals:
-        at_ms = left_ms.get(arrival.server_id)
+        at_ms = left_ms(history, arrival.server_id, arrival.at_ms, ("drain", "removal"))
         if at_ms is None or arrival.at_ms <= at_ms + DRAIN_BOUND_MS:
             continue
-        path = (None, attempts[arrival.attempt_id].vm, arrival.vm)
-        if is_calm(history, path, at_ms - CONTACT_BOUND_MS, arrival.at_ms):
-            yield f"DRAIN: {arrival} from {path[1]}, left at {at_ms}"
+        attempt = attempts[arrival.attempt_id]
+        path = (None, attempt.vm, arrival.vm)
+        if is_calm(history, (None,), at_ms - CONTACT_BOUND_MS, at_ms) and is_calm(
+            history, path, attempt.sent_ms - CONTACT_BOUND_MS, arrival.at_ms
+        ):
+            yield f"DRAIN: {arrival} from {attempt.vm}, sent {attempt.sent_ms}, left at {at_ms}"
+
+
+def left_ms(
+    history: SoakHistory, server_id: str, until_ms: int, kinds: tuple[str, ...]
+) -> int | None:
+    """Return when the store accepted that a server leaves; None if it did not or has restarted."""
+    accepted_ms = max(
+        (
+            change.at_ms
+            for change in history.acknowledged_changes
+            if change.name == server_id and change.kind in kinds and change.at_ms <= until_ms
+        ),
+        default=None,
+    )
+    if accepted_ms is None or has_restarted(history, server_id, accepted_ms, until_ms):
+        return None
+    return accepted_ms
+
+
+def has_restarted(history: SoakHistory, server_id: str, start_ms: int, end_ms: int) -> bool:
+    """Return whether a server started again under its id within a span."""
+    return any(
+        restart.server_id == server_id and start_ms <= restart.at_ms <= end_ms
+        for restart in history.restarts
+    )
 
 
 def missing_recovery(history: SoakHistory) -> Iterator[str]:
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak.py
@@ -5,13 +5,21 @@
 from random import Random
 
 import aiohttp
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from basilhill_fakes.queries.soak_calm import is_in_touch
 from basilhill_fakes.queries.soak_invariants import find_soak_violations
 from basilhill_fakes.soak_changes import ChangeRhythm
 from basilhill_fakes.soak_faults import FAULTS, Fault
-from basilhill_fakes.soak_fleet import MOVES, READS, WRITES, SoakFleet, SoakVm
+from basilhill_fakes.soak_fleet import (
+    DEADLINE_MS,
+    MOVES,
+    READS,
+    SLOTS,
+    WRITES,
+    SoakFleet,
+    SoakVm,
+)
 from basilhill_fakes.soak_records import SoakHistory
 
 SERVICES = ("calendar", "calendar", "deposits", "deposits", "calendar", "deposits")
@@ -68,6 +76,11 @@
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
     node_paths: tuple[str, ...] = ()
     tenants: tuple[dict, ...] = ()
+    # Path of the internal calls that the servers of a service make.
+    calls: dict[str, str] = field(factory=dict)
+    run_ms: int = 5
+    slots: int = SLOTS
+    deadline_ms: int = DEADLINE_MS
 
 
 DEFAULT_PLAN = SoakPlan()
@@ -86,11 +99,14 @@
         history = self.history
         served = sum(attempt.status == 200 for attempt in history.attempts)
         bound = sum(is_in_touch(history, one.vm, one.sent_ms) for one in history.attempts)
+        stated = {(one.vm, one.leaving_server) for one in history.attempts if one.leaving_server}
         kinds = sorted({disruption.kind for disruption in history.disruptions})
         return (
             f"seed {self.seed}: {len(history.attempts)} attempts, {served} served, "
             f"{bound} sent in touch, "
             f"{len(history.runs)} runs, {len(history.versions)} versions, "
+            f"{len(history.acknowledged_changes)} servers left, "
+            f"{len(stated)} statements passed on, "
             f"{len(history.disruptions)} faults ({', '.join(kinds)}), "
             f"{len(self.violations)} invariant violations"
         )
@@ -107,6 +123,10 @@
         proxied=plan.proxied,
         node_paths=plan.node_paths,
         tenants={tenant["name"]: tenant for tenant in plan.tenants},
+        calls=plan.calls,
+        run_ms=plan.run_ms,
+        slots=plan.slots,
+        deadline_ms=plan.deadline_ms,
     )
     fleet.store.stale_s = Random(f"{seed}/stale").uniform(*plan.stale_s)
     background: list[asyncio.Task] = []
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_faults.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_faults.py
@@ -26,8 +26,11 @@
 # Longer than the platform allows a server to finish after it reported that it drains.
 DRAIN_WAIT_S = 2.5
 STOP_TIMEOUT_S = 8.0
-STATEMENT_LEAD_S = (0.0, 1.5)
 RESTART_DELAY_S = (0.1, 1.0)
+# Time until a server writes its entry again, which it does every heartbeat.
+REWRITE_DELAY_S = (0.1, 1.5)
+# Part of the servers that start again under the id that they had.
+SAME_ID_SHARE = 0.3
 # Times for which a slow node is suspended and runs, in turn.
 SLOW_STOPPED_S, SLOW_RUNNING_S = 0.08, 0.02
 
@@ -198,61 +201,6 @@
             fleet.register(vm, "ready")
 
 
-@define
-class LeaveServer:
-    """Server that leaves, goes on to serve for a time, and is replaced by a new one.
-
-    `states` is whether its responses say so. `notice` is what the store says before the server
-    ends: that it is draining, that its entry is removed, or nothing.
-    """
-
-    states: bool
-    notice: str
-    status: int = 200
-
-    async def run(self, fleet: SoakFleet, vm: SoakVm, duration_s: float) -> None:
-        async with vm.server_lock:
-            disruption = record_start(fleet, "leave", vm, planned=True)
-            vm.server.says_leaving, vm.server.status = self.states, self.status
-            await asyncio.sleep(fleet.random.uniform(*STATEMENT_LEAD_S))
-            server_id = vm.server.server_id
-            if self.notice == "draining":
-                fleet.register(vm, "draining")
-                self.record_left(fleet, server_id, "drain")
-            elif self.notice == "removal":
-                fleet.store.remove(f"servers/{server_id}")
-                self.record_left(fleet, server_id, "removal")
-            await asyncio.sleep(DRAIN_WAIT_S + duration_s)
-            if self.notice != "removal":
-                fleet.store.remove(f"servers/{server_id}")
-            vm.server.says_leaving, vm.server.status = False, 200
-            vm.server.server_id = f"{server_id}x"
-            vm.born += 1
-            await asyncio.sleep(fleet.random.uniform(*RESTART_DELAY_S))
-            fleet.register(vm, "ready")
-            record_end(fleet, disruption)
-
-    def record_left(self, fleet: SoakFleet, server_id: str, kind: str) -> None:
-        fleet.history.acknowledged_changes.append(
-            AcknowledgedChange(kind, server_id, fleet.clock.now_ms())
-        )
-
-
-@define
-class WriteUnreadableEntry:
-    """Entry of another writer that names no server."""
-
-    value: bytes
-
-    async def run(self, fleet: SoakFleet, vm: SoakVm, duration_s: float) -> None:
-        disruption = record_start(fleet, "entry", None, planned=True)
-        key = f"servers/x-{len(fleet.history.disruptions)}"
-        fleet.store.put(key, self.value)
-        await asyncio.sleep(duration_s)
-        fleet.store.remove(key)
-        record_end(fleet, disruption)
-
-
 @define
 class FailServer:
     """Backend server that rejects or resets requests."""
@@ -285,28 +233,6 @@
     ForgetHistory(),
     *(FailServer(mode) for mode in ("rejects", "resets")),
 )
-
-
-LEAVINGS: tuple[Fault, ...] = (
-    LeaveServer(True, "draining"),
-    LeaveServer(True, "draining", 500),
-    LeaveServer(True, "removal"),
-    LeaveServer(True, ""),
-    LeaveServer(True, "", 500),
-    LeaveServer(False, "draining"),
-    LeaveServer(False, "removal"),
-)
-# Faults that hide or delay what nodes know of leaving servers.
-LEAVING_FAULTS: tuple[Fault, ...] = (
-    *LEAVINGS,
-    *LEAVINGS,
-    KillNode(),
-    StopNode(),
-    PauseNode(),
-    *(DisturbStore(fault) for fault in (PathFault.DOWN, PathFault.SILENT)),
-    ForgetHistory(),
-    WriteUnreadableEntry(b"[" * 2_000),
-)
 # Faults of the store, which leave all machines out of touch.
 STORE_FAULTS: tuple[Fault, ...] = (
     *(DisturbStore(fault, scope) for fault in PathFault for scope in Scope),
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -37,6 +37,9 @@
 WRITES = build_route("r-write", "/write/", "deposits", kind="non_idempotent", priority=0)
 MOVES = build_route("r-move", "/move/", "calendar", attempts=3)
 DEADLINE_MS = 2_000
+# Part of the runs whose server makes an internal call, and its longest time.
+CALLING_SHARE = 0.3
+CALL_DEADLINE_MS = 2_500
 READY_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 
@@ -62,8 +65,9 @@
     # Listener of the backend server.
     runner: web.AppRunner | None = None
     process: asyncio.subprocess.Process | None = None
-    # Number of the server's incarnation.
-    born: int = 1
+    # Start of the server in Unix milliseconds, and the state that it wrote last.
+    born: int = 0
+    state: str = "ready"
     # Serializes the faults that stop, suspend or restart the process or replace its server.
     restart_lock: asyncio.Lock = field(factory=asyncio.Lock)
     # Serializes the ways in which its server leaves, which overlap with the faults of the node.
@@ -96,6 +100,13 @@
     # Limits of a process: memory in MB and open descriptors, those of the node without an entry.
     process_limits: dict[str, int] = field(factory=dict)
     server_type: type[PlainServer] = PlainServer
+    # Time of a run at a backend server, its slots, and the longest time that clients wait.
+    run_ms: int = 5
+    slots: int = SLOTS
+    deadline_ms: int = DEADLINE_MS
+    # Path of the internal calls that the servers of a service make.
+    calls: dict[str, str] = field(factory=dict)
+    session: aiohttp.ClientSession | None = None
     # Whether proxies that can disturb it carry the traffic to nodes and backend servers.
     proxied: bool = True
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
@@ -103,6 +114,7 @@
 
     async def start(self, services: tuple[str, ...]) -> None:
         """Write the configuration and start a VM for each service; return once they are ready."""
+        self.session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
         self.write_configuration()
         for service in services:
             await self.add_vm(service)
@@ -145,7 +157,7 @@
         number = len(self.vms) + 1
         address = f"{self.prefix}.{number}"
         outer = f"{self.prefix}.{number + 100}" if self.proxied else address
-        server = self.server_type(f"i-{number}", service)
+        server = self.server_type(f"i-{number}", service, run_ms=self.run_ms)
         server.started = self.build_run_recorder(server)
         server.reached = self.build_arrival_recorder(server, number)
         vm = SoakVm(
@@ -157,7 +169,10 @@
             self.directory / f"node-{number}.json",
             FaultProxy(address, PEER_PORT),
             FaultProxy(address, DIRECT_SERVER_PORT),
+            born=self.clock.wall_ms(),
         )
+        if service in self.calls:
+            server.call = self.build_caller(vm, self.calls[service])
         self.vms.append(vm)
         await self.serve(build_store(self.store, vm.store_path), vm.store_address, STORE_PORT)
         port = DIRECT_SERVER_PORT if self.proxied else SERVER_PORT
@@ -197,20 +212,35 @@
 
         return record
 
-    def register(self, vm: SoakVm, state: str, slots: int = SLOTS) -> None:
+    def build_caller(self, vm: SoakVm, path: str):
+        """Return a callback that makes the internal call of a run through the node of its VM."""
+
+        async def call(parent_id: str) -> bool:
+            if "." in parent_id or self.random.random() > CALLING_SHARE:
+                return True
+            attempt = await self.send_attempt(self.session, vm, "GET", path, parent_id=parent_id)
+            return attempt.status == 200
+
+        return call
+
+    def register(self, vm: SoakVm, state: str, slots: int | None = None) -> None:
         """Write the entry of a server into the store."""
-        entry = {
+        vm.state = state
+        self.store.put(f"servers/{vm.server.server_id}", self.entry(vm, state, slots))
+
+    def entry(self, vm: SoakVm, state: str, slots: int | None = None) -> dict:
+        """Return the entry that a server writes."""
+        return {
             "service": vm.server.service,
             "address": f"{vm.outer_address}:{SERVER_PORT}",
             "zone": vm.zone,
             "version": "v1",
-            "slots": slots,
+            "slots": slots or self.slots,
             "state": state,
             "coldRemainingS": 0,
             "sequence": 1,
             "born": vm.born,
         }
-        self.store.put(f"servers/{vm.server.server_id}", entry)
 
     def write_settings(self, vm: SoakVm, retry_ratio: float, grace_s: float = GRACE_S) -> None:
         ports = {"inbound": PEER_PORT, "outbound": CLIENT_PORT, "ready": READY_PORT}
@@ -273,23 +303,31 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
 
     async def send_attempt(
-        self, session: aiohttp.ClientSession, vm: SoakVm, method: str, path: str, key: str = ""
+        self,
+        session: aiohttp.ClientSession,
+        vm: SoakVm,
+        method: str,
+        path: str,
+        key: str = "",
+        parent_id: str = "",
     ) -> Attempt:
-        """Send one client attempt and record its response or failure."""
-        attempt_id = f"a{next(self.ids)}"
+        """Send one attempt of a client or backend server and record its response or failure."""
+        number = next(self.ids)
+        attempt_id = f"{parent_id}.{number}" if parent_id else f"a{number}"
+        deadline_ms = CALL_DEADLINE_MS if parent_id else self.deadline_ms
         body = attempt_id.encode() * self.random.randint(1, 200) if method == "POST" else b""
         path = f"{path}{attempt_id}"
         sent_ms = self.clock.now_ms()
         idempotent = method == "GET"
         attempt = Attempt(attempt_id, vm.number, method, path, body, idempotent, sent_ms, key=key)
         self.history.attempts.append(attempt)
-        headers = {"Host": HOST, ATTEMPT_ID: attempt_id, "Basilhill-Deadline-Ms": str(DEADLINE_MS)}
+        headers = {"Host": HOST, ATTEMPT_ID: attempt_id, "Basilhill-Deadline-Ms": str(deadline_ms)}
         if key:
             headers["Authorization"] = f"Token {key}"
         url = f"http://{vm.address}:{CLIENT_PORT}{path}"
         try:
             async with (
-                asyncio.timeout(DEADLINE_MS / 1000),
+                asyncio.timeout(deadline_ms / 1000),
                 session.request(method, url, headers=headers, data=body or None) as response,
             ):
                 attempt.answer = await response.read()
@@ -301,13 +339,15 @@
             # Without a response, the node guarantees nothing about the execution of the request.
             pass
         attempt.ended_ms = self.clock.now_ms()
-        if not attempt.status and attempt.ended_ms - attempt.sent_ms >= DEADLINE_MS:
+        if not attempt.status and attempt.ended_ms - attempt.sent_ms >= deadline_ms:
             # Client timeout: only the recorded runs show whether the request was executed.
             attempt.status = 499
         return attempt
 
     async def stop(self) -> None:
-        """Kill the nodes, and close the proxies and HTTP servers."""
+        """Kill the nodes, and close the proxies, HTTP servers and connections."""
+        if self.session is not None:
+            await self.session.close()
         for vm in self.vms:
             if vm.process is not None and vm.process.returncode is None:
                 vm.process.kill()
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -13,12 +13,8 @@
     MoveToOtherService,
     RotateKey,
 )
-from basilhill_fakes.soak_faults import (
-    LEAVING_FAULTS,
-    NODE_FAULTS,
-    STORE_FAULTS,
-    Overlapping,
-)
+from basilhill_fakes.soak_faults import NODE_FAULTS, STORE_FAULTS, Overlapping
+from basilhill_fakes.soak_leavings import FOREIGN_ENTRIES, LEAVING_FAULTS, RELEASE_FAULTS
 from basilhill_fakes.soak_store_faults import LoseResponses
 
 DEGUSTARI = {"calendar": 4, "rezervari": 3, "avansuri": 3, "arome": 3}
@@ -80,6 +76,26 @@
     build_tenant("unlimited", "key-unlimited-1", "key-unlimited-2"),
 )
 
+CALLED = {
+    service: build_route(f"r-{service}-lookup", f"/{service}-lookup/", service, timeoutS=2.5)
+    for service in ("rezervari", "avansuri")
+}
+BOOKINGS = deployment_plan(DEGUSTARI, think_time_s=0.15)
+# Releases in the shape of degustari-ro: servers call others, and are slow enough for queues.
+RELEASES = evolve(
+    BOOKINGS,
+    routes=(*(route | {"timeoutS": 5} for route in BOOKINGS.routes), *CALLED.values()),
+    sequences=(
+        *(FaultSequence(RELEASE_FAULTS, (0.2, 6.0)),) * 4,
+        FaultSequence(FOREIGN_ENTRIES, gap_s=(0.5, 3.0)),
+        FaultSequence((Overlapping((*STORE_FAULTS, *NODE_FAULTS), 4.0),), (0.2, 3.0), (3.0, 9.0)),
+    ),
+    proxied=False,
+    calls={"calendar": CALLED["rezervari"]["prefix"], "rezervari": CALLED["avansuri"]["prefix"]},
+    run_ms=100,
+    deadline_ms=5_000,
+)
+
 PLANS = {
     "default": SoakPlan(),
     "workspaces": SoakPlan(
@@ -93,6 +109,9 @@
     "leaving-jermanova": deployment_plan(
         {"catalogue": 4, "warehouse": 3, "checkout": 4, "ledger": 3}, think_time_s=0.08
     ),
+    "releases-degustari": RELEASES,
+    # The same with too few slots, so that calls wait for one.
+    "crowded-releases-degustari": evolve(RELEASES, slots=2, think_time_s=0.05),
     # The only server of a service leaves, too.
     "leaving-single": deployment_plan(
         {"calendar": 3, "rezervari": 2, "avansuri": 1, "arome": 1}, think_time_s=0.1
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_records.py
@@ -70,6 +70,14 @@
     at_ms: int
 
 
+@frozen
+class Restart:
+    """Start of a server under the id that it had before."""
+
+    server_id: str
+    at_ms: int
+
+
 @frozen
 class Version:
     """Configuration that the store accepted, with the service of each path prefix."""
@@ -91,6 +99,7 @@
     arrivals: list[Arrival] = field(factory=list)
     disruptions: list[Disruption] = field(factory=list)
     acknowledged_changes: list[AcknowledgedChange] = field(factory=list)
+    restarts: list[Restart] = field(factory=list)
     # Accepted configurations in order.
     versions: list[Version] = field(factory=list)
     recovered_ms: int | None = None
