Refuse calls that wait at a server that begins to leave

Callers saw: a request that waited for a slot or a connection reached a server after the bound of its notice. Cause: whether the server leaves was decided once, when the call arrived; the decision was used when a slot or a connection was there, seconds later. Change: the executor refuses waiting calls of a leaving server as not run, within 0.1 s, so that their origin sends them elsewhere, and decides again once it has a connection.

--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -107,6 +107,7 @@
     # Path of the internal calls that the servers of a service make.
     calls: dict[str, str] = field(factory=dict)
     session: aiohttp.ClientSession | None = None
+    stopping: bool = False
     # Whether proxies that can disturb it carry the traffic to nodes and backend servers.
     proxied: bool = True
     # Directories of the node program, for each VM in turn; empty for that of this checkout.
@@ -337,7 +338,9 @@
                 attempt.status = response.status
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Without a response, the node guarantees nothing about the execution of the request.
-            pass
+            if self.stopping:
+                # The soak itself has cut the attempt.
+                return attempt
         attempt.ended_ms = self.clock.now_ms()
         if not attempt.status and attempt.ended_ms - attempt.sent_ms >= deadline_ms:
             # Client timeout: only the recorded runs show whether the request was executed.
@@ -346,6 +349,7 @@
 
     async def stop(self) -> None:
         """Kill the nodes, and close the proxies, HTTP servers and connections."""
+        self.stopping = True
         if self.session is not None:
             await self.session.close()
         for vm in self.vms:
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_leavings.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_leavings.py
@@ -125,14 +125,14 @@
         record_end(fleet, disruption)
 
 
+NOTICES: tuple[Fault, ...] = (LeaveServer(False, "draining"), LeaveServer(False, "removal"))
 LEAVINGS: tuple[Fault, ...] = (
     LeaveServer(True, "draining"),
     LeaveServer(True, "draining", 500),
     LeaveServer(True, "removal"),
     LeaveServer(True, ""),
     LeaveServer(True, "", 500),
-    LeaveServer(False, "draining"),
-    LeaveServer(False, "removal"),
+    *NOTICES,
 )
 # Faults that hide or delay what nodes know of leaving servers.
 LEAVING_FAULTS: tuple[Fault, ...] = (
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -14,7 +14,12 @@
     RotateKey,
 )
 from basilhill_fakes.soak_faults import NODE_FAULTS, STORE_FAULTS, Overlapping
-from basilhill_fakes.soak_leavings import FOREIGN_ENTRIES, LEAVING_FAULTS, RELEASE_FAULTS
+from basilhill_fakes.soak_leavings import (
+    FOREIGN_ENTRIES,
+    LEAVING_FAULTS,
+    NOTICES,
+    RELEASE_FAULTS,
+)
 from basilhill_fakes.soak_store_faults import LoseResponses
 
 DEGUSTARI = {"calendar": 4, "rezervari": 3, "avansuri": 3, "arome": 3}
@@ -112,6 +117,23 @@
     "releases-degustari": RELEASES,
     # The same with too few slots, so that calls wait for one.
     "crowded-releases-degustari": evolve(RELEASES, slots=2, think_time_s=0.05),
+    # Callers have time, so that calls wait for seconds.
+    "patient-releases-degustari": evolve(
+        RELEASES,
+        routes=tuple(route | {"targetLatencyS": 30} for route in RELEASES.routes),
+        slots=2,
+        think_time_s=0.05,
+    ),
+    # Servers leave with notice to the store alone, whose watches have been lost.
+    "lost-watches-releases": evolve(
+        BOOKINGS,
+        sequences=(
+            *(FaultSequence(NOTICES, (0.2, 3.0), (1.0, 4.0)),) * 3,
+            FaultSequence((LoseResponses(),), duration_s=(0.0, 0.0), gap_s=(9.0, 9.0)),
+        ),
+        stale_s=(8.0, 8.0),
+        proxied=False,
+    ),
     # The only server of a service leaves, too.
     "leaving-single": deployment_plan(
         {"calendar": 3, "rezervari": 2, "avansuri": 1, "arome": 1}, think_time_s=0.1
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/execute_call.py
@@ -36,9 +36,10 @@
     ConnectionFailedError,
 )
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
-from basilhill_node.sidecar.state import ExecutorState, NodeLifecycle, RunningCall
+from basilhill_node.sidecar.state import ExecutorState, NodeLifecycle, RunningCall, WaitingCall
 
 ADJUST_INTERVAL_S = 0.1
+LEAVING_INTERVAL_S = 0.1
 # Status with which a server ends a call at its deadline.
 GATEWAY_TIMEOUT = 504
 # A call still waiting for a slot is refused this long before its deadline, so that the origin
@@ -118,11 +119,20 @@
         if self.lifecycle.closing and not is_local:
             return not_run(Reason.LEAVING, "the node beside the server is stopping")
         if is_leaving(self.directory, call.server_id):
-            return not_run(Reason.LEAVING, f"server {call.server_id} is leaving")
+            return server_leaving(call.server_id)
         if call.server_id in self.state.misdirected_ids:
             return not_run(Reason.NO_SERVER, f"the server is not {call.server_id}")
         return None
 
+    def refuse_calls_of_leaving_servers(self) -> None:
+        """Refuse the waiting calls whose server leaves by now, so that others can run them."""
+        waiting_calls = tuple(self.state.waiting_calls.values())
+        for server_id in {waiting.server_id for waiting in waiting_calls}:
+            if is_leaving(self.directory, server_id):
+                for waiting in waiting_calls:
+                    if waiting.server_id == server_id:
+                        self.resolve(waiting, server_leaving(server_id))
+
     def slow_refusal(self, call: Execute, now_ms: int) -> Refusal | None:
         """Return a refusal if the server has become too slow to end the call in time."""
         if can_end_in_time(self.state.times, call.route, call.remaining_ms, now_ms):
@@ -143,7 +153,8 @@
             return self.overload_refusal()
         wait_limit_ms = min(call.wait_limit_ms, call.remaining_ms - REPLY_MARGIN_MS)
         waiter = asyncio.get_running_loop().create_future()
-        self.state.waiters[grant.request.sequence] = waiter
+        waiting = WaitingCall(call.server_id, waiter)
+        self.state.waiting_calls[grant.request.sequence] = waiting
         self.schedule_next_token()
         try:
             async with asyncio.timeout(max(0, wait_limit_ms) / 1000):
@@ -159,7 +170,7 @@
             raise
         finally:
             withdraw_request(slots, grant.request)
-            del self.state.waiters[grant.request.sequence]
+            del self.state.waiting_calls[grant.request.sequence]
 
     def start_waiting_calls(self) -> None:
         refill_tokens(self.state.slots, self.clock.now_ms())
@@ -186,10 +197,14 @@
 
     def resolve_waiter(self, request: SlotRequest, refusal: Refusal | None) -> bool:
         """Resume the task of a waiting call; return whether it was still waiting."""
-        waiter = self.state.waiters.get(request.sequence)
-        if waiter is None or waiter.done():
+        waiting = self.state.waiting_calls.get(request.sequence)
+        return waiting is not None and self.resolve(waiting, refusal)
+
+    def resolve(self, waiting: WaitingCall, refusal: Refusal | None) -> bool:
+        """Resume the task of a waiting call; return whether it was still waiting."""
+        if waiting.result.done():
             return False
-        waiter.set_result(refusal)
+        waiting.result.set_result(refusal)
         return True
 
     def overload_refusal(self) -> Refusal:
@@ -226,6 +241,10 @@
         longest_idle_ms = IDLE_MS if call.idempotent else NON_IDEMPOTENT_IDLE_MS
         try:
             connection = await pool.acquire(longest_idle_ms, call.request_id)
+            if is_leaving(self.directory, call.server_id):
+                # The server may have begun to leave while the call waited.
+                pool.release(connection)
+                return Error(server_leaving(call.server_id))
             idle_ms = connection.idle_for_ms()
             try:
                 return await self.send(connection, call, data)
@@ -327,6 +346,11 @@
         )
 
 
+def server_leaving(server_id: str) -> Refusal:
+    """Return the refusal of a call to a server that leaves."""
+    return not_run(Reason.LEAVING, f"server {server_id} is leaving")
+
+
 def is_granted(waiter: asyncio.Future[Refusal | None]) -> bool:
     """Return whether a waiting call has been given a slot."""
     return waiter.done() and not waiter.cancelled() and waiter.result() is None
--- a/packages/basilhill_node/src/basilhill_node/sidecar/node.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/node.py
@@ -19,7 +19,11 @@
 from basilhill_node.sidecar.commands.borrow_credits import CreditBorrower
 from basilhill_node.sidecar.commands.dispatch_request import RequestDispatcher
 from basilhill_node.sidecar.commands.exchange_peer_updates import PeerUpdateExchange
-from basilhill_node.sidecar.commands.execute_call import ADJUST_INTERVAL_S, CallExecutor
+from basilhill_node.sidecar.commands.execute_call import (
+    ADJUST_INTERVAL_S,
+    LEAVING_INTERVAL_S,
+    CallExecutor,
+)
 from basilhill_node.sidecar.commands.filter_poison_requests import PoisonRequestFilter
 from basilhill_node.sidecar.commands.follow_feed import FeedFollower
 from basilhill_node.sidecar.commands.follow_store import EXPIRY_INTERVAL_S, StoreFollower
@@ -278,6 +282,7 @@
         (CLEANUP_INTERVAL_S, clean_up),
         (CHECK_INTERVAL_S, node.peers.check_busy),
         (ADJUST_INTERVAL_S, node.executor.adjust_admission_level),
+        (LEAVING_INTERVAL_S, node.executor.refuse_calls_of_leaving_servers),
     ):
         state.lifecycle.spawn(repeat(interval_s, step, state.log))
     state.log.record(
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -184,6 +184,14 @@
     share: float
 
 
+@frozen(eq=False)
+class WaitingCall:
+    """Call that waits for a slot; the result is None once it has one, else its refusal."""
+
+    server_id: str
+    result: asyncio.Future[Refusal | None]
+
+
 @define(eq=False)
 class ExecutorState:
     """State of this node as executor of calls; written by `execute_call`."""
@@ -197,7 +205,8 @@
     )
     times: ResponseTimes = field(factory=ResponseTimes)
     running: dict[str, RunningCall] = field(factory=dict)
-    waiters: dict[int, asyncio.Future[Refusal | None]] = field(factory=dict)
+    # Calls that wait for a slot, by the sequence number of their slot request.
+    waiting_calls: dict[int, "WaitingCall"] = field(factory=dict)
     # Server ids that the local backend server has rejected as not its own. Calls to these ids are
     # refused without contacting the server.
     misdirected_ids: set[str] = field(factory=set)
