Refuse entries of the store without the fields that each server writes

Callers saw: a server that drains was in use again while an entry of another writer stood under its id. Cause: the decoder checked only the fields that it uses, so an entry without version or sequence, or without the start time that the server states, counted as one of the server. Change: all documented fields are required with their types; an entry without a start time is refused where the server's own had one. Such an entry names no server, like any unreadable one.

--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -5,7 +5,7 @@
 from attrs import evolve
 
 from basilhill.backends import BackendDirectory, BackendEntry
-from basilhill.queries.backends import is_replaced
+from basilhill.queries.backends import is_replaced, known_entry
 
 REMOVED_ENTRIES_LIMIT = 1_000
 
@@ -100,13 +100,12 @@
     """Count a server as draining after it stated that it leaves; return whether that is new."""
     if server_id in directory.leaving:
         return False
-    listed = directory.entries.get(server_id)
-    entry = listed or directory.removed_entries.get(server_id)
+    entry = known_entry(directory, server_id)
     if entry is None:
         return False
     directory.generation += 1
     directory.leaving[server_id] = entry.started_ms
-    if listed is None:
+    if server_id not in directory.entries:
         directory.removed_entries[server_id] = evolve(entry, draining=True)
         return True
     retained_until_ms = directory.retained_until_ms.get(server_id)
--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -35,6 +35,11 @@
     ]
 
 
+def known_entry(directory: BackendDirectory, server_id: str) -> BackendEntry | None:
+    """Return the entry of a server, or its last one if the server was deregistered."""
+    return directory.entries.get(server_id) or directory.removed_entries.get(server_id)
+
+
 def server_at(directory: BackendDirectory, address: str, service: str) -> BackendEntry | None:
     """Return the listed server of a service at an address; a draining one only if it is alone."""
     listed = [
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_leavings.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_leavings.py
@@ -88,14 +88,14 @@
 class OverwriteEntry:
     """Malformed entry under the id of a server, which then writes its own again.
 
-    The server is one that states that it leaves, if there is any.
+    The server is one that leaves, if there is any.
     """
 
     changes: dict[str, Any] = field(factory=dict)
     missing: str = ""
 
     async def run(self, fleet: SoakFleet, vm: SoakVm, duration_s: float) -> None:
-        leaving = [one for one in fleet.vms if one.server.says_leaving]
+        leaving = [one for one in fleet.vms if one.server.says_leaving or one.state == "draining"]
         vm = fleet.random.choice(leaving or [vm])
         server_id = vm.server.server_id
         if f"servers/{server_id}" not in fleet.store.items:
@@ -147,7 +147,7 @@
 )
 # Entries of other writers under the ids of servers.
 FOREIGN_ENTRIES: tuple[Fault, ...] = (
-    *(OverwriteEntry(missing=name) for name in ("version", "sequence", "address")),
+    *(OverwriteEntry(missing=name) for name in ("version", "sequence", "born")),
     OverwriteEntry({"sequence": "1"}),
     OverwriteEntry({"state": "unknown"}),
     OverwriteEntry({"slots": -1}),
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -117,11 +117,12 @@
     "releases-degustari": RELEASES,
     # The same with too few slots, so that calls wait for one.
     "crowded-releases-degustari": evolve(RELEASES, slots=2, think_time_s=0.05),
-    # Callers have time, so that calls wait for seconds.
+    # Callers have time and servers are slow, so that calls wait for seconds.
     "patient-releases-degustari": evolve(
         RELEASES,
         routes=tuple(route | {"targetLatencyS": 30} for route in RELEASES.routes),
-        slots=2,
+        slots=1,
+        run_ms=800,
         think_time_s=0.05,
     ),
     # Servers leave with notice to the store alone, whose watches have been lost.
--- a/packages/basilhill_fakes/tests/test_leaving_servers.py
+++ b/packages/basilhill_fakes/tests/test_leaving_servers.py
@@ -60,3 +60,16 @@
     fleet.register(busy, state="draining", slots=1)
     answer = await waiting
     assert answer.status == 200 and other.server.runs[answer.attempt] == 1
+
+
+@pytest.mark.parametrize("missing", ["version", "sequence", "born"])
+async def test_malformed_entry_puts_no_leaving_server_in_use_again(fleet, missing):
+    """Guard against an entry of another writer under the id of a server that drains."""
+    leaving = fleet.vms[1]
+    fleet.register(leaving, state="draining")
+    entry = leaving.entry(state="ready")
+    del entry[missing]
+    fleet.store.put(f"servers/{leaving.server.server_id}", entry)
+    await asyncio.sleep(1.0)
+    answer = await send(fleet, "/wait/late")
+    assert answer.status == 503 and not leaving.server.arrivals
--- a/packages/basilhill_node/src/basilhill_node/platform/entries.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/entries.py
@@ -46,6 +46,9 @@
     if type(started_ms) is not int or not 0 <= started_ms <= MAX_TIMESTAMP_MS:
         raise ValueError(f"born is {started_ms!r}, expected milliseconds as an integer")
     cold_s = required_number(table, "coldRemainingS", -MAX_NUMBER)
+    # Every server writes these two; an entry without them is of another writer.
+    required_text(table, "version")
+    required_integer(table, "sequence")
     return BackendEntry(
         server_id=server_id,
         service=required_text(table, "service"),
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -7,6 +7,7 @@
 from attrs import define, field
 from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
+from basilhill.queries.backends import known_entry
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
@@ -183,14 +184,25 @@
             self.updater.put(entry, STORE)
 
     def decode_entry(self, item: StoredItem) -> BackendEntry | None:
-        """Return the server entry of an item; log and return None if it cannot be decoded."""
+        """Return the server entry of an item; log and return None if it names no server."""
         server_id = item.key.removeprefix(self.decoder.entry_prefix)
         result = self.decoder.decode_entry(server_id, item.value or b"", self.clock.now_ms())
-        if result.is_error():
-            self.log.record("servers", "entry ignored", problem=result.error)
+        problem = result.error if result.is_error() else self.foreign_problem(result.ok)
+        if problem:
+            self.log.record("servers", "entry ignored", problem=problem)
             return None
         return result.ok
 
+    def foreign_problem(self, entry: BackendEntry) -> str:
+        """Return why an entry cannot be of the server that wrote the one before, empty if it can.
+
+        A server either states its start time in all entries or in none.
+        """
+        known = known_entry(self.updater.directory, entry.server_id)
+        if known is None or entry.started_ms or not known.started_ms:
+            return ""
+        return f"the entry of {entry.server_id} has no start time"
+
     def record_contact(self, at_ms: int) -> None:
         """Record a response of the store, to this node or to another one."""
         view = self.view
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -179,6 +179,9 @@
         {"address": "nowhere"},
         {"service": 7},
         {"coldRemainingS": None},
+        {"version": 1},
+        {"sequence": "4"},
+        {"sequence": 4.5},
         {"born": "now"},
     ],
 )
@@ -187,6 +190,13 @@
     assert "i-1" in decode_entry("i-1", encoded({**ENTRY, **change}), 0).error
 
 
+@pytest.mark.parametrize("name", sorted(ENTRY.keys() - {"born"}))
+def test_entry_without_one_of_the_fields_of_a_server_is_refused(name):
+    """Guard against an entry of another writer that puts a leaving server in use again."""
+    table = {key: value for key, value in ENTRY.items() if key != name}
+    assert name in decode_entry("i-1", encoded(table), 0).error
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"[1]", b"null"])
 def test_unreadable_entry_is_refused(data):
     """Guard against an exception on an entry that is no JSON table."""
