Keep a server marked as leaving when a record of an earlier start arrives

Callers saw (supposed): requests to a server that had said it leaves, at a node that had passed this on. Cause: any other start time under the id ended the mark, also that of an older record, such as the row of a peer that is behind; the server's own record then put it in use again. Change: only a later start ends it. Evidence: the new test failed before. Not seen with real processes.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -33,8 +33,8 @@
     removed_entries: dict[str, BackendEntry] = field(factory=dict)
     # Addresses of servers whose node currently cannot reach the store; their entries expire.
     detached_addresses: set[str] = field(factory=set)
-    # Start times of the servers that stated in a response that they leave, by id. An entry with the
-    # same start time counts as draining, whatever the store lists.
+    # Start times of the servers that stated in a response that they leave, by id. An entry without
+    # a later start time counts as draining, whatever the store lists.
     leaving: dict[str, int] = field(factory=dict)
     # Listed servers at each address, the last started one first; entries of earlier ones stay until
     # they expire.
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -12,8 +12,8 @@
 
 def put_entry(directory: BackendDirectory, entry: BackendEntry) -> bool:
     """Add or replace an entry; return whether anything but its warm-up time changed."""
-    if directory.leaving.get(entry.server_id, entry.started_ms) != entry.started_ms:
-        # The server started again.
+    if entry.started_ms > directory.leaving.get(entry.server_id, entry.started_ms):
+        # The server started again. An earlier start is an old record of a peer or of the store.
         del directory.leaving[entry.server_id]
     if entry.server_id in directory.leaving:
         entry = evolve(entry, draining=True)
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -237,6 +237,16 @@
     assert not is_leaving(listed, "i-1") and not listed.leaving
 
 
+def test_record_of_an_earlier_start_does_not_end_the_leaving():
+    """Guard against requests to a leaving server after a peer without the newest entry sent its."""
+    listed = directory(evolve(FIRST, started_ms=7))
+    mark_leaving(listed, "i-1")
+    put_entry(listed, evolve(FIRST, started_ms=3))
+    assert is_leaving(listed, "i-1")
+    put_entry(listed, evolve(FIRST, started_ms=7))
+    assert is_leaving(listed, "i-1")
+
+
 def test_leaving_server_missing_after_an_outage_is_removed_in_time():
     """Guard against an entry that stays because the server stated that it leaves."""
     listed = directory(FIRST)
