--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -78,7 +78,18 @@
         if before is not None and before.started_ms != entry.started_ms:
             # The server restarted as a new incarnation, so its earlier load is discarded.
             remove_target(self.origin.loads, entry.server_id)
-        if put_entry(self.directory, entry):
+        left_born_ms = self.directory.leaving.get(entry.server_id)
+        is_changed = put_entry(self.directory, entry)
+        if left_born_ms is not None and entry.server_id not in self.directory.leaving:
+            self.log.record(
+                "servers",
+                "started again after it left",
+                server=entry.server_id,
+                born_ms=entry.started_ms,
+                before_ms=left_born_ms,
+                source=source,
+            )
+        if is_changed:
             self.executor.misdirected_ids.discard(entry.server_id)
             self.apply_change(entry, source)
             self.entries_changed({entry.server_id})
