Free what a connection holds when its client drops it

Callers saw: the process of a node ended, out of memory, beside clients that send large bodies and drop their connections. Cause: the account of memory released what a closed connection held, and the body stayed until the next garbage collection: the cancelled task of the connection keeps the frames it was cancelled in, which refer to the connection, and that to the task. Nodes pause exactly the uploads that come too fast, so clients that come back fill the memory at the speed of the network. Change: a closed connection drops its task, its exchanges and the incomplete request at once.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
@@ -147,15 +147,18 @@
         self.server.connections.discard(self)
         self.server.waiting.pop(self, None)
         self.reading_done = True
+        # A cancelled task keeps the frames that it was cancelled in, which refer to what refers to
+        # the task, and the parser refers to the connection. Garbage collection is too rare to free
+        # such cycles and the messages in them in time.
         self.task.cancel()
-        self.server.memory.release(self.held_request)
+        self.task = self.parser = None
+        self.drop_request()
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
+                exchange.task = None
             self.release(exchange)
-        # The parser and the connection form a reference cycle, and garbage collection is too rare
-        # to free it in time.
-        self.parser = None
+        self.exchanges.clear()
 
     def pause_writing(self) -> None:
         """Delay further responses while the client does not read."""
@@ -256,13 +259,17 @@
         if self.reading_done:
             return
         self.reading_done = True
-        self.body = bytearray()
-        self.headers = []
-        self.server.memory.release(self.held_request)
+        self.drop_request()
         self.server.refuse(REFUSAL_CAUSES.get(status, "malformed"), text, status=status)
         response = HttpResponse(status, list(headers), text.encode())
         self.enqueue(Exchange(False, False, response=response))
 
+    def drop_request(self) -> None:
+        """Drop the incomplete request and remove it from the account of memory."""
+        self.body = bytearray()
+        self.headers = []
+        self.server.memory.release(self.held_request)
+
     async def run(self) -> None:
         """Send all responses; an unexpected error closes this connection and no other."""
         try:
