Pause all messages but the first one at the moment when the memory is full

Callers saw: a node beyond the memory of its machine beside uploads that stop short of their end. Cause: an incomplete message was paused with its next bytes. One that gets none stayed unpaused, so it could not be refused when a response needed its memory, and it could complete beside the first one. Change: all but the first are paused when the account becomes full or the first one changes, and the largest paused requests are refused first, which makes room with the fewest refusals; a granted body is never paused.

Result: the new unit tests fail before.

--- a/packages/basilhill/src/basilhill/memory.py
+++ b/packages/basilhill/src/basilhill/memory.py
@@ -27,13 +27,15 @@
 class HeldMessage:
     """Message of which a node holds `size` bytes; `paused` is whether its reading waits.
 
-    `announced` bytes wait at another node until they are granted, which charges them as held.
+    `announced` bytes wait at another node until they are granted, which charges them as held. What
+    was granted arrives in any case.
     """
 
     kind: MessageKind
     sequence: int = 0
     size: int = 0
     announced: int = 0
+    granted: bool = False
     paused: bool = False
 
 
@@ -52,3 +54,6 @@
     complete_bytes: dict[MessageKind, int] = field(factory=lambda: dict.fromkeys(MessageKind, 0))
     sequence: int = 0
     reading: set[HeldMessage] = field(factory=set)
+    # Whether all messages but `read_beyond_limit` have been paused.
+    full: bool = False
+    read_beyond_limit: HeldMessage | None = None
--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -53,14 +53,19 @@
 
 
 def evictable(account: MemoryAccount) -> list[HeldMessage]:
-    """Return the paused requests that may be refused to make room for a response, newest first.
+    """Return the paused requests that may be refused to make room for a response, largest first.
 
-    A response shows the outcome of work that has run, and these requests have not begun.
+    A response shows the outcome of work that has run, and these requests have not begun. The
+    largest ones make room with the fewest refusals.
     """
     if account.held_bytes <= account.limit_bytes:
         return []
     requests = [one for one in account.reading if one.paused and one.kind is MessageKind.REQUEST]
-    return sorted(requests, key=reading_order, reverse=True)
+    return sorted(requests, key=eviction_order, reverse=True)
+
+
+def eviction_order(message: HeldMessage) -> tuple[int, int]:
+    return message.size, message.sequence
 
 
 def is_paused(message: HeldMessage) -> bool:
--- a/packages/basilhill/tests/test_memory.py
+++ b/packages/basilhill/tests/test_memory.py
@@ -4,12 +4,13 @@
 from basilhill.commands.memory import (
     announce_message,
     hold_complete,
+    pause_beyond_limit,
     release_message,
     resize_incomplete,
     resume_message,
 )
 from basilhill.memory import COMPLETE_LIMIT_FACTOR, HeldMessage, MemoryAccount, MessageKind
-from basilhill.queries.memory import first_message, readable_again
+from basilhill.queries.memory import evictable, first_message, readable_again
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -147,3 +148,30 @@
     for message in responses[:2]:
         release_message(account, message)
     assert readable_again(account) == [later]
+
+
+def test_messages_that_receive_nothing_wait_too_beyond_the_limit():
+    """Guard against uploads short of their end that keep their memory while responses need it."""
+    account = MemoryAccount(LIMIT)
+    requests = [HeldMessage(MessageKind.REQUEST) for _ in range(4)]
+    for number, request in enumerate(requests):
+        resize_incomplete(account, request, LIMIT // 4 - SEGMENT * number)
+    assert pause_beyond_limit(account) == []
+    resize_incomplete(account, requests[0], LIMIT)
+    assert set(pause_beyond_limit(account)) == set(requests[1:])
+    assert pause_beyond_limit(account) == []
+    response = HeldMessage(MessageKind.RESPONSE)
+    resize_incomplete(account, response, LARGEST)
+    assert pause_beyond_limit(account) == requests[:1]
+    assert evictable(account) == requests
+
+
+def test_granted_message_is_not_paused():
+    """Guard against a grant that is withdrawn, which its sender does not learn."""
+    account = MemoryAccount(LIMIT)
+    granted, response = HeldMessage(MessageKind.REQUEST), HeldMessage(MessageKind.RESPONSE)
+    announce_message(account, granted, LARGEST)
+    resume_message(account, granted)
+    resize_incomplete(account, response, LIMIT)
+    assert pause_beyond_limit(account) == []
+    assert not granted.paused
--- a/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/memory.py
@@ -6,6 +6,7 @@
 from basilhill.commands.memory import (
     announce_message,
     hold_complete,
+    pause_beyond_limit,
     release_message,
     resize_incomplete,
     resume_message,
@@ -58,9 +59,16 @@
         resize_incomplete(self.account, message, size)
         if message.paused is not was_paused:
             reader.update_reading()
+        self.pause_readers()
         if message.kind is MessageKind.RESPONSE:
             self.make_room()
 
+    def pause_readers(self) -> None:
+        """Pause the readers whose messages may not be read beyond the limit."""
+        for message in pause_beyond_limit(self.account):
+            if message in self.readers:
+                self.readers[message].update_reading()
+
     def make_room(self) -> None:
         """Refuse paused requests while a response is read beyond the limit."""
         for message in evictable(self.account):
@@ -92,6 +100,7 @@
             self.resume_readers()
 
     def resume_readers(self) -> None:
+        self.pause_readers()
         for message in readable_again(self.account):
             if not message.paused or message not in self.readers:
                 continue
