Give each block of 64 KB or more its own mapping

Callers saw: a node that holds more memory than its account. Cause: bodies below 1 MB grow on the heap side by side, and what they leave there is not returned while later blocks live above it. Change: blocks from 64 KB on are mappings, which grow without a copy and are returned at once.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/allocator.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/allocator.py
@@ -6,7 +6,7 @@
 M_MMAP_THRESHOLD = -3
 # Without a fixed threshold, glibc raises it to the size of the largest freed block, up to 32 MB.
 # Later bodies then lie on the heap, which keeps what lies below any living block.
-MAPPED_BYTES = 1 << 20
+MAPPED_BYTES = 64 << 10
 
 
 def return_large_blocks() -> bool:
