Bound the buffers of the system for connections of clients and servers

Callers saw: a node beyond the memory of its machine, where unread bytes count. Cause: a paused connection keeps receiving until its window is full, and the window grows with what was read before; the account does not see these bytes. Change: 64 KB for each direction of a client's connection, set on the listening socket, and for what a server sends. Streams between nodes keep their size.

--- a/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/simulated_loop.py
@@ -148,6 +148,7 @@
     factory: Callable
     context: Context
     connections: list["SimulatedTransport"] = field(factory=list)
+    sockets: list["SimulatedSocket"] = field(factory=lambda: [SimulatedSocket()])
     closed: bool = False
 
     def close(self) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -27,6 +27,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3_000
+# Buffer of the system for what a server has sent to a connection that waits for memory.
+SERVER_BUFFER_BYTES = 64 << 10
 # Idle connections are closed before the shortest usual idle timeout of servers, 10 s.
 IDLE_MS = 8_000
 # Refusals by a server after which a connection is replaced, so that their ids do not accumulate.
@@ -116,6 +118,8 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         set_socket_options(transport)
+        connection = transport.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SERVER_BUFFER_BYTES)
 
     def data_received(self, data: Buffer) -> None:
         """Parse received bytes; close the connection if no request is in flight."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for clients, which bounds their connections."""
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -18,6 +19,9 @@
 
 TIMEOUT_CHECK_S = 0.25
 BACKLOG = 4096
+# Buffers of the system for each connection of a client. They hold what a paused connection was sent
+# and what a client does not read, beside the account of memory. Accepted sockets inherit them.
+CLIENT_BUFFER_BYTES = 64 << 10
 
 
 @define(eq=False)
@@ -46,6 +50,9 @@
         self.server = await loop.create_server(
             lambda: ServerConnection(self), address, port, backlog=BACKLOG
         )
+        for listening in self.server.sockets:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, CLIENT_BUFFER_BYTES)
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, CLIENT_BUFFER_BYTES)
         self.timeout_task = loop.create_task(repeat(TIMEOUT_CHECK_S, self.close_expired, self.log))
 
     def close_expired(self) -> None:
