Cut responses that are taken too slowly while messages wait for memory

Callers saw: long answers that many clients read slowly keep the memory of a node, and responses of others wait. Cause: only a client that takes nothing for the idle timeout was cut; one that takes a little now and then kept its response without a bound. Change: while messages wait for memory, a connection with unsent bytes four idle timeouts after its response is closed and counted as slow reader. Result: the new case with waiting messages fails before; without waiting messages the same client gets all bytes.

--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -68,5 +68,10 @@
     return message.size, message.sequence
 
 
+def is_short(account: MemoryAccount) -> bool:
+    """Return whether a message waits for memory."""
+    return any(map(is_paused, account.reading))
+
+
 def is_paused(message: HeldMessage) -> bool:
     return message.paused
--- a/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
@@ -8,6 +8,7 @@
 from basilhill.configuration import RequestLimits
 from basilhill.memory import HEADER_COST_BYTES
 from basilhill.outcomes import Header
+from basilhill.queries.memory import is_short
 
 from basilhill_node.sidecar.exchanges import Exchange, new_held_request
 from basilhill_node.sidecar.messages import (
@@ -34,6 +35,9 @@
 # A connection with unsent bytes sends no further responses until its client reads, and the account
 # of memory counts its response until then.
 WRITE_HIGH_BYTES = 0
+# While messages wait for memory, a response that its client has not taken after this many idle
+# timeouts is cut. A client that reads a byte now and then is never idle.
+TAKING_IDLE_TIMEOUTS = 4
 # Bytes of the colon, the space and the line end of a header.
 HEADER_LINE_BYTES = 4
 
@@ -59,6 +63,8 @@
         # response or of the last check that found progress.
         self.taken_bytes = 0
         self.taken_ms = self.last_activity_ms
+        # Time of the last response.
+        self.sent_ms = self.last_activity_ms
         # Bytes received without the end of a line, a chunk or a head. The parser holds them, and
         # they are counted from the second segment on, because one segment can end several requests.
         self.pending_bytes = 0
@@ -309,7 +315,7 @@
         close = not exchange.keep_alive or (self.server.leaving and not self.exchanges)
         self.transport.writelines(encode_response(response, exchange.bodiless, close))
         self.has_responded = True
-        self.last_activity_ms = self.taken_ms = self.server.clock.now_ms()
+        self.last_activity_ms = self.taken_ms = self.sent_ms = self.server.clock.now_ms()
         if close:
             self.reading_done = True
             for dropped in self.exchanges:
@@ -343,6 +349,10 @@
         if self.takes_nothing(now_ms, limits):
             self.transport.abort()
             return
+        if self.takes_too_long(now_ms, limits):
+            self.server.refuse("slow reader", "a response was not taken while messages wait")
+            self.transport.abort()
+            return
         inactive_ms = now_ms - self.last_activity_ms
         if self.reading and self.held_request.paused and inactive_ms > limits.header_ms:
             self.reject(503, NO_MEMORY, RETRY_LATER)
@@ -370,3 +380,10 @@
             self.taken_ms = now_ms
         self.taken_bytes = queue.taken_bytes
         return queue.pending and now_ms - self.taken_ms > limits.idle_ms
+
+    def takes_too_long(self, now_ms: int, limits: RequestLimits) -> bool:
+        """Return whether messages wait for the memory of a response that is taken too slowly."""
+        if now_ms - self.sent_ms <= TAKING_IDLE_TIMEOUTS * limits.idle_ms:
+            return False
+        unsent = self.transport.get_write_buffer_size() > 0
+        return unsent and is_short(self.server.memory.account)
--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import socket
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from basilhill.clocks import SystemClock
 from basilhill.configuration import RequestLimits
+from basilhill.memory import HeldMessage, MessageKind
 from basilhill_node.sidecar import server_connection
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_server import HttpServer
@@ -15,6 +16,7 @@
 
 ADDRESS = "127.0.0.1"
 LIMITS = RequestLimits(header_bytes=2_000, body_bytes=1_000, header_ms=300, idle_ms=600)
+REQUEST = MessageKind.REQUEST
 # Size of a response that the buffers of sockets do not hold, and the rate of a slow reader, which
 # takes longer than `LIMITS.idle_ms` for one such response.
 LARGE_BYTES = 8 << 20
@@ -44,6 +46,13 @@
     return HttpResponse(200, body=bytes(LARGE_BYTES) if large else request.path.encode())
 
 
+class IgnoredReader:
+    """Reader of a message that waits for memory."""
+
+    def update_reading(self) -> None:
+        pass
+
+
 @asynccontextmanager
 async def served(handler=None):
     recorder, clock = handler or Recorder(), SystemClock()
@@ -226,6 +235,27 @@
         assert not server.unsent_bytes() and not server.connections
 
 
+@pytest.mark.parametrize("messages_wait", [False, True])
+async def test_slow_reader_is_cut_only_while_messages_wait_for_memory(messages_wait):
+    """Guard against clients that keep the memory of a node for as long as they like."""
+    async with served(respond_large) as (_, server, port), narrow_connection(port) as streams:
+        reader, writer = streams
+        writer.write(get("/large", "Connection: close"))
+        received, loop = len(await reader.readuntil(b"\r\n\r\n")), asyncio.get_running_loop()
+        if messages_wait:
+            # The first one is granted, the second one waits.
+            for _ in range(2):
+                size, message = server.memory.account.limit_bytes + 1, HeldMessage(REQUEST)
+                server.memory.announce(message, size, IgnoredReader())
+        until_s = loop.time() + 2 * server_connection.TAKING_IDLE_TIMEOUTS * LIMITS.idle_ms / 1000
+        with suppress(ConnectionResetError):
+            while part := await reader.read(64 << 10 if loop.time() > until_s else 4 << 10):
+                received += len(part)
+                await asyncio.sleep(0.01 if loop.time() < until_s else 0)
+        assert (received < LARGE_BYTES) is messages_wait
+        assert server.refusals["slow reader"] == messages_wait
+
+
 async def test_leaving_server_completes_requests_and_closes():
     """Guard against requests in progress that are aborted by a graceful shutdown."""
     async with served() as (_, server, port):
