Keep the mark of a leaving server for old records after a later start

Callers saw (supposed): requests to a server that had said it leaves. Cause: a later start removed the mark, and an old record after it, such as the row of a peer that is behind, put the earlier start in use again. Change: the mark stays with its start, and holds for all records of that start or an earlier one. The gauge counts the servers whose known record is marked. One assertion of test_server_that_started_again_is_not_leaving read the table itself; it now asks the query, and the new test asks more: the old record stays leaving. Evidence: a walk found it (state, start 2, start 1); the new test and that walk, now an example, fail before. Not seen with real processes.

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -33,8 +33,9 @@
     removed_entries: dict[str, BackendEntry] = field(factory=dict)
     # Addresses of servers whose node currently cannot reach the store; their entries expire.
     detached_addresses: set[str] = field(factory=set)
-    # Start times of the servers that stated in a response that they leave, by id. An entry without
-    # a later start time counts as draining, whatever the store lists.
+    # Last start times with which servers stated in a response that they leave, by id. An entry
+    # without a later start time counts as draining, whatever the store lists, also if it is an old
+    # record that arrives after that of a later start.
     leaving: dict[str, int] = field(factory=dict)
     # Listed servers at each address, the last started one first; entries of earlier ones stay until
     # they expire.
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -5,17 +5,14 @@
 from attrs import evolve
 
 from basilhill.backends import BackendDirectory, BackendEntry
-from basilhill.queries.backends import is_replaced, known_entry
+from basilhill.queries.backends import has_stated_leaving, is_replaced, known_entry
 
 REMOVED_ENTRIES_LIMIT = 1_000
 
 
 def put_entry(directory: BackendDirectory, entry: BackendEntry) -> bool:
     """Add or replace an entry; return whether anything but its warm-up time changed."""
-    if entry.started_ms > directory.leaving.get(entry.server_id, entry.started_ms):
-        # The server started again. An earlier start is an old record of a peer or of the store.
-        del directory.leaving[entry.server_id]
-    if entry.server_id in directory.leaving:
+    if has_stated_leaving(directory, entry):
         entry = evolve(entry, draining=True)
     before = directory.entries.get(entry.server_id)
     if before is not None and before.started_ms != entry.started_ms:
@@ -98,10 +95,8 @@
 
 def mark_leaving(directory: BackendDirectory, server_id: str) -> bool:
     """Count a server as draining after it stated that it leaves; return whether that is new."""
-    if server_id in directory.leaving:
-        return False
     entry = known_entry(directory, server_id)
-    if entry is None:
+    if entry is None or has_stated_leaving(directory, entry):
         return False
     directory.generation += 1
     directory.leaving[server_id] = entry.started_ms
--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -71,6 +71,18 @@
     return False
 
 
+def has_stated_leaving(directory: BackendDirectory, entry: BackendEntry) -> bool:
+    """Return whether the server of an entry stated in this start or a later one that it leaves."""
+    stated_ms = directory.leaving.get(entry.server_id)
+    return stated_ms is not None and entry.started_ms <= stated_ms
+
+
+def count_stated_leaving(directory: BackendDirectory) -> int:
+    """Return the number of known servers that stated that they leave and did not start again."""
+    known = (known_entry(directory, server_id) for server_id in directory.leaving)
+    return sum(entry is not None and has_stated_leaving(directory, entry) for entry in known)
+
+
 def is_leaving(directory: BackendDirectory, server_id: str) -> bool:
     """Return whether a server gets no new calls, because it is draining or was deregistered."""
     entry = directory.entries.get(server_id)
--- a/packages/basilhill/tests/test_backends.py
+++ b/packages/basilhill/tests/test_backends.py
@@ -11,7 +11,12 @@
     remove_entry,
     replace_entries,
 )
-from basilhill.queries.backends import deregistered_entries, is_leaving, ready_entries
+from basilhill.queries.backends import (
+    count_stated_leaving,
+    deregistered_entries,
+    is_leaving,
+    ready_entries,
+)
 
 FIRST = BackendEntry("i-1", "calendar", "10.0.0.1:80", "buc-a", 10)
 SECOND = BackendEntry("i-2", "calendar", "10.0.0.2:80", "buc-a", 10)
@@ -234,7 +239,18 @@
     listed = directory(FIRST)
     mark_leaving(listed, "i-1")
     put_entry(listed, evolve(FIRST, started_ms=7))
-    assert not is_leaving(listed, "i-1") and not listed.leaving
+    assert not is_leaving(listed, "i-1") and not count_stated_leaving(listed)
+
+
+def test_old_record_after_a_new_start_is_still_of_a_leaving_server():
+    """Guard against requests to a start that left, because a later one had ended its mark."""
+    listed = directory(FIRST)
+    mark_leaving(listed, "i-1")
+    put_entry(listed, evolve(FIRST, started_ms=7))
+    put_entry(listed, FIRST)
+    assert is_leaving(listed, "i-1") and count_stated_leaving(listed) == 1
+    put_entry(listed, evolve(FIRST, started_ms=7))
+    assert not is_leaving(listed, "i-1")
 
 
 def test_record_of_an_earlier_start_does_not_end_the_leaving():
--- a/packages/basilhill/tests/test_leaving_walks.py
+++ b/packages/basilhill/tests/test_leaving_walks.py
@@ -11,7 +11,7 @@
     set_detached,
 )
 from basilhill.queries.backends import is_leaving, ready_entries
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 SERVER = BackendEntry("i-1", "calendar", "10.0.0.1:80", "a", 10)
@@ -51,6 +51,13 @@
 
 
 @given(st.lists(STEPS, max_size=12))
+@example(
+    steps=[
+        ("state",),
+        ("put", evolve(SERVER, started_ms=2)),
+        ("put", evolve(SERVER, started_ms=1)),
+    ]
+)
 def test_only_a_later_start_puts_a_server_in_use_after_it_stated_that_it_leaves(steps):
     """Guard against a record, a removal or an outage that ends what a server said of itself."""
     directory = BackendDirectory()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -15,7 +15,7 @@
 )
 from basilhill.commands.balancing import remove_target
 from basilhill.commands.levels import set_highest
-from basilhill.queries.backends import server_at
+from basilhill.queries.backends import has_stated_leaving, known_entry, server_at
 from basilhill.queries.workspaces import least_urgent_rank
 
 from basilhill_node.sidecar.event_log import EventLog
@@ -78,15 +78,16 @@
         if before is not None and before.started_ms != entry.started_ms:
             # The server restarted as a new incarnation, so its earlier load is discarded.
             remove_target(self.origin.loads, entry.server_id)
-        left_born_ms = self.directory.leaving.get(entry.server_id)
+        known = known_entry(self.directory, entry.server_id)
+        had_left = known is not None and has_stated_leaving(self.directory, known)
         is_changed = put_entry(self.directory, entry)
-        if left_born_ms is not None and entry.server_id not in self.directory.leaving:
+        if had_left and not has_stated_leaving(self.directory, entry):
             self.log.record(
                 "servers",
                 "started again after it left",
                 server=entry.server_id,
                 born_ms=entry.started_ms,
-                before_ms=left_born_ms,
+                before_ms=known.started_ms,
                 source=source,
             )
         if is_changed:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/queries/exposition.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from basilhill.queries.backends import count_stated_leaving
 from basilhill.queries.slots import shed_rate_at
 
 from basilhill_node.sidecar.queries.readiness import is_ready
@@ -49,7 +50,7 @@
         "store_revision": state.store.revision,
         "configuration_version": state.active_configuration.version,
         "backend_servers": len(state.directory.entries),
-        "leaving_servers": len(state.directory.leaving),
+        "leaving_servers": count_stated_leaving(state.directory),
         "open_requests": state.origin.open_requests,
         "slots": slots.slots,
         "slots_in_flight": slots.in_flight,
