Free the body of a request whose server has failed

Callers saw (supposed): a node that holds more memory than its account beside servers that fail. Cause: the error of a failed request has the frame that sent it in its traceback, with the body and the waiter, and the waiter keeps the error: a cycle that only garbage collection frees. Change: the frame drops its waiter. Evidence: the new test fails before.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/http_client.py
@@ -269,6 +269,8 @@
             if not waiter.done() or waiter.cancelled():
                 self.waiter = None
                 self.close()
+            # The error of a failed request refers to this frame, and the waiter to the error.
+            del waiter
             self.memory.release(self.message)
             self.received_body_bytes = 0
             # The response owns its headers; an idle connection holds no part of an exchange.
--- a/packages/basilhill_node/tests/test_http_client.py
+++ b/packages/basilhill_node/tests/test_http_client.py
@@ -1,6 +1,8 @@
 """Tests of the HTTP client with malformed, late, duplicate and unbounded responses."""
 
 import asyncio
+import gc
+import weakref
 from contextlib import asynccontextmanager
 
 import pytest
@@ -156,3 +158,26 @@
     with pytest.raises(ConnectionFailedError) as failed:
         await send_request(pool)
     assert not failed.value.sent
+
+
+class LargeBody(bytearray):
+    """Body of which a test sees whether it is still in memory."""
+
+
+async def test_failed_request_is_freed_without_garbage_collection():
+    """Guard against bodies that stay in memory, in no account, after their server has failed."""
+    gc.disable()
+    try:
+        async with serving(close=True) as pool:
+            connection = await pool.acquire()
+            body = LargeBody(1 << 20)
+            remaining = weakref.ref(body)
+            sending = connection.exchange([REQUEST, body], None)
+            del body
+            with pytest.raises(ConnectionFailedError):
+                await sending
+            del sending
+            await asyncio.sleep(0)
+            assert remaining() is None
+    finally:
+        gc.enable()
