--- a/packages/basilhill_fakes/tests/test_large_crowds.py
+++ b/packages/basilhill_fakes/tests/test_large_crowds.py
@@ -25,6 +25,7 @@
 SHORT = Upload(BODY_BYTES, missing=1)
 CHUNKED_SHORT = Upload(BODY_BYTES, missing=1, chunk_bytes=8 * MB)
 MIDDLE_SHORT = Upload(8 * MB, missing=1, chunk_bytes=8 * MB)
+TINY_SHORT = Upload(MB, missing=1, chunk_bytes=1)
 ENDLESS = Upload(4 * BODY_BYTES, chunk_bytes=32 << 10)
 CONTINUING = Upload(RESPONSE_MB * MB, expects_continue=True, closes=True)
 # Kinds of clients of each crowd, in turn. A crowd is at both nodes, and its clients come back
@@ -34,6 +35,7 @@
     "short of its length": [*[SHORT] * 4, WHOLE, WHOLE_AT_OWN_SERVER],
     "short in large chunks": [*[CHUNKED_SHORT] * 4, WHOLE, WHOLE_AT_OWN_SERVER],
     "middle size short in one chunk": [*[MIDDLE_SHORT] * 4, WHOLE, WHOLE_AT_OWN_SERVER],
+    "short in tiny chunks": [*[TINY_SHORT] * 4, WHOLE, WHOLE_AT_OWN_SERVER],
     "over the limit in chunks": [ENDLESS],
     "expecting 100": [CONTINUING],
     "dropped": [DroppedUpload(SHORT, seconds=1)],
