--- a/packages/basilhill_fakes/src/basilhill_fakes/small_machines.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/small_machines.py
@@ -17,7 +17,7 @@
 from basilhill_fakes.soak_fleet import CLIENT_PORT, READS, SLOTS, WRITES, SoakFleet, SoakVm
 
 MB = 1 << 20
-SAMPLE_S = 0.02
+SAMPLE_S = 0.01
 # State of listening sockets in /proc/net/tcp, whose queues are lengths of backlogs.
 LISTENING = "0A"
 # Time for a new configuration to be in force.
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak.py
@@ -181,20 +181,14 @@
     """Return the time at which all nodes serve all routes, None if the bound passes first."""
     try:
         async with asyncio.timeout(RECOVERY_BOUND_S), aiohttp.ClientSession() as session:
-            await asyncio.gather(*(wait_node_serves(fleet, session, vm, plan) for vm in fleet.vms))
+            for vm in fleet.vms:
+                for method, path in plan.requests:
+                    await wait_until_served(fleet, session, vm, method, path)
     except TimeoutError:
         return None
     return fleet.clock.now_ms()
 
 
-async def wait_node_serves(
-    fleet: SoakFleet, session: aiohttp.ClientSession, vm: SoakVm, plan: SoakPlan
-) -> None:
-    """Wait until a node has served all routes."""
-    for method, path in plan.requests:
-        await wait_until_served(fleet, session, vm, method, path)
-
-
 async def wait_until_served(
     fleet: SoakFleet, session: aiohttp.ClientSession, vm: SoakVm, method: str, path: str
 ) -> None:
