--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -10,7 +10,7 @@
 from basilhill.memory import HeldMessage, MessageKind
 from basilhill_node.sidecar import server_connection
 from basilhill_node.sidecar.event_log import EventLog
-from basilhill_node.sidecar.http_server import HttpServer
+from basilhill_node.sidecar.http_server import CLIENT_BUFFER_BYTES, HttpServer
 from basilhill_node.sidecar.messages import HttpRequest, HttpResponse
 from basilhill_node.sidecar.periodic import repeat
 
@@ -235,6 +235,22 @@
         assert not server.unsent_bytes() and not server.connections
 
 
+async def test_system_holds_little_of_an_unread_response():
+    """Guard against responses that the account counts as taken while the system still has them."""
+    async with served(respond_large) as (_, server, port):
+        unread = socket.socket()
+        unread.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 10)
+        unread.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(unread, (ADDRESS, port))
+        await loop.sock_sendall(unread, get("/large"))
+        await asyncio.sleep(0.3)
+        held_bytes = LARGE_BYTES - server.unsent_bytes()
+        unread.close()
+        # Linux doubles the size of a buffer, for what it needs beside the bytes.
+        assert 0 < held_bytes <= 4 * CLIENT_BUFFER_BYTES
+
+
 @pytest.mark.parametrize("messages_wait", [False, True])
 async def test_slow_reader_is_cut_only_while_messages_wait_for_memory(messages_wait):
     """Guard against clients that keep the memory of a node for as long as they like."""
