--- a/packages/basilhill/src/basilhill/queries/memory.py
+++ b/packages/basilhill/src/basilhill/queries/memory.py
@@ -68,7 +68,7 @@
     return message.size, message.sequence
 
 
-def is_short(account: MemoryAccount) -> bool:
+def has_waiting_message(account: MemoryAccount) -> bool:
     """Return whether a message waits for memory."""
     return any(map(is_paused, account.reading))
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/server_connection.py
@@ -8,7 +8,7 @@
 from basilhill.configuration import RequestLimits
 from basilhill.memory import HEADER_COST_BYTES
 from basilhill.outcomes import Header
-from basilhill.queries.memory import is_short
+from basilhill.queries.memory import has_waiting_message
 
 from basilhill_node.sidecar.exchanges import Exchange, new_held_request
 from basilhill_node.sidecar.messages import (
@@ -386,4 +386,4 @@
         if now_ms - self.sent_ms <= TAKING_IDLE_TIMEOUTS * limits.idle_ms:
             return False
         unsent = self.transport.get_write_buffer_size() > 0
-        return unsent and is_short(self.server.memory.account)
+        return unsent and has_waiting_message(self.server.memory.account)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -206,7 +206,7 @@
     times: ResponseTimes = field(factory=ResponseTimes)
     running: dict[str, RunningCall] = field(factory=dict)
     # Calls that wait for a slot, by the sequence number of their slot request.
-    waiting_calls: dict[int, "WaitingCall"] = field(factory=dict)
+    waiting_calls: dict[int, WaitingCall] = field(factory=dict)
     # Server ids that the local backend server has rejected as not its own. Calls to these ids are
     # refused without contacting the server.
     misdirected_ids: set[str] = field(factory=set)
