Send calls on when their servers leave one after another

Callers saw 503 with "server ... is leaving" although a third server had free slots. Since calls that wait at a leaving server are refused to their origin, a call can be refused for this reason at one server after another in a release.

Cause: the origin counted this refusal as one for lack of a slot, of which the second ends the request.

Change: refusals because of a stale entry (the server leaves, or is not at its address) are not counted.

--- a/packages/basilhill_fakes/tests/test_leaving_servers.py
+++ b/packages/basilhill_fakes/tests/test_leaving_servers.py
@@ -29,6 +29,11 @@
     return task
 
 
+def has_waiting_call(vm: SidecarVm) -> bool:
+    """Whether a call waits for a slot of a server."""
+    return bool(vm.node.state.executor.slots.waiting)
+
+
 async def send_waiting_call(fleet: SidecarFleet, busy: SidecarVm) -> tuple[asyncio.Task, float]:
     """Send a request that waits for the only slot; return it and when the first one ends."""
     busy.server.run_ms = int(1000 * (DRAIN_BOUND_S + 1.0))
@@ -36,7 +41,7 @@
     await fleet.wait_until(lambda: busy.server.running == 1)
     ends_s = asyncio.get_running_loop().time() + busy.server.run_ms / 1000
     waiting = send(fleet, "/wait/second")
-    await fleet.wait_until(lambda: busy.node.state.executor.slots.waiting)
+    await fleet.wait_until(lambda: has_waiting_call(busy))
     return waiting, ends_s
 
 
@@ -62,6 +67,26 @@
     assert answer.status == 200 and other.server.runs[answer.attempt] == 1
 
 
+async def test_call_that_waited_at_two_leaving_servers_runs_at_a_third_one(fleet):
+    """Guard against refusals of calls whose servers leave one after another, as in a release."""
+    leaving = [fleet.vms[1], await fleet.add_vm("deposits", slots=1)]
+    await fleet.wait_converged(3)
+    for vm in leaving:
+        vm.server.run_ms = 8000
+        send(fleet, f"/wait/{vm.server.server_id}")
+    await fleet.wait_until(lambda: all(vm.server.running == 1 for vm in leaving))
+    waiting = send(fleet, "/wait/waiting")
+    await fleet.wait_until(lambda: any(has_waiting_call(vm) for vm in leaving))
+    leaving.sort(key=has_waiting_call, reverse=True)
+    fleet.register(leaving[0], state="draining", slots=1)
+    await fleet.wait_until(lambda: has_waiting_call(leaving[1]))
+    third = await fleet.add_vm("deposits")
+    await fleet.wait_converged(3)
+    fleet.register(leaving[1], state="draining", slots=1)
+    answer = await waiting
+    assert answer.status == 200 and third.server.runs[answer.attempt] == 1
+
+
 @pytest.mark.parametrize("missing", ["version", "sequence", "born"])
 async def test_malformed_entry_puts_no_leaving_server_in_use_again(fleet, missing):
     """Guard against an entry of another writer under the id of a server that drains."""
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/send_call.py
@@ -38,6 +38,8 @@
 # Refusals of an id that the server at the address of its entry does not have: the first one by the
 # server, later ones by the node beside it.
 NOT_AT_ADDRESS = (Reason.MISDIRECTED, Reason.NO_SERVER)
+# Refusals because the entry of the server is stale, which say nothing about free capacity.
+STALE_ENTRY = (Reason.LEAVING, *NOT_AT_ADDRESS)
 # A server without a free slot is not chosen for this time while other servers have free capacity.
 REFUSAL_BACKOFF_MS = 50
 # A server that has become too slow for its calls is not chosen for this time.
@@ -159,11 +161,11 @@
             self.record_reached(opened, entry, reason is Reason.SERVER_REFUSED)
         elif reason is Reason.TOO_SLOW:
             opened.slow += 1
-        elif reason not in NOT_AT_ADDRESS:
+        elif reason not in STALE_ENTRY:
             opened.refused += 1
         if reason in NOT_AT_ADDRESS:
             self.refuted(entry.server_id)
-        if reason is Reason.LEAVING or reason in NOT_AT_ADDRESS:
+        if reason in STALE_ENTRY:
             record_refusal(target, now_ms, STALE_ENTRY_MS)
         elif reason is Reason.TOO_SLOW:
             record_refusal(target, now_ms, SLOW_BACKOFF_MS)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/open_requests.py
@@ -48,7 +48,7 @@
     reached: set[str] = field(factory=set)
     refused_by: set[str] = field(factory=set)
     # Number of arrivals at backend servers, and of refusals by executors before arrival: for lack
-    # of a slot or another cause, and because the server is too slow.
+    # of a slot or another cause than a stale entry, and because the server is too slow.
     sends: int = 0
     refused: int = 0
     slow: int = 0
