Check recovery of patient releases with a run time that fits its bound

The check sends one request for each of 4 routes on each of 13 nodes within 15 s, and a run takes 0.8 s in this plan, so it could not pass.

Change: before recovery is checked, the servers of this plan run 5 ms, as in the default plan. The bound, the order, the routes and the nodes of the check, and the other plans, stay as they are. The check can now tell a node that does not recover.

--- a/packages/basilhill_fakes/src/basilhill_fakes/soak.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak.py
@@ -79,6 +79,8 @@
     # Path of the internal calls that the servers of a service make.
     calls: dict[str, str] = field(factory=dict)
     run_ms: int = 5
+    # Time of a run while recovery is checked, None for the same time.
+    recovery_run_ms: int | None = None
     slots: int = SLOTS
     deadline_ms: int = DEADLINE_MS
 
@@ -146,6 +148,8 @@
                 for n, sequence in enumerate(plan.sequences)
             )
         )
+        if plan.recovery_run_ms is not None:
+            fleet.change_run_time(plan.recovery_run_ms)
         fleet.history.recovered_ms = await wait_recovered(fleet, plan)
     finally:
         for task in background:
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_fleet.py
@@ -184,6 +184,12 @@
         self.register(vm, "ready")
         self.write_settings(vm, retry_ratio=0.2)
 
+    def change_run_time(self, run_ms: int) -> None:
+        """Change the time of later runs at all backend servers, also those that start later."""
+        self.run_ms = run_ms
+        for vm in self.vms:
+            vm.server.run_ms = run_ms
+
     def build_run_recorder(self, server: PlainServer):
         """Return a callback that records the runs of a server."""
 
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -117,12 +117,14 @@
     "releases-degustari": RELEASES,
     # The same with too few slots, so that calls wait for one.
     "crowded-releases-degustari": evolve(RELEASES, slots=2, think_time_s=0.05),
-    # Callers have time and servers are slow, so that calls wait for seconds.
+    # Callers have time and servers are slow, so that calls wait for seconds. One request for each
+    # route of each node would take longer than the bound of recovery without any fault.
     "patient-releases-degustari": evolve(
         RELEASES,
         routes=tuple(route | {"targetLatencyS": 30} for route in RELEASES.routes),
         slots=1,
         run_ms=800,
+        recovery_run_ms=5,
         think_time_s=0.4,
     ),
     # Servers leave with notice to the store alone, whose watches have been lost.
