Tell statements of an earlier start of a server from those of the current one in the soak

The new start had not stated that it leaves, so the request is allowed. The check looked for a restart from the moment when the statement was passed on, instead of when it was made.

Change: a statement ends with a restart after its request reached the server. The other direction was too lax: only the first statement on a node about an id was checked, and a restart ended it for good; now each statement is checked on its own.

--- a/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/queries/soak_invariants.py
@@ -111,23 +111,30 @@
 def arrivals_after_statement(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
     """Yield requests that a node sent to a server after it had passed on that the server leaves.
 
-    This holds for each node that was neither restarted nor suspended since.
+    This holds for each node that was neither restarted nor suspended since, until the server starts
+    again. A statement of an earlier start may be passed on after the server has started again.
     """
-    stated_ms: dict[tuple[int, str], int] = {}
+    reached_ms = {(one.attempt_id, one.server_id): one.at_ms for one in history.arrivals}
+    stating: defaultdict[tuple[int, str], list[Attempt]] = defaultdict(list)
     for attempt in history.attempts:
         if attempt.leaving_server:
-            key = attempt.vm, attempt.leaving_server
-            stated_ms[key] = min(attempt.ended_ms, stated_ms.get(key, attempt.ended_ms))
+            stating[attempt.vm, attempt.leaving_server].append(attempt)
     for arrival in history.arrivals:
         attempt = attempts[arrival.attempt_id]
-        at_ms = stated_ms.get((attempt.vm, arrival.server_id))
-        if (
-            at_ms is not None
-            and attempt.sent_ms > at_ms + DRAIN_BOUND_MS
-            and not was_interrupted(history, attempt.vm, at_ms, arrival.at_ms)
-            and not has_restarted(history, arrival.server_id, at_ms, arrival.at_ms)
-        ):
-            yield f"DRAIN: {arrival} from {attempt.vm}, which passed on the statement at {at_ms}"
+        for stated in stating[attempt.vm, arrival.server_id]:
+            at_ms = stated.ended_ms
+            key = stated.attempt_id, arrival.server_id
+            if (
+                attempt.sent_ms > at_ms + DRAIN_BOUND_MS
+                and not was_interrupted(history, attempt.vm, at_ms, arrival.at_ms)
+                and not has_restarted(
+                    history, arrival.server_id, reached_ms.get(key, at_ms), arrival.at_ms
+                )
+            ):
+                yield (
+                    f"DRAIN: {arrival} from {attempt.vm}, which passed on the statement at {at_ms}"
+                )
+                break
 
 
 def arrivals_after_leaving(history: SoakHistory, attempts: dict[str, Attempt]) -> Iterator[str]:
--- a/packages/basilhill_fakes/tests/test_soak.py
+++ b/packages/basilhill_fakes/tests/test_soak.py
@@ -23,6 +23,7 @@
     Arrival,
     Attempt,
     Disruption,
+    Restart,
     Run,
     SoakHistory,
     Version,
@@ -375,6 +376,35 @@
     assert violation_kinds(found) == []
 
 
+@pytest.mark.parametrize(
+    ("restarted_ms", "kinds"),
+    [
+        # Before the request whose response states it: the statement is of the new start.
+        (10_002, ["DRAIN"]),
+        # While that request runs, and after its response.
+        (10_006, []),
+        (10_500, []),
+    ],
+)
+def test_statement_holds_until_the_server_that_made_it_starts_again(restarted_ms, kinds):
+    stated = new_attempt(1, leaving_server="i-1")
+    late = new_attempt(2, sent_ms=stated.ended_ms + 2_001)
+    arrivals = [Arrival("a1", "i-1", 1, 10_003), Arrival("a2", "i-1", 1, late.sent_ms + 1)]
+    found = new_history([stated, late], [new_run(1), new_run(2)], arrivals=arrivals)
+    found.restarts.append(Restart("i-1", restarted_ms))
+    assert violation_kinds(found) == kinds
+
+
+def test_later_start_of_a_server_that_states_again_that_it_leaves_is_checked():
+    first = new_attempt(1, leaving_server="i-1")
+    second = new_attempt(2, sent_ms=11_000, ended_ms=11_010, leaving_server="i-1")
+    late = new_attempt(3, sent_ms=second.ended_ms + 2_001)
+    arrivals = [Arrival(one.attempt_id, "i-1", 1, one.sent_ms + 1) for one in (first, second, late)]
+    found = new_history([first, second, late], [new_run(n) for n in (1, 2, 3)], arrivals=arrivals)
+    found.restarts.append(Restart("i-1", 10_500))
+    assert violation_kinds(found) == ["DRAIN"]
+
+
 def test_request_after_the_removal_of_a_server_is_found_beside_faults_of_other_nodes():
     attempt = new_attempt(1)
     removed = AcknowledgedChange("removal", "i-1", attempt.sent_ms - 2_500)
