Test what the system holds for paused uploads and responses

Cause: the bounds of the receive buffers had no test of their own; only the crowds measured them.

Change: a process floods 8 connections, which the system answers with larger buffers, and the tests pause them and read what is unread. The test of the heap takes the size of pages from the system, which is not 4 KB on all arm64 machines.

--- a/packages/basilhill_node/tests/test_http_client.py
+++ b/packages/basilhill_node/tests/test_http_client.py
@@ -7,9 +7,15 @@
 
 import pytest
 from basilhill.clocks import SystemClock
+from basilhill_fakes.flood import CONNECTIONS, run_flood
+from basilhill_fakes.queries.socket_buffers import unread_bytes
 from basilhill_fakes.stream_server import serve_streams
 from basilhill_node.platform.http import PlatformDialect
-from basilhill_node.sidecar.http_client import ConnectionFailedError, ConnectionPool
+from basilhill_node.sidecar.http_client import (
+    SERVER_BUFFER_BYTES,
+    ConnectionFailedError,
+    ConnectionPool,
+)
 
 ADDRESS = "127.0.0.1"
 REQUEST = b"GET /a HTTP/1.1\r\nhost: a\r\n\r\n"
@@ -181,3 +187,25 @@
             assert remaining() is None
     finally:
         gc.enable()
+
+
+async def test_system_holds_little_of_paused_responses():
+    """Guard against bytes beside the account, in buffers that grew while a response was fast."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {64 << 20}\r\n\r\n"
+    async with run_flood(head.encode()) as flood:
+        pool = ConnectionPool(f"{ADDRESS}:{flood.port}", SystemClock())
+        connections = [await pool.connect() for _ in range(CONNECTIONS)]
+        sending = [
+            asyncio.create_task(one.exchange([REQUEST], lambda _headers: True))
+            for one in connections
+        ]
+        await flood.wait_received(lambda: sum(len(one.body) for one in connections))
+        for one in connections:
+            one.transport.pause_reading()
+        await flood.send_further()
+        held_bytes = max(unread_bytes(one.transport) for one in connections)
+        # Linux doubles the size of a buffer, for what it needs beside the bytes.
+        assert 0 < held_bytes <= 2 * SERVER_BUFFER_BYTES
+        for one in connections:
+            one.close()
+        await asyncio.gather(*sending, return_exceptions=True)
--- a/packages/basilhill_node/tests/test_http_server.py
+++ b/packages/basilhill_node/tests/test_http_server.py
@@ -5,9 +5,12 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
+from attrs import evolve
 from basilhill.clocks import SystemClock
 from basilhill.configuration import RequestLimits
 from basilhill.memory import HeldMessage, MessageKind
+from basilhill_fakes.flood import run_flood
+from basilhill_fakes.queries.socket_buffers import unread_bytes
 from basilhill_node.sidecar import server_connection
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_server import CLIENT_BUFFER_BYTES, HttpServer
@@ -54,9 +57,9 @@
 
 
 @asynccontextmanager
-async def served(handler=None):
+async def served(handler=None, limits=LIMITS):
     recorder, clock = handler or Recorder(), SystemClock()
-    server = HttpServer(recorder, lambda: LIMITS, clock, EventLog(clock))
+    server = HttpServer(recorder, lambda: limits, clock, EventLog(clock))
     await server.start(ADDRESS, 0)
     port = server.server.sockets[0].getsockname()[1]
     try:
@@ -251,6 +254,20 @@
         assert 0 < held_bytes <= 4 * CLIENT_BUFFER_BYTES
 
 
+async def test_system_holds_little_of_paused_uploads():
+    """Guard against bytes beside the account, in buffers that grew while an upload was fast."""
+    limits = evolve(LIMITS, body_bytes=64 << 20, header_ms=10_000, idle_ms=10_000)
+    head = f"POST /0 HTTP/1.1\r\nHost: a\r\nContent-Length: {limits.body_bytes}\r\n\r\n"
+    async with served(limits=limits) as (_, server, port), run_flood(head.encode(), port) as flood:
+        await flood.wait_received(lambda: sum(len(one.body) for one in server.connections))
+        for upload in server.connections:
+            upload.transport.pause_reading()
+        await flood.send_further()
+        held_bytes = max(unread_bytes(upload.transport) for upload in server.connections)
+        # Linux doubles the size of a buffer, for what it needs beside the bytes.
+        assert 0 < held_bytes <= 2 * CLIENT_BUFFER_BYTES
+
+
 @pytest.mark.parametrize("messages_wait", [False, True])
 async def test_slow_reader_is_cut_only_while_messages_wait_for_memory(messages_wait):
     """Guard against clients that keep the memory of a node for as long as they like."""
--- a/packages/basilhill_node/tests/test_message_memory.py
+++ b/packages/basilhill_node/tests/test_message_memory.py
@@ -12,11 +12,12 @@
 # MB that is still in use once all bodies have ended.
 GROW_AND_END = """
 import gc
+import os
 from basilhill_node.sidecar.allocator import return_large_blocks
 
 def used_mb():
     with open("/proc/self/statm") as pages:
-        return int(pages.read().split()[1]) * 4096 / 2**20
+        return int(pages.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
 
 assert return_large_blocks()
 before = used_mb()
