Show that no node follows a store that came back from a copy

Revisions go back with the copy, and a read below the known revision counts as stale. For all that was looked at, four nodes handle requests by the older version.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,61 +1,68 @@
-"""A server that fails part of its requests after it has run them."""
+"""The store comes back from a copy that is some seconds old."""
 
 import asyncio
-import random
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from harness_2 import TROUBLE, main, route
+from harness_2 import BOUNDS, TROUBLE, main, route
 
-SERVERS = 7
-# One of seven servers fails four tenths of its requests: `srv_grey` with its usual share and dose.
-FAILING_SHARE = 0.4
-FAILED_STATUS = 503
-PAYMENTS = 900
-PAYMENTS_AT_ONCE = 12
-# Statuses that promise that the request has not run and never will.
-PROMISES = (408, 421, 429, 503)
+# The servers have just started: each writes its entry again as its remaining cold time changes.
+COLD_S, COLD_STEP_S = 3.0, 0.5
+AWAY_S = 1.0
+# Time from the return of the store until the next change; the store is stable after `contactS`.
+CALM_S = 8.0
+CHECKED_S = 10.0
 
 
 async def case(deployment):
-    pay = route("pay", "/pay/", "avansuri", kind="non_idempotent", attempts=1)
-    deployment.write_configuration(1, pay)
-    await deployment.start(["avansuri"] * SERVERS)
-    runs, broken, charges = {}, [], {}
-
-    async def on_run(server, writer, attempt, target, headers, body):
-        runs[attempt] = server.id
-        charges[target] = charges.get(target, 0) + 1
-        if not TROUBLE or server is not deployment.servers[0] or random.random() >= FAILING_SHARE:
-            return None
-        await asyncio.sleep(server.run_s)
-        deployment.log("failed after its run", server=server.id, attempt=attempt)
-        writer.write(server.response(attempt, target, FAILED_STATUS))
-        await writer.drain()
-        return True
-
-    for server in deployment.servers:
-        server.on_run = on_run
-
-    async def pay_once(number):
-        """Pay; after a promise that the payment has not run, send it again, as clients do."""
-        for _ in range(2):
-            node = random.choice(deployment.nodes)
-            attempt, answer = await deployment.send(node, f"/pay/{number}", "POST", b"deposit")
-            if answer is None or answer.status not in PROMISES:
-                return
-            if attempt in runs:
-                broken.append(f"{attempt} ran at {runs[attempt]} and was answered {answer.status}")
-
-    async def customer(first):
-        for number in range(first, PAYMENTS, PAYMENTS_AT_ONCE):
-            await pay_once(number)
-
-    await asyncio.gather(*(customer(first) for first in range(PAYMENTS_AT_ONCE)))
-    twice = [target for target, count in charges.items() if count > 1]
-    deployment.log("result", broken=len(broken), charged_twice=len(twice))
-    print(f"{len(broken)} false promises, {len(twice)} of {PAYMENTS} deposits charged twice")
+    deployment.zones = ("a", "b")
+    store = deployment.store
+    browse = route("browse", "/browse/", "catalogue")
+
+    def moved(service, timeout_s):
+        return route("moved", "/moved/", service, timeoutS=timeout_s)
+
+    async def warm_up(server):
+        left_s = COLD_S
+        while left_s > 0:
+            left_s -= COLD_STEP_S
+            server.cold_s = left_s
+            server.register()
+            await asyncio.sleep(COLD_STEP_S)
+
+    deployment.write_configuration(1, browse, moved("catalogue", 4.0))
+    await deployment.start(["catalogue", "catalogue", "checkout", "checkout"])
+    copy = store.copy()
+    deployment.log("copy taken", revision=store.revision)
+    warming = [asyncio.create_task(warm_up(server)) for server in deployment.servers]
+    await asyncio.sleep(1.0)
+    deployment.write_configuration(2, browse, moved("catalogue", 3.0))
+    await asyncio.gather(*warming)
+    if TROUBLE:
+        deployment.log("store away", revision=store.revision)
+        store.go_down()
+        await asyncio.sleep(AWAY_S)
+        store.restore(copy)
+        deployment.log("store back", era=store.era, revision=store.revision)
+        # What the operator and the servers wrote is written again.
+        deployment.write_configuration(2, browse, moved("catalogue", 3.0))
+        for server in deployment.servers:
+            server.register()
+        deployment.log("written again", revision=store.revision)
+    await asyncio.sleep(CALM_S)
+    deployment.write_configuration(3, browse, moved("checkout", 4.0))
+    await asyncio.sleep(BOUNDS["configApplyS"] + 0.5)
+    broken, sent, ends_s = [], 0, deployment.now_s() + CHECKED_S
+    while deployment.now_s() < ends_s:
+        for node in deployment.nodes:
+            attempt, answer = await deployment.send(node, "/moved/x")
+            sent += 1
+            if answer is not None and answer.status == 200 and b"checkout" not in answer.body:
+                broken.append(f"{attempt} at machine {node.number} was run by the old service")
+        await asyncio.sleep(0.25)
+    deployment.log("result", sent=sent, broken=len(broken))
+    print(f"{len(broken)} of {sent} requests were run by the service of an older version")
     return broken[:5]
 
 
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -214,6 +214,7 @@
         self.incarnation = 1
         self.born = int(time.time() * 1000)
         self.state = "ready"
+        self.cold_s = 0.0
         self.running = 0
         self.headers = {}
         self.listener = None
@@ -225,7 +226,7 @@
     def entry(self):
         return {
             "service": self.service, "address": f"{self.address}:{SERVER}", "zone": self.zone,
-            "version": "v1", "slots": self.slots, "state": self.state, "coldRemainingS": 0,
+            "version": "v1", "slots": self.slots, "state": self.state, "coldRemainingS": self.cold_s,
             "sequence": 1, "born": self.born,
         }  # fmt: skip
 
