Leave nothing behind when a case of the review ends

The scripts remove their temporary folder, end their processes also when they are told to stop, and write no byte code.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,2 +1,2 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 case.py
+cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -9,6 +9,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -609,6 +610,7 @@
         for listener in self.listeners:
             listener.close()
         self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def main(case, record, **options):
@@ -616,6 +618,9 @@
 
     async def run():
         deployment = Deployment(record, **options)
+        this, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            loop.add_signal_handler(number, this.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 problems = await case(deployment)
@@ -633,7 +638,7 @@
 
     try:
         status = asyncio.run(run())
-    except Exception as error:  # A fault of the script is no result.
+    except (Exception, asyncio.CancelledError) as error:  # A fault of the script is no result.
         print(f"the case could not run: {error!r}")
         status = 2
     sys.exit(status)
