Write the cold time of case 6 at heartbeats only

Servers write their entries about every heartbeat, not each half second, and their cold time only falls.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
-from harness_2 import BOUNDS, TROUBLE, main, route
+from harness_2 import BOUNDS, HEARTBEAT_S, TROUBLE, main, route
 
-# The servers have just started: each writes its entry again as its remaining cold time changes.
-COLD_S, COLD_STEP_S = 3.0, 0.5
+# The servers have just started: at each heartbeat they write what is left of their cold time.
+COLD_AT_START_S, COLD_S, HEARTBEATS = 7.0, 4.0, 3
 AWAY_S = 1.0
 # Time from the return of the store until the next change; the store is stable after `contactS`.
 CALM_S = 8.0
@@ -24,15 +24,15 @@
         return route("moved", "/moved/", service, timeoutS=timeout_s)
 
     async def warm_up(server):
-        left_s = COLD_S
-        while left_s > 0:
-            left_s -= COLD_STEP_S
-            server.cold_s = left_s
+        for heartbeat in range(HEARTBEATS):
+            server.cold_s = COLD_S - heartbeat * HEARTBEAT_S
             server.register()
-            await asyncio.sleep(COLD_STEP_S)
+            await asyncio.sleep(HEARTBEAT_S)
 
     deployment.write_configuration(1, browse, moved("catalogue", 4.0))
-    await deployment.start(["catalogue", "catalogue", "checkout", "checkout"])
+    await deployment.start(
+        ["catalogue", "catalogue", "checkout", "checkout"], cold_s=COLD_AT_START_S
+    )
     copy = store.copy()
     deployment.log("copy taken", revision=store.revision)
     warming = [asyncio.create_task(warm_up(server)) for server in deployment.servers]
@@ -48,6 +48,7 @@
         # What the operator and the servers wrote is written again.
         deployment.write_configuration(2, browse, moved("catalogue", 3.0))
         for server in deployment.servers:
+            server.cold_s = 0.0
             server.register()
         deployment.log("written again", revision=store.revision)
     await asyncio.sleep(CALM_S)
