End the review's scripts with 2 where nothing could be shown

A run in which no request reached a server counted as held, and run.sh ended with 1 or 127 where python3 has no tomllib or is missing, which reads as a broken rule. Both end with 2 now. The settings of a machine behind a link name the link's bandwidth; they said 1,000 Mbit/s, which the nodes don't read.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,2 +1,4 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 -B case.py
+cd "$(dirname "$0")" || exit 2
+python3 -c "import asyncio, tomllib" || exit 2
+exec python3 -B case.py
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -298,6 +298,7 @@
             writer.write(encode(503, refused))
             return True
         self.running += 1
+        self.deployment.runs += 1
         try:
             log("run", server=self.id, service=self.service, attempt=attempt, path=target,
                 caller=headers.get("basilhill-caller-service", ""))  # fmt: skip
@@ -342,7 +343,8 @@
                 "countsAsLoss": False, "bootstrap": True, "dataDir": None,
                 "limits": {
                     "cpuShare": 0.86, "cpuCores": 2, "memoryMb": deployment.memory_mb,
-                    "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0,
+                    "maxFds": 4100, "linkMbps": deployment.links.get(self.number, 1000.0),
+                    "diskMb": 0,
                 },
                 "appAddr": f"{self.server.address}:{SERVER}", "service": self.server.service,
             },
@@ -526,13 +528,14 @@
         # Bandwidth of the links into machines in Mbit/s, by machine; others are not limited.
         self.links = links or {}
         self.bounds = dict(BOUNDS)
-        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.prefix = self.free_prefix()
+        self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store_address = self.address(250)
         self.store = Store(self)
         self.servers, self.nodes = [], []
         self.listeners = []
         self.attempts = 0
+        self.runs = 0
 
     def free_prefix(self):
         """Return a loopback prefix on which the ports of the deployment are free."""
@@ -634,6 +637,8 @@
         try:
             async with asyncio.timeout(LIMIT_S):
                 problems = await case(deployment)
+            if not deployment.runs:
+                raise Blocked("no request reached a server")
             for problem in problems:
                 deployment.log("broken", problem=problem)
                 print(f"broken: {problem}")
