Count case 9 from the first answer that named the limit

The rule counts from contactS after a server first named its limit. The script counted from the moment at which the server would do so, which is up to a run earlier.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -66,15 +66,16 @@
         tasks.append(asyncio.create_task(send(len(tasks))))
         await asyncio.sleep(REQUESTS_EVERY_S)
     await asyncio.gather(*tasks)
-    if named_s is None:
+    if not passed_on_s:
         print(f"{len(arrivals)} requests, no limit was named")
         return []
+    first_s = min(passed_on_s.values())
     # The rule counts from `contactS` after the limit was first named, and only the requests of
     # machines that had passed on such an answer half a second before or earlier.
     counted = sorted(
         at_s
         for at_s, machine in arrivals
-        if at_s >= named_s + BOUNDS["contactS"]
+        if at_s >= first_s + BOUNDS["contactS"]
         and at_s >= passed_on_s.get(machine, float("inf")) + 0.5
     )
     most = max(
