Follow a store that came back from a copy by era and revision

Cause: a revision was compared as if it were a position in one history. A read below the known revision counted as stale and as a loss of the store; watches, feeds, subscriptions and the history of a reader compared in the same way, and nothing read Store-Era.

Change: a position is era and revision, decoded once in platform/ and compared everywhere. A higher era means reading all items, a lower one is no news, none or an unreadable one is the known era. Readers send their followers all entries in the first frame of an era. What the copy lacks is retained as after an outage; servers that left before stay out of use. A retained entry that is written again counts as changed: readers did not tell their followers of it, who removed the server (found by the walks). Frames have version 3; nodes of version 2 get theirs.

Ruled out: a watch on a dead connection (each node read again within a second and failed at the revision), a version refused as older (it was never decoded).

--- a/packages/basilhill/src/basilhill/backends.py
+++ b/packages/basilhill/src/basilhill/backends.py
@@ -31,6 +31,10 @@
     retained_until_ms: dict[str, int] = field(factory=dict)
     # Last entries of deregistered servers by id, oldest first.
     removed_entries: dict[str, BackendEntry] = field(factory=dict)
+    # Entries of removed servers that a copy of the store brought back, by id, and the time until
+    # which such entries are not listed.
+    withheld: dict[str, BackendEntry] = field(factory=dict)
+    withhold_until_ms: int = 0
     # Addresses of servers whose node currently cannot reach the store; their entries expire.
     detached_addresses: set[str] = field(factory=set)
     # Last start times with which servers stated in a response that they leave, by id. An entry
--- a/packages/basilhill/src/basilhill/commands/backends.py
+++ b/packages/basilhill/src/basilhill/commands/backends.py
@@ -11,7 +11,10 @@
 
 
 def put_entry(directory: BackendDirectory, entry: BackendEntry) -> bool:
-    """Add or replace an entry; return whether anything but its warm-up time changed."""
+    """Add or replace an entry; return whether anything but its warm-up time changed.
+
+    An entry that was only retained until now has changed.
+    """
     if has_stated_leaving(directory, entry):
         entry = evolve(entry, draining=True)
     before = directory.entries.get(entry.server_id)
@@ -19,8 +22,9 @@
         directory.refuted.discard(entry.server_id)
     directory.generation += 1
     directory.entries[entry.server_id] = entry
-    directory.retained_until_ms.pop(entry.server_id, None)
+    was_retained = directory.retained_until_ms.pop(entry.server_id, None) is not None
     directory.removed_entries.pop(entry.server_id, None)
+    directory.withheld.pop(entry.server_id, None)
     group = directory.services.setdefault(entry.service, [])
     if before is not None:
         directory.services[before.service].remove(before)
@@ -28,7 +32,9 @@
     if before is not None:
         remove_address(directory, before)
     add_address(directory, entry)
-    return before is None or evolve(before, warm_until_ms=entry.warm_until_ms) != entry
+    return (
+        before is None or was_retained or evolve(before, warm_until_ms=entry.warm_until_ms) != entry
+    )
 
 
 def add_address(directory: BackendDirectory, entry: BackendEntry) -> None:
@@ -79,6 +85,7 @@
     """Remove an entry; return whether it was listed."""
     entry = directory.entries.pop(server_id, None)
     directory.retained_until_ms.pop(server_id, None)
+    directory.withheld.pop(server_id, None)
     if entry is None:
         return False
     directory.generation += 1
@@ -123,9 +130,15 @@
     """Apply a complete list; return the ids that changed and those missing from it.
 
     After an outage of the store, missing entries are retained until `retained_until_ms`, because
-    live servers register again within seconds once the store is back.
+    live servers register again within seconds once the store is back. Withheld entries are not
+    applied.
     """
     listed = {entry.server_id: entry for entry in entries}
+    expired = directory.withheld.keys() - listed.keys()
+    for server_id in expired:
+        del directory.withheld[server_id]
+    for server_id in directory.withheld:
+        del listed[server_id]
     missing = directory.entries.keys() - listed.keys()
     changed = {entry.server_id for entry in listed.values() if put_entry(directory, entry)}
     for server_id in missing:
@@ -133,7 +146,7 @@
             directory.retained_until_ms.setdefault(server_id, retained_until_ms)
         else:
             remove_entry(directory, server_id)
-    return changed, missing
+    return changed, missing | expired
 
 
 def expire_retained(directory: BackendDirectory, now_ms: int) -> set[str]:
--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -17,10 +17,11 @@
 from basilhill_fakes.soak_leavings import (
     FOREIGN_ENTRIES,
     LEAVING_FAULTS,
+    LEAVINGS,
     NOTICES,
     RELEASE_FAULTS,
 )
-from basilhill_fakes.soak_store_faults import LoseResponses
+from basilhill_fakes.soak_store_faults import LoseResponses, RestoreStore
 
 DEGUSTARI = {"calendar": 4, "rezervari": 3, "avansuri": 3, "arome": 3}
 # Routes that are added, dropped and added again.
@@ -101,6 +102,9 @@
     deadline_ms=5_000,
 )
 
+# The store comes back from copies again and again.
+COPIES = FaultSequence((RestoreStore(),), gap_s=(1.0, 6.0))
+
 PLANS = {
     "default": SoakPlan(),
     "workspaces": SoakPlan(
@@ -157,4 +161,23 @@
         (4.0, 4.0),
         FaultSequence((LoseResponses(),), duration_s=(0.0, 0.0), gap_s=(4.75, 4.75)),
     ),
+    # Changes and leavings beside a store that comes back from copies, and nothing else.
+    "copies-degustari": evolve(
+        configuration_plan(
+            ChangeRhythm(CHANGES), (0.0, 5.0), COPIES, FaultSequence(LEAVINGS, (0.2, 6.0))
+        ),
+        optional_requests=tuple(("GET", route["prefix"]) for route in OPTIONAL_ROUTES),
+    ),
+    # The same beside faults of nodes and other ones of the store.
+    "copies-faults-degustari": evolve(
+        configuration_plan(
+            ChangeRhythm(CHANGES),
+            (0.0, 5.0),
+            COPIES,
+            FaultSequence(LEAVINGS, (0.2, 6.0)),
+            FaultSequence((Overlapping(STORE_FAULTS, 4.0),), (0.5, 8.0), (4.0, 10.0)),
+            FaultSequence(NODE_FAULTS, (0.3, 6.0), (0.5, 4.0)),
+        ),
+        optional_requests=tuple(("GET", route["prefix"]) for route in OPTIONAL_ROUTES),
+    ),
 }
--- a/packages/basilhill_node/src/basilhill_node/platform/store.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/store.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import binascii
+import re
 from base64 import b64decode
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import Any
 from urllib.parse import urlencode
 
@@ -21,6 +22,7 @@
     ResponseTooLargeError,
 )
 from basilhill_node.sidecar.messages import HttpRequest, encode_request
+from basilhill_node.sidecar.positions import StatedEra
 from basilhill_node.sidecar.store import (
     HistoryExpiredError,
     StoredItem,
@@ -32,6 +34,9 @@
 
 RANGE = "/basilhill/kv-range"
 WATCH = "/basilhill/kv-watch"
+STORE_ERA = "store-era"
+ERA = re.compile(r"[0-9]{1,15}")
+NO_ERA = StatedEra()
 GONE = 410
 OK = 200
 # The store usually responds within 4 ms, and takes 60 times as long when it is slow.
@@ -65,7 +70,7 @@
         while True:
             query = {"prefix": ""} | ({"after": after} if after else {})
             page = await self.fetch(RANGE, query, READ_TIMEOUT_S)
-            yield StoreItems(page.items, page.revision)
+            yield StoreItems(page.items, page.revision, page.era)
             if not page.has_more or not page.items:
                 return
             after = page.items[-1].key
@@ -88,7 +93,7 @@
             page = await self.fetch(WATCH, query, timeout_s)
         except StoreResponseTooLargeError as error:
             raise HistoryExpiredError(f"the changes are too large: {error}") from error
-        return StoreEvents(page.items, page.revision)
+        return StoreEvents(page.items, page.revision, page.era)
 
     async def probe(self) -> int:
         """Return a possibly old revision; raise StoreFailedError if the store does not respond.
@@ -117,31 +122,43 @@
             raise HistoryExpiredError(f"store has no history since revision {query['after']}")
         if response.status != OK:
             raise StoreFailedError(f"store returned status {response.status}, expected {OK}")
-        return decode_page(response.body)
+        return decode_page(response.body, decode_era(response.headers))
 
 
 @frozen
 class Page:
-    """Items or events in one response of the store, and the store's revision."""
+    """Items or events in one response of the store, and the store's revision and era."""
 
     items: tuple[StoredItem, ...]
     revision: int
     has_more: bool
+    era: StatedEra
 
 
-def decode_page(body: bytes) -> Page:
+def decode_era(headers: Sequence[Header]) -> StatedEra:
+    """Return the era that a response states."""
+    texts = {header.value.strip() for header in headers if header.name == STORE_ERA}
+    if not texts:
+        return NO_ERA
+    if len(texts) > 1 or not ERA.fullmatch(min(texts)):
+        quoted = ", ".join(sorted(texts))[:40]
+        return StatedEra(problem=f"the era {quoted!r} is not one number of up to 15 digits")
+    return StatedEra(int(min(texts)))
+
+
+def decode_page(body: bytes, era: StatedEra = NO_ERA) -> Page:
     """Return the content of a response; raise StoreFailedError if it is malformed."""
-    result = decode_input("the response of the store", lambda: read_page(body))
+    result = decode_input("the response of the store", lambda: read_page(body, era))
     if result.is_error():
         raise StoreFailedError(result.error)
     return result.ok
 
 
-def read_page(body: bytes) -> Page:
+def read_page(body: bytes, era: StatedEra) -> Page:
     table = msgspec.json.decode(body, type=dict[str, Any])
     rows = table["items"] if "items" in table else table["events"]
     items = tuple(decode_item(row) for row in rows)
-    return Page(items, int(table["asOf"]), bool(table.get("hasMore")))
+    return Page(items, int(table["asOf"]), bool(table.get("hasMore")), era)
 
 
 def decode_item(item: dict[str, Any]) -> StoredItem:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/apply_updates.py
@@ -15,11 +15,14 @@
 )
 from basilhill.commands.balancing import remove_target
 from basilhill.commands.levels import set_highest
+from basilhill.commands.store_copies import take_settled, withhold_departed
 from basilhill.queries.backends import has_stated_leaving, known_entry, server_at
 from basilhill.queries.workspaces import least_urgent_rank
 
 from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.positions import StorePosition
 from basilhill_node.sidecar.state import (
+    STORE,
     ActiveConfiguration,
     ExecutorState,
     OriginState,
@@ -27,6 +30,10 @@
 )
 from basilhill_node.sidecar.store import StoreDecoder
 
+# Time for which a server that had left stays out of use if an older copy of the store lists it:
+# twice the three heartbeats of 1.5 s after which the store drops the entry of a silent server.
+COPY_EXPIRY_MS = 9_000
+
 
 @define(eq=False)
 class ViewUpdater:
@@ -107,6 +114,9 @@
             self.update_slots()
 
     def remove(self, server_id: str, source: str) -> None:
+        if server_id in self.directory.withheld:
+            # Followers withhold the entry as well.
+            self.entries_changed({server_id})
         if remove_entry(self.directory, server_id):
             remove_target(self.origin.loads, server_id)
             self.log.record("servers", "removed", server=server_id, source=source)
@@ -120,6 +130,8 @@
 
         Missing entries are retained after an outage of the store.
         """
+        if self.clock.now_ms() < self.directory.withhold_until_ms:
+            entries = withhold_departed(self.directory, entries)
         changed, missing = replace_entries(self.directory, entries, retained_until_ms)
         for server_id in changed:
             self.apply_change(self.directory.entries[server_id], source)
@@ -131,6 +143,41 @@
         if changed or missing:
             self.entries_changed(changed | missing)
 
+    def replace_from_copy(
+        self,
+        entries: Iterable[BackendEntry],
+        retained_until_ms: int,
+        position: StorePosition,
+        source: str,
+    ) -> None:
+        """Apply all entries of a store that came back from an older copy of itself.
+
+        Entries that the copy lacks are retained until `retained_until_ms`. Servers that had left
+        stay out of use.
+        """
+        now_ms, listed = self.clock.now_ms(), list(entries)
+        self.directory.withhold_until_ms = now_ms + COPY_EXPIRY_MS
+        self.replace(listed, retained_until_ms if retained_until_ms > now_ms else 0, source)
+        self.log.record(
+            "store",
+            "came back from a copy",
+            era=position.era,
+            revision=position.revision,
+            version=self.active_configuration.version,
+            entries=len(listed),
+            withheld=sorted(self.directory.withheld),
+            retained_ms=max(0, retained_until_ms - now_ms),
+            source=source,
+        )
+
+    def list_settled(self, now_ms: int) -> set[str]:
+        """List the withheld entries that the store still has; return the ids of their servers."""
+        settled = take_settled(self.directory, now_ms)
+        for entry in settled:
+            self.log.record("servers", "still listed after a copy", server=entry.server_id)
+            self.put(entry, STORE)
+        return {entry.server_id for entry in settled}
+
     def expire(self, now_ms: int) -> set[str]:
         """Remove the retained servers that were not registered again; return their ids."""
         expired = expire_retained(self.directory, now_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -12,13 +12,14 @@
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.frames import (
+    ERA_VERSION,
     PING,
     Feed,
     FrameKind,
-    Subscribe,
     decode_entry_row,
     encode_frame,
 )
+from basilhill_node.sidecar.positions import StorePosition
 from basilhill_node.sidecar.state import ActiveConfiguration, SidecarSettings, StoreView
 from basilhill_node.sidecar.streams import StreamConnection
 
@@ -63,13 +64,13 @@
     failed_ms: dict[str, int] = field(factory=dict)
     # Set if the entry of the local backend server was removed: this VM may have lost the store.
     store_in_doubt: bool = False
-    # Whether frames of the sender carry the age of a proof, which those of version 0 do not.
-    sender_proves: bool = False
+    # Version of the sender's frames; those of version 0 carry no age of a proof.
+    sender_version: int = 0
     # Called with the age in ms of what a frame says, and whether it is a proof that the sender knew
     # all changes of the store then.
     contact: Callable[[int, bool], None] = field(default=lambda _age_ms, _is_proof: None)
-    # Called with the revision of a frame when all its changes are applied.
-    applied: Callable[[int], None] = field(default=lambda _revision: None)
+    # Called with the position of a frame when all its changes are applied.
+    applied: Callable[[StorePosition], None] = field(default=lambda _position: None)
 
     @property
     def is_live(self) -> bool:
@@ -86,11 +87,11 @@
         """Follow the feed of the node on a host until it ends; return how it ended."""
         loop = asyncio.get_running_loop()
         self.live, self.ended_current, self.behind_since_ms = False, False, 0
-        self.sender_proves = False
+        self.sender_version = 0
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: StreamConnection(self.clock, self.handle, self.subscribe, self.record),
+                    lambda: StreamConnection(self.clock, self.handle, self.greet, self.record),
                     host,
                     self.settings.peer_port,
                 )
@@ -113,20 +114,17 @@
             return FeedEnd.NOT_BEGUN
         return FeedEnd.CURRENT if self.ended_current else FeedEnd.FAILED
 
-    def subscribe(self, connection: StreamConnection) -> None:
-        subscription = Subscribe(
-            self.settings.node, self.active_configuration.version, self.view.revision
-        )
-        # The response comes before the first frame of the feed, and has the version of the sender.
+    def greet(self, connection: StreamConnection) -> None:
+        """Ask for the version of the sender, which decides how this node subscribes."""
         connection.send(PING)
-        connection.send(
-            encode_frame(
-                FrameKind.SUBSCRIBE,
-                subscription.node,
-                subscription.version,
-                subscription.revision,
-            )
-        )
+
+    def subscribe(self, connection: StreamConnection) -> None:
+        """Ask for the changes after the position of this node."""
+        position = self.view.position
+        fields = [self.settings.node, self.active_configuration.version, position.revision]
+        if self.sender_version >= ERA_VERSION:
+            fields.append(position.era)
+        connection.send(encode_frame(FrameKind.SUBSCRIBE, *fields))
 
     async def watch(self, connection: StreamConnection) -> str:
         """Wait until the feed is closed, silent, or behind this node; return the problem."""
@@ -139,7 +137,7 @@
             if silent_ms > (FEED_SILENCE_MS if self.live else FEED_START_MS):
                 return f"silent for {silent_ms} ms"
             if self.behind_since_ms and now_ms - self.behind_since_ms > FEED_BEHIND_MS:
-                return f"behind revision {self.view.revision}"
+                return f"behind {self.view.position}"
         return ""
 
     def handle(self, connection: StreamConnection, kind: FrameKind, fields: list[Any]) -> None:
@@ -151,7 +149,8 @@
             self.record(f"ended by the sender: {reason}")
             connection.close()
         elif kind is FrameKind.PONG:
-            self.sender_proves = bool(fields)
+            self.sender_version = fields[0] if fields else 0
+            self.subscribe(connection)
         elif kind is FrameKind.HELLO:
             connection.peer = fields[0]
 
@@ -162,24 +161,37 @@
         entries = [decode_entry_row(row, now_ms) for row in feed.rows]
         if feed.configuration:
             self.updater.apply_configuration(feed.configuration, source)
-        if feed.revision < self.view.revision:
+        known = self.view.position
+        position = feed.position(known)
+        if position < known:
             self.behind_since_ms = self.behind_since_ms or now_ms
             return
+        begins_era = position.begins_era(known)
+        if begins_era and not feed.complete:
+            self.record(f"sent changes of era {position.era}, {known.era} is known")
+            self.stop()
+            return
         self.behind_since_ms = 0
         if not self.live:
             self.live = True
-            self.log.record("feed", "followed", source=source, revision=feed.revision)
+            self.log.record(
+                "feed", "followed", source=source, era=position.era, revision=position.revision
+            )
         self.view.source = source
-        self.contact(feed.age_ms, self.sender_proves)
+        self.contact(feed.age_ms, self.sender_version > 0)
         was_listed = self.lists_local_server()
-        if feed.complete:
+        if begins_era:
+            self.view.settling_until_ms = now_ms + feed.retained_ms
+            self.updater.replace_from_copy(entries, now_ms + feed.retained_ms, position, source)
+        elif feed.complete:
             self.updater.replace(entries, 0, source)
         else:
             for entry in entries:
                 self.updater.put(entry, source)
             for server_id in feed.removed_ids:
                 self.updater.remove(server_id, source)
-        self.applied(feed.revision)
+        # The revision of a sender without eras may be one of another era than the known one.
+        self.applied(known if feed.era is None else position)
         if was_listed and not self.lists_local_server():
             self.store_in_doubt = True
             self.stop()
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_store.py
@@ -296,10 +296,12 @@
     def expire_retained(self) -> None:
         """Remove the retained entries that were not registered again in time.
 
-        This is done by a timer, since a node can follow a feed before they expire.
+        Also list the entries that a copy of the store brought back and that have not expired. This
+        is done by a timer, since a node can follow a feed before then.
         """
-        if self.updater.expire(self.clock.now_ms()):
-            self.publisher.publish(self.view.revision)
+        now_ms = self.clock.now_ms()
+        if self.updater.expire(now_ms) | self.updater.list_settled(now_ms):
+            self.publisher.publish(self.view.position)
 
     def yields_to_subscribers(self) -> bool:
         """Send followers of a node that is no subscriber to the subscribers of the data centre.
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -12,8 +12,10 @@
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
 from basilhill_node.sidecar.event_log import EventLog
+from basilhill_node.sidecar.positions import StatedEra, StorePosition
 from basilhill_node.sidecar.state import STORE, FollowStage, StoreView
 from basilhill_node.sidecar.store import (
+    HistoryExpiredError,
     Store,
     StoreDecoder,
     StoredItem,
@@ -46,28 +48,39 @@
     # Set while the store responds to this node itself, and while it does not.
     access: asyncio.Event = field(factory=asyncio.Event)
     no_access: asyncio.Event = field(factory=asyncio.Event)
+    # Problem of the last era that could not be read.
+    era_problem: str = ""
 
     async def read(self) -> None:
         """Read all items of the store and apply them."""
         self.enter(FollowStage.READING)
         started_ms = self.clock.now_ms()
-        revision = 0
+        position, was_lost = None, bool(self.view.unreachable_since_ms)
         entries = []
         async for page in self.store.read():
-            if page.revision < self.view.revision:
-                raise StoreFailedError(
-                    f"store returned revision {page.revision}, {self.view.revision} is known"
-                )
-            revision = revision or page.revision
+            found = self.stated_position(page.revision, page.era)
+            position = position or found
+            if found < self.view.position:
+                raise StoreFailedError(f"store returned {found}, {self.view.position} is known")
+            if found.era != position.era:
+                raise HistoryExpiredError(f"store began era {found.era} while it was read")
             entries += self.apply_items(page.items)
+        position = position or self.view.position
         now_ms = self.clock.now_ms()
         self.view.source = STORE
         self.record_response()
         # Entries that expired during an outage of the store may be registered again shortly.
         retained_until_ms = self.view.failed_ms + REGISTRATION_GRACE_MS
-        self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
+        if position.begins_era(self.view.position):
+            # Servers write the entries again that the copy lacks.
+            if not was_lost:
+                retained_until_ms = started_ms + REGISTRATION_GRACE_MS
+            self.view.settling_until_ms = retained_until_ms
+            self.updater.replace_from_copy(entries, retained_until_ms, position, STORE)
+        else:
+            self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
         self.record_verified(started_ms)
-        self.publisher.publish(revision)
+        self.publisher.publish(position)
 
     async def watch(self, wait_ms: int, check_age_ms: int) -> int:
         """Wait for changes of the store and apply them; return how many there were.
@@ -75,10 +88,10 @@
         A check that finds changes ends the watch, whose connection may be unresponsive.
         """
         started_ms = self.clock.now_ms()
-        revision = self.view.revision
-        watching = self.store.watch(revision, wait_ms)
+        position = self.view.position
+        watching = self.store.watch(position.revision, wait_ms)
         changes = await self.while_verified(
-            watching, check_age_ms, self.check, lambda: self.view.revision > revision
+            watching, check_age_ms, self.check, lambda: self.view.position > position
         )
         if changes is None:
             self.log.record("store", "watch replaced", revision=self.view.revision)
@@ -144,19 +157,34 @@
     def apply(self, changes: StoreEvents, started_ms: int) -> int:
         """Apply the changes that are not known yet; return how many the response had.
 
-        A watch and a check can return the same changes.
+        A watch and a check can return the same changes. Raise HistoryExpiredError for a response of
+        a later era, whose earlier changes are missing, and StoreFailedError for one of an earlier
+        era.
         """
+        known = self.view.position
+        position = self.stated_position(changes.revision, changes.era)
+        if position.era > known.era:
+            raise HistoryExpiredError(f"store is in era {position.era}, {known.era} is known")
+        if position.era < known.era:
+            raise StoreFailedError(f"store returned era {position.era}, {known.era} is known")
         self.record_response()
         for item in changes.events:
-            if item.revision > self.view.revision:
+            if item.revision > known.revision:
                 self.apply_event(item)
         self.record_verified(started_ms)
-        self.publisher.publish(max(self.view.revision, changes.revision))
+        self.publisher.publish(max(known, position))
         if not changes.events:
             # Followers get the proof at once, so that they do not check the store themselves.
             self.publisher.send_heartbeat()
         return len(changes.events)
 
+    def stated_position(self, revision: int, era: StatedEra) -> StorePosition:
+        """Return the position of a response; log the problem of its era once."""
+        if era.problem and era.problem != self.era_problem:
+            self.log.record("store", "era ignored", problem=era.problem)
+        self.era_problem = era.problem
+        return era.position(revision, self.view.position)
+
     def apply_items(self, items: Iterable[StoredItem]) -> list[BackendEntry]:
         """Apply the configuration among items of the store; return their server entries."""
         entries = []
@@ -210,7 +238,13 @@
         recovered, view.reachable, view.unreachable_since_ms = not view.reachable, True, 0
         view.last_contact_ms = at_ms
         if recovered:
-            self.log.record("store", "reached", revision=view.revision, away_ms=away_ms)
+            self.log.record(
+                "store",
+                "reached",
+                era=view.position.era,
+                revision=view.revision,
+                away_ms=away_ms,
+            )
             view.changed()
 
     def record_response(self) -> None:
@@ -252,7 +286,9 @@
             return
         view.reachable, view.unreachable_since_ms = False, self.clock.now_ms()
         view.source = ""
-        self.log.record("store", "lost", reason=reason, revision=view.revision)
+        self.log.record(
+            "store", "lost", reason=reason, era=view.position.era, revision=view.revision
+        )
         view.changed()
 
     def enter(self, stage: FollowStage, **inputs: Any) -> None:
@@ -265,6 +301,7 @@
             "store",
             "stage",
             stage=stage.value,
+            era=view.position.era,
             revision=view.revision,
             version=self.updater.active_configuration.version,
             verified_age_ms=self.clock.now_ms() - view.verified_ms,
--- a/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/frames.py
@@ -23,6 +23,7 @@
 from expression import Error
 
 from basilhill_node.sidecar.messages import REPEATED_HEADER_BYTES
+from basilhill_node.sidecar.positions import StorePosition
 from basilhill_node.sidecar.segments import Buffer
 
 LENGTH_PREFIX = struct.Struct(">I")
@@ -34,10 +35,11 @@
     ExecutionStatus.MAY_HAVE_RUN,
 )
 # Version of the frames, with which each PING and PONG ends. Version 1 sends large bodies ahead of
-# their frames, version 2 lends credit. A node of version 0 ignores the field. All nodes close a
-# stream with an unknown kind.
-FRAMES_VERSION = 2
+# their frames, version 2 lends credit, version 3 states eras of the store. A node of version 0
+# ignores the field. All nodes close a stream with an unknown kind.
+FRAMES_VERSION = 3
 CREDIT_VERSION = 2
+ERA_VERSION = 3
 # Levels and shares are encoded as integers in these steps, which take fewer bytes than floats.
 LEVEL_STEPS = 256
 SHARE_STEPS = 100
@@ -89,18 +91,27 @@
 
 @frozen
 class Subscribe:
-    """Frame that asks a node for the changes after a revision of the store."""
+    """Frame that asks a node for the changes after a position in the store.
+
+    Nodes without eras of the store state none, and understand no frame that states one.
+    """
 
     node: str
     version: int
     revision: int
+    era: int | None = None
+
+    def position(self, known: StorePosition) -> StorePosition:
+        """Return the position of the subscriber; it is in the known era if it states none."""
+        return StorePosition(known.era if self.era is None else self.era, self.revision)
 
 
 @frozen
 class Feed:
-    """Frame with the changes of the store up to a revision; without changes it is a heartbeat.
+    """Frame with the changes of the store up to a position; without changes it is a heartbeat.
 
     `complete` is whether the rows are all entries. The configuration is empty if it is unchanged.
+    In a new era, entries that are missing from a complete list are retained for `retained_ms`.
     """
 
     revision: int
@@ -111,6 +122,13 @@
     configuration: bytes
     rows: list[list[Any]]
     removed_ids: list[str]
+    # None from nodes without eras of the store, which also retain no missing entries.
+    era: int | None = None
+    retained_ms: int = 0
+
+    def position(self, known: StorePosition) -> StorePosition:
+        """Return the position of the sender; it is in the known era if it states none."""
+        return StorePosition(known.era if self.era is None else self.era, self.revision)
 
 
 @define(eq=False)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -24,6 +24,7 @@
 from basilhill_node.sidecar.event_log import EventLog
 from basilhill_node.sidecar.http_client import ConnectionPool
 from basilhill_node.sidecar.memory import DEFAULT_MEMORY_MB, MessageMemory
+from basilhill_node.sidecar.positions import StorePosition
 
 # Slots assumed for the local backend server until its entry is read; servers have 13 or more.
 INITIAL_SLOTS = 10
@@ -108,7 +109,7 @@
 class StoreView:
     """State of the connection to the store; written by `follow_store` and `follow_feed`.
 
-    `revision` is that up to which all changes are applied; written by `publish_feed`.
+    `position` is that up to which all changes are applied; written by `publish_feed`.
 
     The store is also reachable if another node reports its changes.
     """
@@ -126,7 +127,9 @@
     last_contact_ms: int = 0
     # Latest time before which each change that the store acknowledged is known to be applied here.
     verified_ms: int = 0
-    revision: int = 0
+    position: StorePosition = StorePosition()
+    # Time until which entries that a copy of the store lacks are retained.
+    settling_until_ms: int = 0
     stage: FollowStage = FollowStage.STARTING
     # Called when the store becomes unreachable or reachable.
     changed: Callable[[], None] = field(default=lambda: None)
@@ -136,6 +139,11 @@
         """Return whether the VM reaches the store, so that its server can keep its entry."""
         return self.reachable and not self.access_lost
 
+    @property
+    def revision(self) -> int:
+        """Return the revision of the position, which orders changes within its era only."""
+        return self.position.revision
+
 
 @define(eq=False)
 class OriginState:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/store.py
@@ -5,6 +5,8 @@
 
 from attrs import frozen
 
+from basilhill_node.sidecar.positions import StatedEra
+
 
 class StoreFailedError(Exception):
     """Missing or invalid response of the store."""
@@ -15,7 +17,7 @@
 
 
 class HistoryExpiredError(Exception):
-    """Watch from a revision whose later changes the store has discarded; read all items again."""
+    """Watch from a position whose later changes the store does not have; read all items again."""
 
 
 @frozen
@@ -29,18 +31,20 @@
 
 @frozen
 class StoreItems:
-    """Some items of the store and its revision when they were read."""
+    """Some items of the store, and its revision and era when they were read."""
 
     items: tuple[StoredItem, ...]
     revision: int
+    era: StatedEra = StatedEra()
 
 
 @frozen
 class StoreEvents:
-    """Changes in order and the revision from which to watch next."""
+    """Changes in order, the revision from which to watch next, and its era."""
 
     events: tuple[StoredItem, ...]
     revision: int
+    era: StatedEra = StatedEra()
 
 
 class Store(Protocol):
