Keep the limits of servers in any spelling of a decimal number

Cause: the decoder allowed 12 digits after the point. A longer limit counted as malformed, and as no other was known, the server got all calls. Ruled out: the rate gate, which keeps 3.33.

Change: any number of digits, a plus sign, an exponent and a list in one field are read; limits above 1e9 count as 1e9. The pattern has no quadratic case (60,000 digits and a letter in the test).

test_malformed_limit_of_a_server_is_reported had 1e9, 40 digits and "20, 8" among the malformed limits. They are sound numbers and neither infinite nor a reason to remove a limit, against which the test guards; they moved to the sound ones with their values, and eight other malformed ones took their place.

--- a/packages/basilhill_node/src/basilhill_node/platform/http.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/http.py
@@ -9,6 +9,7 @@
 from basilhill.workspaces import Credentials
 from expression import Error, Ok, Result
 
+from basilhill_node.platform.input import MAX_NUMBER
 from basilhill_node.sidecar.dialect import (
     CallerIdentity,
     MalformedMetadata,
@@ -45,7 +46,9 @@
 KEYED_HEADERS = NODE_HEADERS | {AUTHORIZATION}
 ECHOED_HEADERS = frozenset((REQUEST_ID,))
 LONGEST_DEADLINE_MS = 3_600_000
-DECIMAL_NUMBER = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+# A decimal number as the usual languages print and read it: 10 / 3 has 16 decimals in Python and
+# JavaScript, and 17 significant digits in C; small numbers have exponents in all of them.
+DECIMAL_NUMBER = re.compile(r"\+?([0-9]+(\.[0-9]*)?|\.[0-9]+)([eE][+-]?[0-9]{1,5})?")
 # Status of a request that may have run, by reason; the default is 502.
 UNCERTAIN_STATUS = {Reason.DEADLINE: 504}
 # Status of a request that did not run, by reason; the default is 503.
@@ -125,12 +128,18 @@
         Of several limits the lowest one holds; a malformed one leaves all of them unknown.
         """
         leaving = header_value(headers, SERVER_LEAVING) == "1"
-        texts = [header.value.strip() for header in headers if header.name == SERVER_LIMIT]
+        texts = [
+            text.strip()
+            for header in headers
+            if header.name == SERVER_LIMIT
+            for text in header.value.split(",")
+        ]
         malformed = [text for text in texts if not DECIMAL_NUMBER.fullmatch(text)]
         if malformed:
             problem = f"the limit {malformed[0][:40]!r} is no decimal number"
             return ServerStatement(None, leaving, problem)
-        return ServerStatement(min(map(float, texts), default=None), leaving)
+        limits = [min(float(text), MAX_NUMBER) for text in texts]
+        return ServerStatement(min(limits, default=None), leaving)
 
     def encode_answer(self, answer: Answer, request_id: str) -> HttpResponse:
         headers = [Header(REQUEST_ID, request_id), *answer.headers]
