Match hosts of the configuration in any case

What callers saw: 404 for each route of a host that the configuration writes with capitals, although the version was taken.

Change: hosts are decoded in lower case (RFC 9110, section 4.2.3), and the finding, which cannot occur any more, is gone.

Evidence: test_host_matches_in_any_case fails before the change.

--- a/packages/basilhill/src/basilhill/queries/configuration_checks.py
+++ b/packages/basilhill/src/basilhill/queries/configuration_checks.py
@@ -37,9 +37,6 @@
 def host_findings(configuration: Configuration) -> Iterator[Finding]:
     """Yield the routes that no request can match, and names that stand for several routes."""
     for host, routes in configuration.routes.items():
-        if host != host.lower():
-            text = "never matches, since hosts of requests are compared in lower case"
-            yield Finding(f"host {host}", text)
         if host.rpartition(":")[2].isdigit():
             yield Finding(f"host {host}", "never matches, since requests are compared without port")
         first: dict[str, Route] = {}
--- a/packages/basilhill_node/src/basilhill_node/platform/configuration.py
+++ b/packages/basilhill_node/src/basilhill_node/platform/configuration.py
@@ -34,7 +34,8 @@
 
 def read_configuration(table: dict[str, Any]) -> Configuration:
     routes = [
-        read_route(required_text(host, "host"), path)
+        # Hosts are compared without regard to case (RFC 9110, section 4.2.3).
+        read_route(required_text(host, "host").lower(), path)
         for host in table["virtualHosts"]
         for path in host["paths"]
     ]
--- a/packages/basilhill_node/tests/test_platform_adapter.py
+++ b/packages/basilhill_node/tests/test_platform_adapter.py
@@ -151,6 +151,15 @@
     assert found.limits.idle_ms == 15_000
 
 
+def test_host_matches_in_any_case():
+    """Guard against a route that answers 404 because its host was written with capitals."""
+    hosts = [{"host": "Shop.Example", "paths": PATHS}]
+    found = decode_configuration(encoded(CONFIGURATION | {"virtualHosts": hosts})).ok
+    request = HttpRequest("GET", "/", [Header("host", "sHOP.example:80")])
+    host = PlatformDialect().decode_metadata(request).host
+    assert len(found.routes[host]) == len(PATHS)
+
+
 @pytest.mark.parametrize("missing", ["version", "virtualHosts", "limits"])
 def test_incomplete_configuration_is_refused(missing):
     """Guard against the activation of a partial configuration."""
