--- a/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/soak_plans.py
@@ -168,6 +168,13 @@
         ),
         optional_requests=tuple(("GET", route["prefix"]) for route in OPTIONAL_ROUTES),
     ),
+    # The same with many servers that leave, of which only the store is told.
+    "copies-releases-degustari": configuration_plan(
+        ChangeRhythm(CHANGES),
+        (0.0, 5.0),
+        COPIES,
+        *(FaultSequence(NOTICES, (0.2, 3.0), (0.5, 2.0)),) * 3,
+    ),
     # The same beside faults of nodes and other ones of the store.
     "copies-faults-degustari": evolve(
         configuration_plan(
--- a/packages/basilhill_fakes/tests/test_store_copies.py
+++ b/packages/basilhill_fakes/tests/test_store_copies.py
@@ -97,7 +97,8 @@
     ]
 
 
-@pytest.mark.parametrize("notice, away_s", [("draining", 0.0), ("draining", 1.0), ("removed", 0.0)])
+@pytest.mark.parametrize("away_s", [0.0, 1.0])
+@pytest.mark.parametrize("notice", ["draining", "removed"])
 def test_server_that_left_stays_out_of_use(loop, notice, away_s):
     """Guard against a server in use again because a copy lists it as it was before it left."""
 
