Keep a removed server out of use in a later outage of the store

What callers saw: a server whose entry was removed was used again as soon as the store was away, by all nodes, until the store was back.

Cause: an expired server stays in use while its node reports that it has lost the store, since its entry may have expired for that reason. The report counted at any later time, also in an outage that began after the removal.

Change: a node to which the store has responded after the removal of its own server knows that the server left, and reports no address of a partitioned server. Frames are unchanged.

The tests of partitioned servers pass unchanged.

--- a/packages/basilhill/src/basilhill/queries/backends.py
+++ b/packages/basilhill/src/basilhill/queries/backends.py
@@ -35,6 +35,13 @@
     ]
 
 
+def removed_at(directory: BackendDirectory, address: str) -> list[BackendEntry]:
+    """Return the last entries of the deregistered servers at an address, none if one is listed."""
+    if address in directory.newest_by_address:
+        return []
+    return [entry for entry in directory.removed_entries.values() if entry.address == address]
+
+
 def known_entry(directory: BackendDirectory, server_id: str) -> BackendEntry | None:
     """Return the entry of a server, or its last one if the server was deregistered."""
     return directory.entries.get(server_id) or directory.removed_entries.get(server_id)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/exchange_peer_updates.py
@@ -9,6 +9,7 @@
 from basilhill.commands.backends import set_detached
 from basilhill.commands.poison_requests import apply_crash_report
 from basilhill.poison_requests import CrashReport, PoisonRequestTable
+from basilhill.queries.backends import removed_at
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.event_log import EventLog
@@ -60,9 +61,21 @@
             self.settings.service,
             self.active_configuration.version,
             self.store.has_access,
-            self.settings.backend_address,
+            self.partitioned_address(),
         )
 
+    def partitioned_address(self) -> str:
+        """Return the address at which peers may use a deregistered server, empty if it left.
+
+        A node that lost the store cannot know whether an entry expired for that reason, unless the
+        store responded to it after the removal.
+        """
+        address = self.settings.backend_address
+        removed = removed_at(self.directory, address)
+        if removed and all(entry.server_id in self.store.left_ids for entry in removed):
+            return ""
+        return address
+
     def open(self, connection: StreamConnection) -> None:
         connection.send(self.encode_hello())
 
@@ -135,7 +148,7 @@
             if not peer_state.store_reachable
         }
         if not self.store.has_access:
-            detached_addresses.add(self.settings.backend_address)
+            detached_addresses.add(self.partitioned_address())
         set_detached(self.directory, detached_addresses)
 
     def broadcast_hello(self) -> None:
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/follow_feed.py
@@ -192,7 +192,10 @@
                 self.updater.remove(server_id, source)
         # The revision of a sender without eras may be one of another era than the known one.
         self.applied(known if feed.era is None else position)
-        if was_listed and not self.lists_local_server():
+        if self.lists_local_server():
+            # A later removal can mean that the VM has lost the store.
+            self.view.left_ids = frozenset()
+        elif was_listed:
             self.store_in_doubt = True
             self.stop()
 
--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 from basilhill.backends import BackendEntry
 from basilhill.clocks import Clock
-from basilhill.queries.backends import known_entry
+from basilhill.queries.backends import known_entry, removed_at
 
 from basilhill_node.sidecar.commands.apply_updates import ViewUpdater
 from basilhill_node.sidecar.commands.publish_feed import FeedPublisher
@@ -80,6 +80,7 @@
         else:
             self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
         self.record_verified(started_ms)
+        self.record_left_servers()
         self.publisher.publish(position)
 
     async def watch(self, wait_ms: int, check_age_ms: int) -> int:
@@ -172,6 +173,7 @@
             if item.revision > known.revision:
                 self.apply_event(item)
         self.record_verified(started_ms)
+        self.record_left_servers()
         self.publisher.publish(max(known, position))
         if not changes.events:
             # Followers get the proof at once, so that they do not check the store themselves.
@@ -252,6 +254,11 @@
         self.record_contact(self.clock.now_ms())
         self.record_access(True)
 
+    def record_left_servers(self) -> None:
+        """Record that the removed servers of this VM left, since the store responds to the VM."""
+        left = removed_at(self.updater.directory, self.updater.settings.backend_address)
+        self.view.left_ids = frozenset(entry.server_id for entry in left)
+
     def record_verified(self, at_ms: int) -> None:
         """Record a proof that all changes made before a time are applied."""
         self.view.verified_ms = max(self.view.verified_ms, at_ms)
--- a/packages/basilhill_node/src/basilhill_node/sidecar/state.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/state.py
@@ -131,6 +131,9 @@
     # Time until which entries that a copy of the store lacks are retained.
     settling_until_ms: int = 0
     stage: FollowStage = FollowStage.STARTING
+    # Ids of removed servers of this VM. The store responded to this node after their removal, so
+    # that their entries did not expire because the VM had lost the store.
+    left_ids: frozenset[str] = frozenset()
     # Called when the store becomes unreachable or reachable.
     changed: Callable[[], None] = field(default=lambda: None)
 
