--- a/packages/basilhill_fakes/src/basilhill_fakes/configuration_checks.py
+++ b/packages/basilhill_fakes/src/basilhill_fakes/configuration_checks.py
@@ -139,3 +139,21 @@
         access.silence()
     else:
         access.refused = True
+
+
+def leave_or_replace(fleet: SimulatedFleet, vm: SimulatedVm, random: Random) -> None:
+    """Replace the server of a VM that leaves, or let it leave with or without notice."""
+    if vm.server_id in fleet.leaving:
+        fleet.start_server(vm)
+    elif random.random() < 0.5:
+        fleet.remove_server(vm)
+    else:
+        fleet.drain_server(vm)
+
+
+async def kill_or_start(fleet: SimulatedFleet, vm: SimulatedVm) -> None:
+    """Kill the node of a VM, or start it if it was killed."""
+    if vm.node is None:
+        await fleet.start(vm)
+    else:
+        fleet.kill(vm)
--- a/packages/basilhill_fakes/tests/test_configuration_walks.py
+++ b/packages/basilhill_fakes/tests/test_configuration_walks.py
@@ -9,7 +9,13 @@
 import pytest
 from attrs import define, evolve, field
 from basilhill.queries.subscribers import subscriber_hosts
-from basilhill_fakes.configuration_checks import check_until, run, start_fleet
+from basilhill_fakes.configuration_checks import (
+    check_until,
+    kill_or_start,
+    leave_or_replace,
+    run,
+    start_fleet,
+)
 from basilhill_fakes.platform_store import PAGE_ITEMS, PlatformStoreState
 from basilhill_fakes.sidecar_fleet import build_route
 from basilhill_fakes.simulated_fleet import SimulatedFleet, SimulatedStore, SimulatedVm, StoreAccess
@@ -205,17 +211,9 @@
     if step == "change":
         change(fleet, random)
     elif step == "leave":
-        if vm.server_id in fleet.leaving:
-            fleet.start_server(vm)
-        elif random.random() < 0.5:
-            fleet.remove_server(vm)
-        else:
-            fleet.drain_server(vm)
+        leave_or_replace(fleet, vm, random)
     elif step == "restart":
-        if vm.node is None:
-            await fleet.start(vm)
-        else:
-            fleet.kill(vm)
+        await kill_or_start(fleet, vm)
     elif step == "entry":
         fleet.store.put(f"servers/x-{random.randrange(9)}", b"not an entry")
     elif step == "store":
--- a/packages/basilhill_fakes/tests/test_store_copies.py
+++ b/packages/basilhill_fakes/tests/test_store_copies.py
@@ -8,6 +8,8 @@
 from basilhill_fakes.configuration_checks import (
     check_until,
     cut_hosts,
+    kill_or_start,
+    leave_or_replace,
     run,
     start_fleet,
     toggle,
@@ -47,17 +49,9 @@
             away_s = random.choice((0.0, random.uniform(0.0, 0.2), random.uniform(0.2, 2.0)))
             copy_and_restore(fleet, random.uniform(0.0, 8.0), away_s, random)
         elif step == "leave":
-            if vm.server_id in fleet.leaving:
-                fleet.start_server(vm)
-            elif random.random() < 0.5:
-                fleet.remove_server(vm)
-            else:
-                fleet.drain_server(vm)
+            leave_or_replace(fleet, vm, random)
         elif step == "restart":
-            if vm.node is None:
-                await fleet.start(vm)
-            else:
-                fleet.kill(vm)
+            await kill_or_start(fleet, vm)
         elif step == "path":
             toggle(vm.path, random)
         elif vm.address in cut_hosts(fleet):
