Count a removal as a departure only after a later response of the store

Cause: the removals in a response counted as known while the store responded, though its request may be from before the partition.

Change: a response counts for the removals that the node knew before it.

--- a/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
+++ b/packages/basilhill_node/src/basilhill_node/sidecar/commands/read_store.py
@@ -66,6 +66,7 @@
                 raise HistoryExpiredError(f"store began era {found.era} while it was read")
             entries += self.apply_items(page.items)
         position = position or self.view.position
+        self.record_left_servers()
         now_ms = self.clock.now_ms()
         self.view.source = STORE
         self.record_response()
@@ -80,7 +81,6 @@
         else:
             self.updater.replace(entries, retained_until_ms if retained_until_ms > now_ms else 0)
         self.record_verified(started_ms)
-        self.record_left_servers()
         self.publisher.publish(position)
 
     async def watch(self, wait_ms: int, check_age_ms: int) -> int:
@@ -169,11 +169,11 @@
         if position.era < known.era:
             raise StoreFailedError(f"store returned era {position.era}, {known.era} is known")
         self.record_response()
+        self.record_left_servers()
         for item in changes.events:
             if item.revision > known.revision:
                 self.apply_event(item)
         self.record_verified(started_ms)
-        self.record_left_servers()
         self.publisher.publish(max(known, position))
         if not changes.events:
             # Followers get the proof at once, so that they do not check the store themselves.
@@ -255,7 +255,10 @@
         self.record_access(True)
 
     def record_left_servers(self) -> None:
-        """Record that the removed servers of this VM left, since the store responds to the VM."""
+        """Record that the removed servers of this VM left, since the store responds to the VM.
+
+        The removals in the response itself do not count: its request may be from before them.
+        """
         left = removed_at(self.updater.directory, self.updater.settings.backend_address)
         self.view.left_ids = frozenset(entry.server_id for entry in left)
 
