--- a/packages/basilhill_fakes/tests/test_soak_copies.py
+++ b/packages/basilhill_fakes/tests/test_soak_copies.py
@@ -14,7 +14,8 @@
 async def test_nodes_follow_a_store_that_comes_back_from_copies(tmp_path: Path, plan: str):
     """Guard against nodes that keep an old version and leaving servers for as long as they run.
 
-    They once refused a store whose revisions had gone back. The same seeds fail on 449a8a2.
+    They once refused a store whose revisions had gone back. On 449a8a2 seed 1 fails
+    with both plans, with the second one in a run of 30 s.
     """
     result = await run_soak(SEED, SECONDS, tmp_path, PLANS[plan])
     assert result.violations == []
